--- a/cmake/chivewinch_targets.cmake
+++ b/cmake/chivewinch_targets.cmake
@@ -1,5 +1,8 @@
 add_library(chivewinch_options INTERFACE)
-target_compile_options(chivewinch_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
+# Designated initialisers leave out members that keep their default. GCC 12 reports false positives of
+# maybe-uninitialized inside std::optional.
+target_compile_options(chivewinch_options INTERFACE
+    -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers -Wno-maybe-uninitialized)
 target_include_directories(chivewinch_options INTERFACE ${CMAKE_SOURCE_DIR}/src)
 if(CHIVEWINCH_SANITIZE STREQUAL "address")
     target_compile_options(chivewinch_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
@@ -58,6 +61,7 @@
 function(chivewinch_benchmark name source)
     string(REPLACE "_bench" "" module ${name})
     add_executable(${name} ${source})
+    target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/bench)
     target_link_libraries(${name} PRIVATE chivewinch_options benchmark::benchmark nlohmann_json::nlohmann_json)
     if(TARGET chivewinch_${module})
         target_link_libraries(${name} PRIVATE chivewinch_${module})
