--- /dev/null
+++ b/src/logging/event.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace chivewinch::logging {
+
+enum class Level : std::uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+struct Options {
+    Level level = Level::Info;
+    std::string program; ///< Value of the "program" key on each line.
+    std::string instance; ///< Value of the "instance" key on each line.
+};
+
+/** Sets up log4cplus to write one key=value line per event to standard error. */
+void configure(const Options& options);
+
+/** Level with this name: debug, info, warning or error; info for any other text. */
+[[nodiscard]] Level parseLevel(std::string_view name) noexcept;
+
+/**
+ * One log event. The line is written when a level function is called.
+ * Event names and keys are stable, since operators search for them.
+ */
+class Event {
+public:
+    explicit Event(std::string_view name);
+
+    /** Adds a key and a value; the value is quoted if it contains spaces, quotes or control characters. */
+    Event& field(std::string_view key, std::string_view value);
+    Event& field(std::string_view key, const char* value) { return this->field(key, std::string_view { value }); }
+    Event& field(std::string_view key, bool value) { return this->field(key, value ? "true" : "false"); }
+    Event& field(std::string_view key, double value);
+    template <std::integral Integer> Event& field(std::string_view key, Integer value)
+    {
+        return this->field(key, std::string_view { std::to_string(value) });
+    }
+
+    void debug() const { this->write(Level::Debug); }
+    void info() const { this->write(Level::Info); }
+    void warning() const { this->write(Level::Warning); }
+    void error() const { this->write(Level::Error); }
+
+    /** The line without the prefix that log4cplus adds. */
+    [[nodiscard]] const std::string& line() const noexcept { return this->text; }
+
+private:
+    std::string text;
+
+    void write(Level level) const;
+};
+
+} // namespace chivewinch::logging
--- /dev/null
+++ b/src/logging/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace chivewinch::logging {
+
+class Event;
+struct Options;
+
+} // namespace chivewinch::logging
--- /dev/null
+++ b/src/metrics/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace chivewinch::metrics {
+
+class Registry;
+
+} // namespace chivewinch::metrics
--- /dev/null
+++ b/src/settings/definition.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "settings/value_type.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivewinch::settings {
+
+/** One setting; flag, environment variable, help text and documentation come from it. */
+struct Setting {
+    std::string name; ///< Flag without dashes, e.g. "drain-timeout".
+    std::string description;
+    ValueType type;
+    /** Value when neither flag nor variable is given; nullopt makes the setting required. */
+    std::optional<std::string> defaultValue;
+};
+
+enum class ErrorCode : std::uint8_t {
+    None,
+    UnknownFlag,
+    InvalidValue,
+    Missing,
+};
+
+/** Why the settings were not accepted. */
+struct Error {
+    ErrorCode code = ErrorCode::None;
+    std::string detail;
+
+    bool operator==(const Error&) const = default;
+};
+
+/** Checked values. Reading a setting that is not defined is a programming error and throws std::out_of_range. */
+class Values {
+public:
+    explicit Values(std::map<std::string, std::string> values)
+        : values { std::move(values) }
+    {
+    }
+
+    [[nodiscard]] const std::string& text(const std::string& name) const { return this->values.at(name); }
+    [[nodiscard]] std::int64_t integer(const std::string& name) const;
+    [[nodiscard]] double real(const std::string& name) const;
+    [[nodiscard]] std::chrono::milliseconds duration(const std::string& name) const;
+    [[nodiscard]] Endpoint endpoint(const std::string& name) const;
+    [[nodiscard]] std::vector<Endpoint> endpoints(const std::string& name) const;
+
+    bool operator==(const Values&) const = default;
+
+private:
+    std::map<std::string, std::string> values;
+};
+
+/** Value of an environment variable, or nullopt. */
+using Environment = std::function<std::optional<std::string>(const std::string& variable)>;
+
+/** All settings of one program. */
+class Definition {
+public:
+    Definition(std::string program, std::string summary, std::vector<Setting> settings);
+
+    /** Reads flags, then environment variables, then defaults; nullopt and a last reason if any value is wrong. */
+    [[nodiscard]] std::optional<Values> parse(
+        const std::vector<std::string>& arguments, const Environment& environment);
+
+    [[nodiscard]] const Error& lastReason() const noexcept { return this->reason; }
+    [[nodiscard]] std::string help() const;
+    /** Table for docs/settings.md. */
+    [[nodiscard]] std::string markdown() const;
+
+    /** Environment variable of a setting of this program, e.g. CHIVEWINCH_ENTRY_DRAIN_TIMEOUT. */
+    [[nodiscard]] std::string variable(std::string_view setting) const;
+
+private:
+    std::string program;
+    std::string summary;
+    std::vector<Setting> settings;
+    Error reason;
+
+    std::optional<Values> fail(ErrorCode code, std::string detail);
+    [[nodiscard]] std::optional<std::map<std::string, std::string>> parseFlags(
+        const std::vector<std::string>& arguments);
+};
+
+/** Variables of this process. */
+[[nodiscard]] Environment processEnvironment();
+
+} // namespace chivewinch::settings
--- /dev/null
+++ b/src/settings/program.cpp
@@ -0,0 +1,47 @@
+#include "settings/program.hpp"
+
+#include <algorithm>
+#include <iostream>
+
+namespace chivewinch::settings {
+
+namespace internal {
+
+constexpr const char* version = "0.1.0";
+
+bool removeFlag(std::vector<std::string>& arguments, const std::string& flag)
+{
+    return std::erase(arguments, flag) > 0;
+}
+
+} // namespace internal
+
+std::variant<Values, int> parseProgram(Definition& definition, int argumentCount, char** arguments)
+{
+    std::vector<std::string> given { arguments + 1, arguments + argumentCount };
+    if (internal::removeFlag(given, "--help")) {
+        std::cout << definition.help();
+        return exitDone;
+    }
+    if (internal::removeFlag(given, "--version")) {
+        std::cout << internal::version << "\n";
+        return exitDone;
+    }
+    if (internal::removeFlag(given, "--settings-markdown")) {
+        std::cout << definition.markdown();
+        return exitDone;
+    }
+    const bool checkOnly = internal::removeFlag(given, "--check-config");
+    auto values = definition.parse(given, processEnvironment());
+    if (!values) {
+        std::cerr << definition.lastReason().detail << "\n";
+        return exitWrongUse;
+    }
+    if (checkOnly) {
+        std::cout << "settings are valid\n";
+        return exitDone;
+    }
+    return std::move(*values);
+}
+
+} // namespace chivewinch::settings
