--- /dev/null
+++ b/src/transport/error.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace chivewinch::transport {
+
+enum class ErrorCode : std::uint8_t {
+    None,
+    ConnectionLost, ///< The TCP connection failed or was closed by the peer.
+    Protocol, ///< The peer violated HTTP/2 or the framing of messages.
+    StreamReset, ///< The peer reset this stream only.
+    Closed, ///< This side closed the session.
+    PeerSilent, ///< Nothing arrived within the idle time-out.
+};
+
+/** Why a stream or a session ended early. */
+struct Error {
+    ErrorCode code = ErrorCode::None;
+    std::string detail;
+
+    bool operator==(const Error&) const = default;
+};
+
+} // namespace chivewinch::transport
