--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,183 @@
+#include "http/client.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace chivewinch::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+
+namespace internal {
+
+constexpr auto awaitResult = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t readChunkBytes = 16U << 10;
+
+} // namespace internal
+
+struct ResponseStream::State {
+    std::unique_ptr<beast::tcp_stream> stream;
+    std::weak_ptr<Client::Pool> pool;
+    std::size_t maxIdle = 0;
+    std::chrono::milliseconds readTimeout {};
+    beast::flat_buffer buffer;
+    beast::http::response_parser<beast::http::buffer_body> parser;
+    std::array<char, internal::readChunkBytes> chunk {};
+
+    /** Keeps the connection for the next request if the whole answer was read. */
+    void release()
+    {
+        const auto open = this->pool.lock();
+        if (this->stream && open && this->parser.keep_alive() && open->size() < this->maxIdle) {
+            this->stream->expires_never();
+            open->push_back(std::move(this->stream));
+        }
+        this->stream.reset();
+    }
+};
+
+ResponseStream::ResponseStream()
+    : state { std::make_unique<State>() }
+{
+}
+
+ResponseStream::~ResponseStream() = default;
+
+unsigned ResponseStream::status() const { return this->state->parser.get().result_int(); }
+
+std::string_view ResponseStream::header(std::string_view name) const
+{
+    return view(this->state->parser.get()[beast::string_view { name.data(), name.size() }]);
+}
+
+Task<std::optional<std::string>> ResponseStream::read(Error& reason)
+{
+    auto& current = *this->state;
+    while (!current.parser.is_done()) {
+        if (!current.stream) {
+            reason = { .code = ErrorCode::NoAnswer, .detail = "connection was closed" };
+            co_return std::nullopt;
+        }
+        auto& body = current.parser.get().body();
+        body.data = current.chunk.data();
+        body.size = current.chunk.size();
+        current.stream->expires_after(current.readTimeout);
+        const auto [error, bytes] = co_await beast::http::async_read_some(
+            *current.stream, current.buffer, current.parser, internal::awaitResult);
+        if (error && error != beast::http::error::need_buffer) {
+            reason = { .code = ErrorCode::NoAnswer, .detail = error.message() };
+            current.stream.reset();
+            co_return std::nullopt;
+        }
+        const auto filled = current.chunk.size() - current.parser.get().body().size;
+        if (filled > 0)
+            co_return std::string { current.chunk.data(), filled };
+    }
+    current.release();
+    co_return std::string {};
+}
+
+void ResponseStream::cancel() noexcept
+{
+    if (this->state->stream)
+        this->state->stream->close();
+}
+
+Client::Client(asio::any_io_executor executor, ClientOptions options)
+    : executor { std::move(executor) }
+    , options { std::move(options) }
+    , pool { std::make_shared<Pool>() }
+{
+}
+
+Client::~Client() = default;
+
+Task<std::unique_ptr<beast::tcp_stream>> Client::connect(bool fresh, Error& reason)
+{
+    if (!fresh && !this->pool->empty()) {
+        auto kept = std::move(this->pool->back());
+        this->pool->pop_back();
+        co_return kept;
+    }
+    auto stream = std::make_unique<beast::tcp_stream>(this->executor);
+    const Tcp::endpoint endpoint { asio::ip::make_address(this->options.server.address), this->options.server.port };
+    stream->expires_after(this->options.connectTimeout);
+    const auto [error] = co_await stream->async_connect(endpoint, internal::awaitResult);
+    if (error) {
+        reason = { .code = ErrorCode::NotSent,
+            .detail = "connect " + settings::toString(this->options.server) + ": " + error.message() };
+        co_return nullptr;
+    }
+    beast::error_code ignored;
+    stream->socket().set_option(Tcp::no_delay { true }, ignored);
+    co_return stream;
+}
+
+Task<std::unique_ptr<ResponseStream>> Client::open(Request request, SendOptions sendOptions, Error& reason)
+{
+    auto stream = co_await this->connect(sendOptions.freshConnection, reason);
+    if (!stream)
+        co_return nullptr;
+    request.set(beast::http::field::host, settings::toString(this->options.server));
+    request.prepare_payload();
+
+    auto result = std::make_unique<ResponseStream>();
+    auto& current = *result->state;
+    current.readTimeout = sendOptions.readTimeout.value_or(this->options.readTimeout);
+    current.maxIdle = this->options.maxIdleConnections;
+    current.pool = this->pool;
+    current.parser.body_limit(this->options.maxBodyBytes);
+
+    stream->expires_after(current.readTimeout);
+    const auto [writeError, written] = co_await beast::http::async_write(*stream, request, internal::awaitResult);
+    if (writeError) {
+        reason = { .code = written == 0 ? ErrorCode::NotSent : ErrorCode::NoAnswer,
+            .detail = "write: " + writeError.message() };
+        co_return nullptr;
+    }
+    const auto [readError, read]
+        = co_await beast::http::async_read_header(*stream, current.buffer, current.parser, internal::awaitResult);
+    if (readError) {
+        reason = { .code = ErrorCode::NoAnswer, .detail = "read: " + readError.message() };
+        co_return nullptr;
+    }
+    current.stream = std::move(stream);
+    co_return result;
+}
+
+Task<std::optional<Response>> Client::send(Request request, SendOptions sendOptions, Error& reason)
+{
+    const auto stream = co_await this->open(std::move(request), sendOptions, reason);
+    if (!stream)
+        co_return std::nullopt;
+    Response response { .status = stream->status(), .contentType = std::string { stream->header("Content-Type") } };
+    while (true) {
+        auto bytes = co_await stream->read(reason);
+        if (!bytes)
+            co_return std::nullopt;
+        if (bytes->empty())
+            co_return response;
+        response.body += *bytes;
+    }
+}
+
+Request makeRequest(std::string_view method, std::string_view target, std::string body, std::string_view contentType)
+{
+    Request request { beast::http::string_to_verb({ method.data(), method.size() }),
+        beast::string_view { target.data(), target.size() }, 11 };
+    if (!body.empty())
+        request.set(beast::http::field::content_type, beast::string_view { contentType.data(), contentType.size() });
+    request.body() = std::move(body);
+    return request;
+}
+
+} // namespace chivewinch::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,238 @@
+#include "http/server.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+#include <utility>
+
+namespace chivewinch::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+
+namespace internal {
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+
+// Pause after a failed accept, e.g. when the process has no free file descriptors.
+constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
+
+struct BadInputKind {
+    std::string_view name;
+    unsigned status;
+    std::string_view message;
+};
+
+constexpr std::array<BadInputKind, static_cast<std::size_t>(BadInput::Count)> badInputKinds { {
+    { "malformed", 400, "the request is not valid HTTP/1.1" },
+    { "header_too_large", 431, "the request header is too large" },
+    { "body_too_large", 413, "the request body is too large" },
+    { "too_slow", 0, "" },
+    { "too_many_connections", 503, "too many connections" },
+} };
+
+BadInput classify(const beast::error_code& error)
+{
+    if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow)
+        return BadInput::HeaderTooLarge;
+    if (error == beast::http::error::body_limit)
+        return BadInput::BodyTooLarge;
+    if (error == beast::error::timeout)
+        return BadInput::TooSlow;
+    return BadInput::Malformed;
+}
+
+} // namespace internal
+
+std::string_view toString(BadInput kind) noexcept
+{
+    return internal::badInputKinds[static_cast<std::size_t>(kind)].name;
+}
+
+struct Server::Connection {
+    explicit Connection(Tcp::socket socket)
+        : stream { std::move(socket) }
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool busy = false;
+};
+
+Server::Server(asio::any_io_executor executor, ServerOptions options, Handler handler, BadInputHandler onBadInput)
+    : executor { executor }
+    , options { std::move(options) }
+    , handler { std::move(handler) }
+    , onBadInput { std::move(onBadInput) }
+    , acceptor { asio::make_strand(executor) }
+{
+}
+
+Server::~Server() = default;
+
+std::optional<settings::Endpoint> Server::start()
+{
+    beast::error_code error;
+    const Tcp::endpoint endpoint { asio::ip::make_address(this->options.listen.address), this->options.listen.port };
+    this->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        this->acceptor.set_option(asio::socket_base::reuse_address { true }, error);
+    if (!error)
+        this->acceptor.bind(endpoint, error);
+    if (!error)
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        this->reason = "cannot listen on " + settings::toString(this->options.listen) + ": " + error.message();
+        return std::nullopt;
+    }
+    const auto bound = this->acceptor.local_endpoint();
+    asio::co_spawn(
+        this->acceptor.get_executor(), [self = this->shared_from_this()] { return self->accept(); }, asio::detached);
+    return settings::Endpoint { .address = bound.address().to_string(), .port = bound.port() };
+}
+
+Task<void> Server::accept()
+{
+    while (!this->draining) {
+        auto [error, socket]
+            = co_await this->acceptor.async_accept(asio::make_strand(this->executor), internal::awaitTuple);
+        if (this->draining)
+            co_return;
+        if (error) {
+            asio::steady_timer pause { this->acceptor.get_executor(), internal::acceptRetryDelay };
+            co_await pause.async_wait(internal::awaitTuple);
+            continue;
+        }
+        auto connection = std::make_shared<Connection>(std::move(socket));
+        const auto connectionExecutor = connection->stream.get_executor();
+        {
+            const std::lock_guard lock { this->openMutex };
+            this->open.insert(connection);
+        }
+        ++this->connections;
+        asio::co_spawn(
+            connectionExecutor, [self = this->shared_from_this(), connection] { return self->serve(connection); },
+            asio::detached);
+    }
+}
+
+Task<std::optional<Request>> Server::readRequest(std::shared_ptr<Connection> connection)
+{
+    auto& stream = connection->stream;
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.header_limit(this->options.maxHeaderBytes);
+    parser.body_limit(this->options.maxBodyBytes);
+
+    // The first byte may take as long as an idle connection is kept; the rest of the request may not.
+    if (connection->buffer.size() == 0) {
+        stream.expires_after(this->options.idleTimeout);
+        const auto [error, bytes] = co_await stream.async_read_some(
+            connection->buffer.prepare(this->options.maxHeaderBytes), internal::awaitTuple);
+        if (error)
+            co_return std::nullopt;
+        connection->buffer.commit(bytes);
+    }
+    connection->busy = true;
+    stream.expires_after(this->options.requestTimeout);
+    const auto [error, bytes]
+        = co_await beast::http::async_read(stream, connection->buffer, parser, internal::awaitTuple);
+    if (!error)
+        co_return parser.release();
+    if (error != beast::http::error::end_of_stream && error != asio::error::operation_aborted)
+        co_await this->refuse(connection, internal::classify(error));
+    co_return std::nullopt;
+}
+
+Task<void> Server::refuse(std::shared_ptr<Connection> connection, BadInput kind)
+{
+    this->onBadInput(kind);
+    // The time-out has closed the socket already.
+    if (kind == BadInput::TooSlow)
+        co_return;
+    const auto& known = internal::badInputKinds[static_cast<std::size_t>(kind)];
+    Request request;
+    request.version(11);
+    request.keep_alive(false);
+    ResponseWriter writer { connection->stream, request, this->options.writeTimeout };
+    const auto body = R"({"error":{"message":")" + std::string { known.message }
+        + R"(","type":"invalid_request_error","code":")" + std::string { known.name } + R"("}})";
+    Response response { .status = known.status, .body = body };
+    (void)co_await writer.send(std::move(response));
+}
+
+Task<void> Server::serve(std::shared_ptr<Connection> connection)
+{
+    if (this->connections > this->options.maxConnections) {
+        co_await this->refuse(connection, BadInput::TooManyConnections);
+        this->forget(connection);
+        co_return;
+    }
+    beast::error_code ignored;
+    connection->stream.socket().set_option(Tcp::no_delay { true }, ignored);
+    bool reusable = true;
+    while (reusable) {
+        connection->busy = false;
+        const auto request = co_await this->readRequest(connection);
+        if (!request)
+            break;
+        ++this->requests;
+        ResponseWriter writer { connection->stream, *request, this->options.writeTimeout };
+        if (this->draining)
+            writer.closeAfter();
+        connection->stream.expires_never();
+        co_await this->handler(*request, writer);
+        --this->requests;
+        reusable = writer.reusable() && !this->draining;
+    }
+    connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    this->forget(connection);
+}
+
+void Server::forget(const std::shared_ptr<Connection>& connection)
+{
+    const std::lock_guard lock { this->openMutex };
+    if (this->open.erase(connection) > 0)
+        --this->connections;
+}
+
+std::set<std::shared_ptr<Server::Connection>> Server::openSet()
+{
+    const std::lock_guard lock { this->openMutex };
+    return this->open;
+}
+
+void Server::drain()
+{
+    this->draining = true;
+    asio::dispatch(this->acceptor.get_executor(), [self = this->shared_from_this()] {
+        beast::error_code ignored;
+        self->acceptor.close(ignored);
+    });
+    for (const auto& connection : this->openSet()) {
+        asio::dispatch(connection->stream.get_executor(), [connection] {
+            if (!connection->busy)
+                connection->stream.cancel();
+        });
+    }
+}
+
+void Server::abort()
+{
+    this->drain();
+    for (const auto& connection : this->openSet()) {
+        asio::dispatch(connection->stream.get_executor(), [connection] { connection->stream.close(); });
+    }
+}
+
+} // namespace chivewinch::http
--- /dev/null
+++ b/src/http/server.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "http/message.hpp"
+#include "http/response_writer.hpp"
+#include "settings/value_type.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace chivewinch::http {
+
+struct ServerOptions {
+    settings::Endpoint listen;
+    std::uint32_t maxHeaderBytes = 16U << 10;
+    std::uint64_t maxBodyBytes = 8U << 20;
+    std::size_t maxConnections = 20'000;
+    /** A request must arrive whole within this time; slower callers are disconnected. */
+    std::chrono::milliseconds requestTimeout { std::chrono::seconds { 10 } };
+    /** An idle connection is closed after this time. */
+    std::chrono::milliseconds idleTimeout { std::chrono::seconds { 60 } };
+    /** A caller that takes no bytes for this time is disconnected. */
+    std::chrono::milliseconds writeTimeout { std::chrono::seconds { 30 } };
+};
+
+/** Kinds of input that are refused before a handler sees the request. */
+enum class BadInput : std::uint8_t { Malformed, HeaderTooLarge, BodyTooLarge, TooSlow, TooManyConnections, Count };
+
+[[nodiscard]] std::string_view toString(BadInput kind) noexcept;
+
+/** HTTP/1.1 server. Each connection runs on a strand of its own. */
+class Server : public std::enable_shared_from_this<Server> {
+public:
+    using Handler = std::function<Task<void>(const Request&, ResponseWriter&)>;
+    using BadInputHandler = std::function<void(BadInput)>;
+
+    Server(boost::asio::any_io_executor executor, ServerOptions options, Handler handler, BadInputHandler onBadInput);
+    Server(const Server&) = delete;
+    Server& operator=(const Server&) = delete;
+    ~Server();
+
+    /** Binds and starts to accept; nullopt and a last reason if the address cannot be bound. */
+    [[nodiscard]] std::optional<settings::Endpoint> start();
+    [[nodiscard]] const std::string& lastReason() const noexcept { return this->reason; }
+
+    /** Stops accepting, closes idle connections, and lets open requests finish as the last on their connections. */
+    void drain();
+    /** Closes every connection at once. */
+    void abort();
+
+    [[nodiscard]] std::size_t openRequests() const noexcept { return this->requests.load(); }
+    [[nodiscard]] std::size_t openConnections() const noexcept { return this->connections.load(); }
+
+private:
+    struct Connection;
+
+    boost::asio::any_io_executor executor;
+    ServerOptions options;
+    Handler handler;
+    BadInputHandler onBadInput;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::string reason;
+    std::atomic<std::size_t> requests { 0 };
+    std::atomic<std::size_t> connections { 0 };
+    std::atomic<bool> draining { false };
+    std::mutex openMutex;
+    std::set<std::shared_ptr<Connection>> open;
+
+    [[nodiscard]] Task<void> accept();
+    [[nodiscard]] Task<void> serve(std::shared_ptr<Connection> connection);
+    [[nodiscard]] Task<std::optional<Request>> readRequest(std::shared_ptr<Connection> connection);
+    [[nodiscard]] Task<void> refuse(std::shared_ptr<Connection> connection, BadInput kind);
+    void forget(const std::shared_ptr<Connection>& connection);
+    [[nodiscard]] std::set<std::shared_ptr<Connection>> openSet();
+};
+
+} // namespace chivewinch::http
--- /dev/null
+++ b/tests/http/server_test.cpp
@@ -0,0 +1,161 @@
+#include "http/client.hpp"
+#include "http/server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace chivewinch::http {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+class ServerTest : public testing::Test {
+protected:
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work { this->context.get_executor() };
+    std::shared_ptr<Server> server;
+    settings::Endpoint endpoint;
+    std::array<std::atomic<int>, static_cast<std::size_t>(BadInput::Count)> badInputs {};
+    std::jthread thread;
+
+    void serve(Server::Handler handler)
+    {
+        this->server = std::make_shared<Server>(this->context.get_executor(),
+            ServerOptions { .listen = { .address = "127.0.0.1" },
+                .maxHeaderBytes = 2048,
+                .maxBodyBytes = 4096,
+                .requestTimeout = 200ms,
+                .idleTimeout = 400ms },
+            std::move(handler), [this](BadInput kind) { ++this->badInputs[static_cast<std::size_t>(kind)]; });
+        const auto bound = this->server->start();
+        ASSERT_TRUE(bound) << this->server->lastReason();
+        this->endpoint = *bound;
+        this->thread = std::jthread { [this] { this->context.run(); } };
+    }
+
+    void TearDown() override
+    {
+        if (this->server)
+            this->server->abort();
+        this->work.reset();
+        this->context.stop();
+    }
+
+    std::optional<Response> request(Request message)
+    {
+        auto task = [this](Request copy) -> Task<std::optional<Response>> {
+            const auto executor = co_await asio::this_coro::executor;
+            Client client { executor, ClientOptions { .server = this->endpoint } };
+            Error reason;
+            const SendOptions options;
+            co_return co_await client.send(std::move(copy), options, reason);
+        };
+        return asio::co_spawn(asio::make_strand(this->context), task(std::move(message)), asio::use_future).get();
+    }
+
+    /** Sends raw bytes and reads until the server closes the connection. */
+    std::string raw(const std::string& bytes)
+    {
+        asio::io_context own;
+        asio::ip::tcp::socket socket { own };
+        socket.connect({ asio::ip::make_address(this->endpoint.address), this->endpoint.port });
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(bytes), error);
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        return answer;
+    }
+
+    int bad(BadInput kind) { return this->badInputs[static_cast<std::size_t>(kind)]; }
+};
+
+TEST_F(ServerTest, EchoesWholeAndChunkedAnswers)
+{
+    this->serve([](const Request& request, ResponseWriter& writer) -> Task<void> {
+        if (pathOf(request) == "/whole") {
+            Response echo { .body = request.body(), .headers = { { "X-A", "b" } } };
+            (void)co_await writer.send(std::move(echo));
+            co_return;
+        }
+        const Response head { .contentType = "text/event-stream" };
+        (void)co_await writer.start(head);
+        for (int i = 0; i < 3; ++i)
+            (void)co_await writer.write("part " + std::to_string(i) + "\n");
+        (void)co_await writer.finish();
+    });
+    EXPECT_EQ(this->request(makeRequest("POST", "/whole?q=1", "text"))->body, "text");
+    EXPECT_EQ(this->request(makeRequest("GET", "/chunks"))->body, "part 0\npart 1\npart 2\n");
+}
+
+// Guards against hostile input that crashes the server or holds a connection forever.
+TEST_F(ServerTest, RefusesBadInputAndCountsIt)
+{
+    this->serve([](const Request&, ResponseWriter& writer) -> Task<void> {
+        Response answer { .body = "ok" };
+        (void)co_await writer.send(std::move(answer));
+    });
+    EXPECT_NE(this->raw("garbage\r\n\r\n").find(" 400 "), std::string::npos);
+    EXPECT_NE(
+        this->raw("GET / HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n").find(" 431 "), std::string::npos);
+    EXPECT_NE(this->raw("POST / HTTP/1.1\r\nContent-Length: 9999\r\n\r\n").find(" 413 "), std::string::npos);
+    EXPECT_EQ(this->raw("POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\nslow"), "");
+    EXPECT_EQ(this->bad(BadInput::Malformed), 1);
+    EXPECT_EQ(this->bad(BadInput::HeaderTooLarge), 1);
+    EXPECT_EQ(this->bad(BadInput::BodyTooLarge), 1);
+    EXPECT_EQ(this->bad(BadInput::TooSlow), 1);
+    EXPECT_EQ(this->request(makeRequest("GET", "/"))->body, "ok");
+}
+
+// Guards against a shutdown that cuts a request in flight.
+TEST_F(ServerTest, DrainFinishesOpenRequests)
+{
+    std::atomic<bool> entered { false };
+    this->serve([&entered](const Request&, ResponseWriter& writer) -> Task<void> {
+        entered = true;
+        asio::steady_timer pause { co_await asio::this_coro::executor, 150ms };
+        co_await pause.async_wait(asio::use_awaitable);
+        Response answer { .body = "late" };
+        (void)co_await writer.send(std::move(answer));
+    });
+    std::optional<Response> answer;
+    std::jthread caller { [&] { answer = this->request(makeRequest("GET", "/")); } };
+    while (!entered)
+        std::this_thread::sleep_for(1ms);
+    this->server->drain();
+    EXPECT_EQ(this->server->openRequests(), 1U);
+    caller.join();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, "late");
+    EXPECT_FALSE(this->request(makeRequest("GET", "/")));
+}
+
+TEST_F(ServerTest, NoticesDisconnectedCaller)
+{
+    std::atomic<bool> noticed { false };
+    this->serve([&noticed](const Request&, ResponseWriter& writer) -> Task<void> {
+        co_await writer.waitForDisconnect();
+        noticed = true;
+    });
+    {
+        asio::io_context own;
+        asio::ip::tcp::socket socket { own };
+        socket.connect({ asio::ip::make_address(this->endpoint.address), this->endpoint.port });
+        asio::write(socket, asio::buffer(std::string { "GET / HTTP/1.1\r\n\r\n" }));
+        std::this_thread::sleep_for(50ms);
+        EXPECT_FALSE(noticed);
+    }
+    for (int i = 0; i < 200 && !noticed; ++i)
+        std::this_thread::sleep_for(5ms);
+    EXPECT_TRUE(noticed);
+}
+
+} // namespace chivewinch::http
