--- /dev/null
+++ b/src/membership/target_table.cpp
@@ -0,0 +1,274 @@
+#include "membership/target_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewinch::membership {
+
+namespace internal {
+
+TargetView viewOf(const base::TargetId& target, const auto& record)
+{
+    return { .target = target,
+        .zone = record.zone,
+        .address = record.address,
+        .incarnation = record.incarnation,
+        .state = record.machine.state(),
+        .held = record.held };
+}
+
+bool announces(EventKind kind) noexcept { return kind != EventKind::Answer && kind != EventKind::PeerLeaving; }
+
+} // namespace internal
+
+const std::array<TargetTable::Handler, static_cast<std::size_t>(EventKind::Count)> TargetTable::handlers {
+    &TargetTable::applyHello,
+    &TargetTable::applyHeartbeat,
+    &TargetTable::applyAnswer,
+    &TargetTable::applyLeave,
+    &TargetTable::applyLeave,
+    &TargetTable::applyListedLive,
+    &TargetTable::applyListedLeaving,
+};
+
+ApplyResult TargetTable::apply(const Event& event, base::SteadyTime now)
+{
+    this->creditPause(now);
+    const auto result = this->dispatch(event, now);
+    ++this->results[static_cast<std::size_t>(result)];
+    return result;
+}
+
+ApplyResult TargetTable::dispatch(const Event& event, base::SteadyTime now)
+{
+    auto found = this->records.find(event.target);
+    if (found == this->records.end()) {
+        if (!internal::announces(event.kind))
+            return ApplyResult::Unknown;
+        found = this->records.try_emplace(event.target).first;
+        this->adoptIncarnation(found->second, event.incarnation, now);
+    }
+    auto& record = found->second;
+    if (this->isStale(record, event))
+        return ApplyResult::StaleIncarnation;
+    if (event.incarnation > record.incarnation)
+        this->adoptIncarnation(record, event.incarnation, now);
+    return (this->*handlers[static_cast<std::size_t>(event.kind)])(record, event, now);
+}
+
+bool TargetTable::isStale(const Record& record, const Event& event) const noexcept
+{
+    const bool fromList = event.kind == EventKind::ListedLive || event.kind == EventKind::ListedLeaving;
+    if (fromList && event.incarnation == base::Incarnation {})
+        return false;
+    return this->options.checkIncarnation && event.incarnation < record.incarnation;
+}
+
+void TargetTable::adoptIncarnation(Record& record, base::Incarnation incarnation, base::SteadyTime now)
+{
+    record.restarted = record.incarnation != base::Incarnation {};
+    record.machine = internal::TargetMachine {};
+    record.incarnation = incarnation;
+    record.sequence = 0;
+    record.lastProof = now;
+    record.lastChange = now;
+    record.firstHeard = now;
+    record.held = false;
+    ++this->changes;
+}
+
+template <typename MachineEvent>
+void TargetTable::process(Record& record, const MachineEvent& event, base::SteadyTime now)
+{
+    const auto before = record.machine.state();
+    record.machine.process(event);
+    if (record.machine.state() == before)
+        return;
+    record.lastChange = now;
+    ++this->changes;
+}
+
+void TargetTable::updateAddress(Record& record, const Event& event)
+{
+    const auto update = [this](std::string& known, const std::string& heard) {
+        if (heard.empty() || heard == known)
+            return;
+        known = heard;
+        ++this->changes;
+    };
+    update(record.zone, event.zone);
+    update(record.address, event.address);
+}
+
+ApplyResult TargetTable::applyHello(Record& record, const Event& event, base::SteadyTime)
+{
+    // A hello carries no sequence number, so it may be an old one: it proves nothing about a known incarnation.
+    this->updateAddress(record, event);
+    return ApplyResult::Accepted;
+}
+
+ApplyResult TargetTable::applyHeartbeat(Record& record, const Event& event, base::SteadyTime now)
+{
+    if (this->options.checkSequence && event.sequence <= record.sequence)
+        return ApplyResult::StaleSequence;
+    record.sequence = event.sequence;
+    this->updateAddress(record, event);
+    if (record.machine.left()) {
+        if (this->options.keepLeft || event.state == TargetState::Leaving) {
+            record.lastProof = now;
+            return ApplyResult::AlreadyLeft;
+        }
+        record.machine = internal::TargetMachine {};
+    }
+    record.lastProof = now;
+    if (event.state == TargetState::Live)
+        this->process(record, internal::Serving {}, now);
+    else if (event.state == TargetState::Joining)
+        this->process(record, internal::NotReady {}, now);
+    else
+        this->process(record, internal::LeaveNotice {}, now);
+    return ApplyResult::Accepted;
+}
+
+ApplyResult TargetTable::applyAnswer(Record& record, const Event& event, base::SteadyTime now)
+{
+    if (record.machine.left())
+        return ApplyResult::AlreadyLeft;
+    // The agent admitted the attempt, so it was serving at some time after the attempt's start and not provably later.
+    const bool revives = record.machine.state() == TargetState::Suspect && event.started > record.lastChange;
+    record.lastProof = std::max(record.lastProof, std::min(event.started, now));
+    if (revives)
+        this->process(record, internal::Serving {}, now);
+    return ApplyResult::Accepted;
+}
+
+ApplyResult TargetTable::applyLeave(Record& record, const Event&, base::SteadyTime now)
+{
+    if (record.machine.left())
+        return ApplyResult::AlreadyLeft;
+    this->process(record, internal::LeaveNotice {}, now);
+    return ApplyResult::Accepted;
+}
+
+ApplyResult TargetTable::applyListedLive(Record& record, const Event& event, base::SteadyTime)
+{
+    this->updateAddress(record, event);
+    if (std::exchange(record.held, false))
+        ++this->changes;
+    return ApplyResult::Accepted;
+}
+
+ApplyResult TargetTable::applyListedLeaving(Record& record, const Event& event, base::SteadyTime now)
+{
+    const bool unbound = event.incarnation == base::Incarnation {};
+    const bool mayMeanPredecessor = unbound && record.restarted && now - record.firstHeard < this->options.listLag;
+    if (!mayMeanPredecessor)
+        return this->applyLeave(record, event, now);
+    // Leaving cannot be undone for this incarnation, so a notice that may concern the previous one only holds back
+    // work.
+    if (!std::exchange(record.held, true))
+        ++this->changes;
+    return ApplyResult::Accepted;
+}
+
+void TargetTable::creditPause(base::SteadyTime now)
+{
+    const auto gap = now - this->lastCall;
+    const bool paused = this->lastCall != base::SteadyTime {} && gap > this->options.pauseThreshold;
+    this->lastCall = std::max(this->lastCall, now);
+    if (!paused || !this->options.creditPause)
+        return;
+    for (auto& [target, record] : this->records)
+        record.lastProof = std::min(record.lastProof + gap, now);
+}
+
+bool TargetTable::isSilent(const Record& record, base::SteadyTime now) const noexcept
+{
+    return now - record.lastProof >= this->options.suspectAfter;
+}
+
+void TargetTable::updateSuppression(base::SteadyTime now)
+{
+    std::size_t watched = 0;
+    std::size_t silent = 0;
+    std::size_t recent = 0;
+    for (const auto& [target, record] : this->records) {
+        const auto state = record.machine.state();
+        if (state != TargetState::Live && state != TargetState::Suspect)
+            continue;
+        ++watched;
+        if (!this->isSilent(record, now))
+            continue;
+        ++silent;
+        if (state == TargetState::Live || now - record.lastChange <= this->options.heartbeatInterval)
+            ++recent;
+    }
+    const bool before = this->suppressed;
+    this->suppressed = this->options.suppressMassSuspicion && (before ? silent : recent) * 2 > watched;
+    if (!before || this->suppressed)
+        return;
+    // The targets that are still silent get the full time again, because their silence so far proved nothing.
+    for (auto& [target, record] : this->records)
+        if (record.machine.state() == TargetState::Suspect)
+            record.lastProof = std::max(record.lastProof, now - this->options.suspectAfter);
+}
+
+void TargetTable::advanceRecord(Record& record, base::SteadyTime now)
+{
+    if (this->isSilent(record, now))
+        this->process(record, internal::Silence {}, now);
+    const bool leaving = record.machine.state() == TargetState::Leaving;
+    if (now - record.lastProof >= this->options.goneAfter && (leaving || !this->suppressed))
+        this->process(record, internal::LongSilence {}, now);
+}
+
+void TargetTable::advance(base::SteadyTime now)
+{
+    this->creditPause(now);
+    if (!this->options.detectSilence)
+        return;
+    this->updateSuppression(now);
+    for (auto& [target, record] : this->records)
+        this->advanceRecord(record, now);
+    const auto forgotten = std::erase_if(this->records, [&](const auto& item) {
+        const auto& record = item.second;
+        return record.machine.state() == TargetState::Gone && now - record.lastChange >= this->options.forgetAfter;
+    });
+    this->changes += forgotten;
+}
+
+std::vector<TargetView> TargetTable::usable(std::string_view zone) const
+{
+    std::vector<TargetView> live;
+    std::vector<TargetView> suspect;
+    for (const auto& [target, record] : this->records) {
+        if (record.zone != zone || record.held)
+            continue;
+        const auto state = record.machine.state();
+        if (state == TargetState::Live)
+            live.push_back(internal::viewOf(target, record));
+        else if (state == TargetState::Suspect)
+            suspect.push_back(internal::viewOf(target, record));
+    }
+    auto& chosen = live.empty() ? suspect : live;
+    std::ranges::sort(chosen);
+    return chosen;
+}
+
+std::vector<TargetView> TargetTable::snapshot() const
+{
+    std::vector<TargetView> views;
+    views.reserve(this->records.size());
+    for (const auto& [target, record] : this->records)
+        views.push_back(internal::viewOf(target, record));
+    std::ranges::sort(views);
+    return views;
+}
+
+std::size_t TargetTable::count(TargetState state) const noexcept
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->records, [state](const auto& item) { return item.second.machine.state() == state; }));
+}
+
+} // namespace chivewinch::membership
