--- /dev/null
+++ b/src/routing/options.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "base/id.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace chivewinch::routing {
+
+/** Ejection of targets that fail. */
+struct EjectionOptions {
+    bool enabled = true;
+    bool limitShare = true; ///< Off: any number of targets may be ejected at once.
+    std::uint32_t consecutiveFailures = 5;
+    double errorRate = 0.5; ///< Moving average that ejects a target after minResults.
+    std::uint32_t minResults = 20;
+    double maxShare = 1.0 / 3; ///< Of the subset, at once.
+    std::chrono::nanoseconds baseTime { std::chrono::seconds { 5 } }; ///< Doubles with each ejection in a row.
+    std::chrono::nanoseconds maxTime { std::chrono::minutes { 2 } };
+    std::uint32_t successesToForget = 50; ///< Successes in a row that reset the doubling.
+};
+
+/** Retries as a share of the requests in a sliding window. */
+struct RetryBudgetOptions {
+    bool enabled = true;
+    double share = 0.1;
+    std::uint32_t constant = 3; ///< Allowed per window on top of the share.
+    std::chrono::nanoseconds window { std::chrono::seconds { 10 } };
+};
+
+/** Use of targets in other availability zones. */
+struct SpillOptions {
+    bool enabled = true;
+    bool limitShare = true;
+    bool onlyWithoutLocalCapacity = true; ///< Off: targets of all zones are treated alike.
+    double share = 0.5; ///< Of the pool's attempts in the window.
+    std::uint32_t constant = 3;
+    double maxUtilization = 0.9; ///< A remote target with more load than this share of its capacity is left alone.
+    std::chrono::nanoseconds window { std::chrono::seconds { 10 } };
+};
+
+/** Settings of a Router. The switches turn single mechanisms off, for tests and comparisons. */
+struct RouterOptions {
+    std::string entry; ///< Identity of this entry; decides its subset.
+    base::ZoneId zone;
+    std::size_t subsetSize = 16;
+    double affinityBound = 1.25; ///< Load of the prefix's target relative to the mean.
+    double affinityFloor = 0.5; ///< Below this share of its capacity, a target is never too loaded for affinity.
+    std::uint32_t assumedCapacity = 8; ///< For comparisons, until a target states its capacity.
+    double fullAt = 1.0; ///< Load as a share of the capacity from which on a target gets nothing more.
+    std::chrono::nanoseconds failureMemory { std::chrono::seconds { 10 } };
+
+    bool useSubset = true;
+    bool useAffinity = true;
+    bool useAffinityBound = true;
+    bool useTwoChoices = true; ///< Off: a random target.
+    bool useOwnInFlight = true;
+    bool useCapacity = true; ///< Off: full targets still get work.
+    bool useFailurePenalty = true;
+    EjectionOptions ejection;
+    RetryBudgetOptions retryBudget;
+    SpillOptions spill;
+};
+
+/** Settings of an AdmissionQueue. */
+struct QueueOptions {
+    bool checkDeadlines = true; ///< Off: a request waits even if it cannot start in time.
+    bool usePriorities = true;
+    bool fairOwners = true; ///< Off: one queue for all owners.
+    std::size_t maxSize = 4096;
+    std::map<base::OwnerId, double> ownerWeights; ///< 1 for an owner that is not listed.
+    std::chrono::nanoseconds rateWindow { std::chrono::seconds { 2 } };
+};
+
+} // namespace chivewinch::routing
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,301 @@
+#include "routing/router.hpp"
+
+#include "base/hash.hpp"
+#include "routing/subset.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace chivewinch::routing {
+
+using membership::TargetState;
+
+namespace internal {
+
+constexpr double unlimited = std::numeric_limits<double>::infinity();
+
+Choice choiceOf(const TargetSlot& slot, ChoiceKind kind)
+{
+    return { .target = slot.target, .incarnation = slot.incarnation, .kind = kind };
+}
+
+} // namespace internal
+
+Router::Pool::Pool(std::string name, const RouterOptions& options)
+    : name { std::move(name) }
+    , retries { options.retryBudget }
+    , spills { options.spill.share, options.spill.constant, options.spill.window }
+{
+}
+
+Router::Router(RouterOptions options, base::RandomSource& random)
+    : options { std::move(options) }
+    , random { random }
+    , entryHash { base::hash64(this->options.entry) }
+{
+}
+
+void Router::setPools(std::span<const PoolSpec> specs)
+{
+    Table<std::unique_ptr<Pool>> next;
+    for (const auto& spec : specs) {
+        auto known = this->pools.find(spec.name);
+        auto pool
+            = known == this->pools.end() ? std::make_unique<Pool>(spec.name, this->options) : std::move(known->second);
+        pool->targets = spec.targets;
+        this->rebuild(*pool);
+        next.insert_or_assign(spec.name, std::move(pool));
+    }
+    this->pools = std::move(next);
+}
+
+void Router::setTargets(std::span<const membership::TargetView> views)
+{
+    for (auto& [target, slot] : this->slots)
+        slot.state = TargetState::Gone;
+    for (const auto& view : views) {
+        auto& slot = this->slots.try_emplace(view.target).first->second;
+        if (slot.incarnation != view.incarnation)
+            slot.outlier = {};
+        slot.target = view.target;
+        slot.zone = view.zone;
+        slot.incarnation = view.incarnation;
+        slot.state = view.state;
+        slot.held = view.held;
+        slot.hash = base::hash64(view.target);
+    }
+    std::erase_if(this->slots,
+        [](const auto& item) { return item.second.state == TargetState::Gone && item.second.ownInFlight == 0; });
+    for (auto& [name, pool] : this->pools)
+        this->rebuild(*pool);
+}
+
+void Router::rebuild(Pool& pool)
+{
+    pool.local.clear();
+    pool.remote.clear();
+    pool.suspect.clear();
+    for (const auto& target : pool.targets) {
+        const auto found = this->slots.find(target);
+        if (found == this->slots.end() || found->second.held)
+            continue;
+        auto& slot = found->second;
+        const bool isLocal = slot.zone == this->options.zone || !this->options.spill.onlyWithoutLocalCapacity;
+        if (slot.state == TargetState::Live)
+            (isLocal ? pool.local : pool.remote).push_back(&slot);
+        else if (slot.state == TargetState::Suspect && isLocal)
+            pool.suspect.push_back(&slot);
+    }
+    for (auto* members : { &pool.local, &pool.remote, &pool.suspect })
+        this->limitToSubset(*members);
+}
+
+void Router::limitToSubset(std::vector<Slot*>& members) const
+{
+    if (!this->options.useSubset || members.size() <= this->options.subsetSize)
+        return;
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(members.size());
+    for (const auto* slot : members)
+        hashes.push_back(slot->hash);
+    std::vector<Slot*> chosen;
+    for (const auto index : chooseSubset(this->entryHash, hashes, this->options.subsetSize))
+        chosen.push_back(members[index]);
+    members = std::move(chosen);
+}
+
+double Router::loadOf(const Slot& slot, base::SteadyTime now) const
+{
+    const auto capacity = static_cast<double>(slot.capacity == 0 ? this->options.assumedCapacity : slot.capacity);
+    double load = slot.othersLoad;
+    if (this->options.useOwnInFlight)
+        load += slot.ownInFlight;
+    load /= capacity;
+    if (!this->options.useFailurePenalty)
+        return load;
+    // A target that fails fast looks idle and would attract all requests.
+    const auto failures = slot.outlier.recentFailures(this->options.failureMemory, now);
+    return load + static_cast<double>(failures) / this->options.ejection.consecutiveFailures;
+}
+
+bool Router::isFull(const Slot& slot, double limit) const
+{
+    const auto load = slot.othersLoad + (this->options.useOwnInFlight ? slot.ownInFlight : 0);
+    return this->options.useCapacity && slot.capacity != 0 && load >= limit * slot.capacity;
+}
+
+bool Router::isOpen(const Slot& slot, const RouteRequest& request, base::SteadyTime now) const
+{
+    if (this->options.ejection.enabled) {
+        if (slot.outlier.ejected(now))
+            return false;
+        if (slot.outlier.probing() && slot.ownInFlight > 0)
+            return false;
+    }
+    return request.excluded.empty() || std::ranges::find(request.excluded, slot.target) == request.excluded.end();
+}
+
+bool Router::gather(std::span<Slot* const> members, const RouteRequest& request, double limit, base::SteadyTime now)
+{
+    this->candidates.clear();
+    bool anyOpen = false;
+    for (auto* slot : members) {
+        if (!this->isOpen(*slot, request, now))
+            continue;
+        anyOpen = true;
+        if (!this->isFull(*slot, limit))
+            this->candidates.push_back({ .slot = slot, .load = this->loadOf(*slot, now) });
+    }
+    return anyOpen;
+}
+
+Router::Slot* Router::pickByPrefix(std::uint64_t prefixHash) const
+{
+    double sum = 0;
+    std::uint64_t bestScore = 0;
+    const Candidate* best = nullptr;
+    for (const auto& candidate : this->candidates) {
+        sum += candidate.load;
+        const auto score = base::combineHash(prefixHash, candidate.slot->hash);
+        if (best == nullptr || score > bestScore) {
+            bestScore = score;
+            best = &candidate;
+        }
+    }
+    if (best == nullptr)
+        return nullptr;
+    const auto mean = sum / static_cast<double>(this->candidates.size());
+    const auto bound = std::max(this->options.affinityBound * mean, this->options.affinityFloor);
+    return !this->options.useAffinityBound || best->load <= bound ? best->slot : nullptr;
+}
+
+Router::Slot* Router::pickOfTwo()
+{
+    const auto count = this->candidates.size();
+    if (count == 0)
+        return nullptr;
+    const auto first = this->random.below(count);
+    if (!this->options.useTwoChoices || count == 1)
+        return this->candidates[first].slot;
+    const auto second = (first + 1 + this->random.below(count - 1)) % count;
+    return this->candidates[this->candidates[second].load < this->candidates[first].load ? second : first].slot;
+}
+
+std::optional<Choice> Router::chooseLocal(const RouteRequest& request)
+{
+    if (this->options.useAffinity && request.prefixHash != 0)
+        if (const auto* slot = this->pickByPrefix(request.prefixHash))
+            return internal::choiceOf(*slot, ChoiceKind::Affinity);
+    if (const auto* slot = this->pickOfTwo())
+        return internal::choiceOf(*slot, ChoiceKind::LeastLoaded);
+    return std::nullopt;
+}
+
+std::optional<Choice> Router::chooseRemote(Pool& pool, const RouteRequest& request, base::SteadyTime now)
+{
+    if (!this->options.spill.enabled || (this->options.spill.limitShare && !pool.spills.allows(now)))
+        return std::nullopt;
+    (void)this->gather(pool.remote, request, this->options.spill.maxUtilization, now);
+    if (const auto* slot = this->pickOfTwo())
+        return internal::choiceOf(*slot, ChoiceKind::Spilled);
+    return std::nullopt;
+}
+
+std::optional<Choice> Router::choose(const RouteRequest& request, base::SteadyTime now)
+{
+    const auto found = this->pools.find(request.pool);
+    if (found == this->pools.end()) {
+        this->reason = base::RefusalReason::UnknownModel;
+        return std::nullopt;
+    }
+    auto& pool = *found->second;
+    const bool anyLocal = this->gather(pool.local, request, this->options.fullAt, now);
+    if (auto choice = this->chooseLocal(request))
+        return choice;
+    if (auto choice = this->chooseRemote(pool, request, now))
+        return choice;
+    this->reason = base::RefusalReason::TargetBusy;
+    if (anyLocal)
+        return std::nullopt;
+    if (this->gather(pool.suspect, request, internal::unlimited, now))
+        return internal::choiceOf(*this->pickOfTwo(), ChoiceKind::LastResort);
+    this->reason = base::RefusalReason::NoTarget;
+    return std::nullopt;
+}
+
+void Router::started(const RouteRequest& request, const Choice& choice, base::SteadyTime now)
+{
+    ++this->starts[static_cast<std::size_t>(choice.kind)];
+    if (const auto found = this->slots.find(choice.target); found != this->slots.end())
+        ++found->second.ownInFlight;
+    const auto found = this->pools.find(request.pool);
+    if (found == this->pools.end())
+        return;
+    if (request.attempt == 1)
+        found->second->retries.noteRequest(now);
+    found->second->spills.noteOrdinary(now);
+    if (choice.kind == ChoiceKind::Spilled)
+        found->second->spills.noteExceptional(now);
+}
+
+void Router::finished(
+    const base::TargetId& target, Result result, const std::optional<LoadReport>& load, base::SteadyTime now)
+{
+    const auto found = this->slots.find(target);
+    if (found == this->slots.end())
+        return;
+    auto& slot = found->second;
+    slot.ownInFlight -= std::min(slot.ownInFlight, std::uint32_t { 1 });
+    if (load)
+        slot.report(*load);
+    if (!slot.outlier.note(result, this->options.ejection, now) || !this->mayEject(slot, now))
+        return;
+    slot.outlier.eject(this->options.ejection, now);
+    ++this->ejectionCount;
+}
+
+bool Router::mayEject(const Slot& slot, base::SteadyTime now) const
+{
+    if (!this->options.ejection.limitShare)
+        return true;
+    for (const auto& [name, pool] : this->pools) {
+        if (std::ranges::find(pool->local, &slot) == pool->local.end())
+            continue;
+        const auto ejected
+            = std::ranges::count_if(pool->local, [now](const auto* member) { return member->outlier.ejected(now); });
+        if (static_cast<double>(ejected + 1)
+            > this->options.ejection.maxShare * static_cast<double>(pool->local.size()))
+            return false;
+    }
+    return true;
+}
+
+void Router::reported(const base::TargetId& target, const LoadReport& load)
+{
+    if (const auto found = this->slots.find(target); found != this->slots.end())
+        found->second.report(load);
+}
+
+bool Router::allowRetry(std::string_view pool, base::SteadyTime now)
+{
+    const auto found = this->pools.find(pool);
+    return found != this->pools.end() && found->second->retries.tryRetry(now);
+}
+
+std::vector<base::TargetId> Router::subset(std::string_view pool) const
+{
+    std::vector<base::TargetId> targets;
+    if (const auto found = this->pools.find(pool); found != this->pools.end())
+        for (const auto* slot : found->second->local)
+            targets.push_back(slot->target);
+    return targets;
+}
+
+bool Router::isEjected(const base::TargetId& target, base::SteadyTime now) const
+{
+    const auto found = this->slots.find(target);
+    return found != this->slots.end() && found->second.outlier.ejected(now);
+}
+
+} // namespace chivewinch::routing
--- /dev/null
+++ b/src/routing/share_budget.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "routing/sliding_counter.hpp"
+
+#include <chrono>
+#include <cstdint>
+
+namespace chivewinch::routing::internal {
+
+/** Allows an exceptional action for a share of the ordinary ones in a sliding window, plus a constant. */
+class ShareBudget {
+public:
+    ShareBudget(double share, std::uint32_t constant, std::chrono::nanoseconds window) noexcept
+        : share { share }
+        , constant { constant }
+        , ordinary { window }
+        , exceptional { window }
+    {
+    }
+
+    void noteOrdinary(base::SteadyTime now) noexcept { this->ordinary.add(now); }
+    void noteExceptional(base::SteadyTime now) noexcept { this->exceptional.add(now); }
+
+    [[nodiscard]] bool allows(base::SteadyTime now) noexcept
+    {
+        const auto used = static_cast<double>(this->exceptional.total(now) + 1);
+        return used <= this->share * static_cast<double>(this->ordinary.total(now)) + this->constant;
+    }
+
+private:
+    double share;
+    std::uint32_t constant;
+    SlidingCounter ordinary;
+    SlidingCounter exceptional;
+};
+
+} // namespace chivewinch::routing::internal
--- /dev/null
+++ b/src/routing/sliding_counter.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/clock.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace chivewinch::routing::internal {
+
+/** Number of events in a sliding window, kept in ten buckets. */
+class SlidingCounter {
+public:
+    explicit SlidingCounter(std::chrono::nanoseconds window) noexcept
+        : bucketTime { window / bucketCount }
+    {
+    }
+
+    void add(base::SteadyTime now, std::uint32_t events = 1) noexcept
+    {
+        this->roll(now);
+        this->buckets[static_cast<std::size_t>(this->epoch % bucketCount)] += events;
+        this->sum += events;
+    }
+
+    [[nodiscard]] std::uint64_t total(base::SteadyTime now) noexcept
+    {
+        this->roll(now);
+        return this->sum;
+    }
+
+private:
+    static constexpr std::int64_t bucketCount = 10;
+
+    std::chrono::nanoseconds bucketTime;
+    std::array<std::uint32_t, bucketCount> buckets {};
+    std::int64_t epoch = 0;
+    std::uint64_t sum = 0;
+
+    void roll(base::SteadyTime now) noexcept
+    {
+        const std::int64_t current = now.time_since_epoch() / this->bucketTime;
+        if (current - this->epoch >= bucketCount) {
+            this->buckets.fill(0);
+            this->sum = 0;
+            this->epoch = current;
+        }
+        while (this->epoch < current) {
+            ++this->epoch;
+            auto& bucket = this->buckets[static_cast<std::size_t>(this->epoch % bucketCount)];
+            this->sum -= bucket;
+            bucket = 0;
+        }
+    }
+};
+
+} // namespace chivewinch::routing::internal
--- /dev/null
+++ b/src/routing/target_slot.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/id.hpp"
+#include "membership/target_state.hpp"
+#include "routing/outlier.hpp"
+#include "routing/request.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace chivewinch::routing::internal {
+
+/** What the router knows about one target. */
+struct TargetSlot {
+    base::TargetId target;
+    base::ZoneId zone;
+    base::Incarnation incarnation {};
+    membership::TargetState state = membership::TargetState::Joining;
+    bool held = false;
+    std::uint64_t hash = 0;
+    std::uint32_t ownInFlight = 0; ///< Attempts of this entry.
+    std::uint32_t othersLoad = 0; ///< Attempts of other entries at the time of the last report.
+    std::uint32_t capacity = 0;
+    Outlier outlier;
+
+    void report(const LoadReport& load) noexcept
+    {
+        const auto total = load.inFlight + load.queued;
+        this->othersLoad = total - std::min(total, this->ownInFlight);
+        this->capacity = load.capacity;
+    }
+};
+
+} // namespace chivewinch::routing::internal
