--- /dev/null
+++ b/src/limit/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace chivewinch::limit {
+
+class LoadShedder;
+class TeamLimiter;
+struct Decision;
+struct LimiterOptions;
+struct ShedderOptions;
+struct TeamLimit;
+
+} // namespace chivewinch::limit
--- /dev/null
+++ b/src/limit/load_shedder.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/id.hpp"
+#include "limit/decision.hpp"
+#include "limit/options.hpp"
+#include "limit/retry_schedule.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string_view>
+
+namespace chivewinch::limit {
+
+/**
+ * Refuses requests on arrival while the queue of a pool is too long. The capacity that remains is divided between
+ * the owners by weight and, within an owner, given to the highest priorities first. Not thread-safe.
+ */
+class LoadShedder {
+public:
+    explicit LoadShedder(ShedderOptions options = {});
+
+    /** Admits or refuses one arriving request. */
+    [[nodiscard]] Decision admit(std::string_view owner, std::uint8_t priority, base::SteadyTime now);
+
+    /** An admitted request was answered; the rate of answers is the measure of the capacity. */
+    void served(base::SteadyTime now);
+
+    /** Requests that wait for a target at this moment. */
+    void setQueued(std::size_t requests) noexcept { this->queued = requests; }
+
+    [[nodiscard]] bool shedding() const noexcept { return this->active; }
+    /** Estimated capacity in requests per second; 0 before the first answers. */
+    [[nodiscard]] double capacity() const noexcept { return this->servedRate; }
+
+private:
+    struct Level {
+        std::uint32_t arrived = 0; ///< In the current interval.
+        double rate = 0; ///< Smoothed arrivals per second.
+        double admitted = 1; ///< Share of the arrivals that is admitted.
+        double credit = 0; ///< Admissions that are due.
+    };
+
+    struct Owner {
+        double weight = 1;
+        std::array<Level, priorityCount> levels {};
+        double allowed = 0; ///< Requests per second while shedding.
+        internal::RetrySchedule retries;
+
+        [[nodiscard]] double demand() const noexcept;
+    };
+
+    ShedderOptions options;
+    std::map<base::OwnerId, Owner, std::less<>> owners;
+    std::size_t queued = 0;
+    std::uint32_t servedNow = 0;
+    double servedRate = 0;
+    bool active = false;
+    base::SteadyTime updated {};
+
+    [[nodiscard]] Owner& ownerOf(std::string_view name);
+    void update(base::SteadyTime now);
+    void updateRates(double seconds);
+    void updateActive();
+    [[nodiscard]] double targetQueue() const noexcept;
+    void divide(double capacity);
+    void divideInProportion(double capacity);
+    static void divideByPriority(Owner& owner, bool usePriorities);
+    [[nodiscard]] Decision refuse(Owner& owner, base::SteadyTime now) const;
+};
+
+} // namespace chivewinch::limit
