--- a/src/base/reason.cpp
+++ b/src/base/reason.cpp
@@ -35,6 +35,7 @@
     "usage_backlog",
     "stale_fencing",
     "no_bundle",
+    "cannot_resume",
 };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(RetryReason::Count)> retryNames {
--- a/src/base/reason.hpp
+++ b/src/base/reason.hpp
@@ -44,6 +44,7 @@
     UsageBacklog,
     StaleFencing,
     NoBundle,
+    CannotResume,
     Count
 };
 
--- /dev/null
+++ b/src/delivery/answer_checker.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "base/hash.hpp"
+#include "delivery/message.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace chivewinch::delivery {
+
+/** How an attempt's answer relates to what the caller already has. */
+enum class AnswerStart : std::uint8_t {
+    Fresh, ///< The caller has nothing yet.
+    Resumed, ///< The target continues after the last delivered token.
+    Replayed, ///< The target starts again; bytes that the caller has are checked and skipped.
+};
+
+enum class FrameVerdict : std::uint8_t {
+    Accepted,
+    Complete, ///< Final frame matches: the answer is whole.
+    Foreign, ///< Belongs to another request, attempt or incarnation; dropped.
+    Duplicate, ///< Sequence number already accepted; dropped.
+    Gap, ///< Sequence number ahead of the next expected one; dropped.
+    AfterEnd, ///< The answer is already complete or broken; dropped.
+    Incomplete, ///< Final frame disagrees on frames, bytes or digest: the answer is broken.
+    PrefixMismatch, ///< Replayed bytes differ from the delivered ones: the answer is broken.
+    WrongStart, ///< Target starts at another token than requested: the answer is broken.
+    Count
+};
+
+/** Options; each switch turns one check off, for tests of that check. */
+struct CheckerOptions {
+    bool checkKey = true;
+    bool checkSequence = true;
+    bool checkFinal = true;
+    bool checkPrefix = true;
+
+    bool operator==(const CheckerOptions&) const = default;
+};
+
+/**
+ * Checks that the frames passed on to a caller are the complete answer to its request.
+ * One checker serves all attempts of one request.
+ */
+class AnswerChecker {
+public:
+    struct Result {
+        FrameVerdict verdict = FrameVerdict::Foreign;
+        std::string_view forward; ///< Part of the payload that the caller does not have yet.
+    };
+
+    explicit AnswerChecker(CheckerOptions options = {});
+
+    /** Makes the attempt the open one. A fresh start forgets what earlier attempts delivered. */
+    void open(const AttemptKey& key, AnswerStart start);
+    /** Closes the open attempt; its later frames are foreign. */
+    void close() noexcept;
+
+    FrameVerdict head(const AnswerHead& head);
+    Result accept(const AnswerFrame& frame);
+    FrameVerdict finish(const FinalFrame& frame);
+
+    [[nodiscard]] bool complete() const noexcept { return this->state == State::Complete; }
+    [[nodiscard]] bool broken() const noexcept { return this->state == State::Broken; }
+    [[nodiscard]] const Progress& delivered() const noexcept { return this->progress; }
+    /** Frames with the given verdict so far. */
+    [[nodiscard]] std::uint64_t count(FrameVerdict verdict) const noexcept;
+
+private:
+    enum class State : std::uint8_t { Idle, Open, Complete, Broken };
+
+    [[nodiscard]] std::optional<FrameVerdict> dropReason(const AttemptKey& key) const noexcept;
+    FrameVerdict counted(FrameVerdict verdict) noexcept;
+    FrameVerdict breakWith(FrameVerdict verdict) noexcept;
+    [[nodiscard]] std::optional<std::string_view> skipPrefix(std::string_view payload);
+    void deliver(std::string_view bytes);
+
+    CheckerOptions options;
+    State state = State::Idle;
+    AnswerStart start = AnswerStart::Fresh;
+    AttemptKey key;
+    std::uint64_t frames = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t tokens = 0;
+    std::uint64_t skipBytes = 0;
+    Progress progress;
+    base::StreamHash attemptHash;
+    /** Hash of all delivered bytes; absent while attemptHash covers exactly these. */
+    std::optional<base::StreamHash> deliveredHash;
+    std::array<std::uint64_t, static_cast<std::size_t>(FrameVerdict::Count)> counts {};
+};
+
+[[nodiscard]] std::string_view toString(FrameVerdict verdict) noexcept;
+
+} // namespace chivewinch::delivery
--- /dev/null
+++ b/src/delivery/message.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/id.hpp"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace chivewinch::delivery {
+
+/** Full identity of an attempt: a restarted agent on the same address is another addressee. */
+struct AttemptKey {
+    base::AttemptId attempt;
+    base::Incarnation incarnation {};
+
+    auto operator<=>(const AttemptKey&) const = default;
+};
+
+/** What the gate needs to know of an attempt before it runs. */
+struct AttemptStart {
+    AttemptKey key;
+    base::WallTime issued; ///< Entry's wall time; the same in every copy of the message.
+    std::chrono::nanoseconds lifetime {}; ///< A copy that arrives later than this after issued is refused.
+    std::chrono::nanoseconds remaining {}; ///< Time to the caller's deadline at the moment of issue.
+    std::uint64_t fingerprint = 0;
+
+    bool operator==(const AttemptStart&) const = default;
+};
+
+struct CancelRequest {
+    AttemptKey key;
+    base::WallTime issued; ///< As in the AttemptStart that it cancels.
+
+    bool operator==(const CancelRequest&) const = default;
+};
+
+struct AnswerHead {
+    AttemptKey key;
+    std::uint64_t fromToken = 0; ///< First token that the target generates in this attempt.
+
+    bool operator==(const AnswerHead&) const = default;
+};
+
+/** Part of an answer; the payload is not owned. */
+struct AnswerFrame {
+    AttemptKey key;
+    std::uint64_t sequence = 0; ///< Starts at 0 in each attempt.
+    std::string_view payload;
+    std::uint32_t tokens = 0;
+
+    bool operator==(const AnswerFrame&) const = default;
+};
+
+/** Ends a complete answer. */
+struct FinalFrame {
+    AttemptKey key;
+    std::uint64_t frames = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t digest = 0; ///< XXH3 of all payload bytes of the attempt.
+
+    bool operator==(const FinalFrame&) const = default;
+};
+
+/** What the caller has received so far, over all attempts. */
+struct Progress {
+    std::uint64_t tokens = 0;
+    std::uint64_t bytes = 0;
+
+    bool operator==(const Progress&) const = default;
+};
+
+} // namespace chivewinch::delivery
