--- /dev/null
+++ b/src/suspect/entry_guard.cpp
@@ -0,0 +1,89 @@
+#include "suspect/entry_guard.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace chivewinch::suspect {
+
+std::vector<base::TargetId> candidatePair(std::uint64_t fingerprint, std::span<const base::TargetId> targets)
+{
+    using Score = std::pair<std::uint64_t, const base::TargetId*>;
+    Score first { 0, nullptr };
+    Score second { 0, nullptr };
+    const auto better = [](const Score& left, const Score& right) {
+        return right.second == nullptr || std::tie(left.first, *left.second) > std::tie(right.first, *right.second);
+    };
+    for (const auto& target : targets) {
+        const Score score { base::hash64(target, fingerprint), &target };
+        if (better(score, first)) {
+            second = first;
+            first = score;
+        } else if (better(score, second)) {
+            second = score;
+        }
+    }
+    std::vector<base::TargetId> pair;
+    for (const auto* target : { first.second, second.second })
+        if (target != nullptr)
+            pair.push_back(*target);
+    return pair;
+}
+
+EntryGuard::EntryGuard(const base::Clock& clock, StrikeTable& table, EntryGuardOptions options)
+    : clock { clock }
+    , table { table }
+    , options { options }
+{
+}
+
+std::chrono::nanoseconds EntryGuard::holdLeft(std::uint64_t fingerprint) const
+{
+    const auto last = this->table.lastStrike(fingerprint);
+    return last ? std::chrono::nanoseconds { *last + this->options.hold - this->clock.now() }
+                : std::chrono::nanoseconds { 0 };
+}
+
+std::vector<base::TargetId> EntryGuard::allowed(
+    std::uint64_t fingerprint, std::span<const base::TargetId> targets) const
+{
+    auto result = this->options.usePair ? candidatePair(fingerprint, targets)
+                                        : std::vector<base::TargetId> { targets.begin(), targets.end() };
+    std::erase_if(result, [&](const auto& target) { return this->table.struckOn(fingerprint, target); });
+    return result;
+}
+
+Placement EntryGuard::place(std::uint64_t fingerprint, std::span<const base::TargetId> targets) const
+{
+    const auto verdict = this->table.verdict(fingerprint);
+    if (verdict == Verdict::Blocked)
+        return { .refusal = base::RefusalReason::SuspectRequest };
+    if (const auto left = this->holdLeft(fingerprint); left > std::chrono::nanoseconds { 0 })
+        return { .refusal = base::RefusalReason::SuspectBusy, .targets = {}, .retryAfter = left };
+    auto choices = this->allowed(fingerprint, targets);
+    const auto found = this->running.find(fingerprint);
+    if (this->options.oneTarget && found != this->running.end()) {
+        const auto& only = found->second.target;
+        std::erase_if(choices, [&](const auto& target) { return target != only; });
+    }
+    if (choices.empty())
+        return { .refusal = base::RefusalReason::SuspectBusy };
+    return { .targets = std::move(choices) };
+}
+
+void EntryGuard::started(std::uint64_t fingerprint, const base::TargetId& target)
+{
+    auto& entry = this->running[fingerprint];
+    entry.target = target;
+    ++entry.runs;
+}
+
+void EntryGuard::finished(std::uint64_t fingerprint)
+{
+    const auto found = this->running.find(fingerprint);
+    if (found != this->running.end() && --found->second.runs == 0)
+        this->running.erase(found);
+}
+
+} // namespace chivewinch::suspect
--- /dev/null
+++ b/src/suspect/strike.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/id.hpp"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace chivewinch::suspect {
+
+/** A fingerprint was in flight on a target when this incarnation of the target crashed. */
+struct Strike {
+    std::uint64_t fingerprint = 0;
+    base::TargetId target;
+    base::Incarnation incarnation {};
+
+    auto operator<=>(const Strike&) const = default;
+};
+
+/** A strike as it is sent to other processes of the zone. */
+struct StrikeReport {
+    Strike strike;
+    std::chrono::milliseconds age {}; ///< Time since the crash; needs no common clock.
+    bool cleared = false; ///< The fingerprint has completed a run since; the strike no longer counts.
+
+    bool operator==(const StrikeReport&) const = default;
+};
+
+using StrikeList = std::vector<StrikeReport>;
+
+/** Hash of team, model and request body. For a plain service, model is its name, method and path. */
+[[nodiscard]] std::uint64_t fingerprint(std::string_view team, std::string_view model, std::string_view body) noexcept;
+
+} // namespace chivewinch::suspect
--- /dev/null
+++ b/src/suspect/strike_table.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "suspect/strike.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace chivewinch::suspect {
+
+/** Settings of a strike table; the switches turn one mechanism off, for tests of that mechanism. */
+struct StrikeOptions {
+    std::chrono::nanoseconds expiry { std::chrono::minutes { 10 } };
+    /** Strikes this close to their expiry are not sent, so that peers cannot renew them for each other. */
+    std::chrono::nanoseconds sendMargin { std::chrono::seconds { 30 } };
+    std::size_t maxStrikes = 4'096;
+    std::size_t maxReported = 64;
+    std::size_t strikesToBlock = 2;
+    bool expire = true;
+    bool clear = true;
+    bool rememberExpired = true;
+
+    bool operator==(const StrikeOptions&) const = default;
+};
+
+enum class Verdict : std::uint8_t {
+    Normal,
+    Isolated, ///< May run only where no other fingerprint with a strike runs.
+    Blocked,
+};
+
+/**
+ * Strikes known to one process. Merging lists is commutative, associative and idempotent: a strike counts once,
+ * keeps its earliest known time, and stays cleared once it was cleared.
+ */
+class StrikeTable {
+public:
+    explicit StrikeTable(const base::Clock& clock, StrikeOptions options = {});
+
+    /** One strike for each fingerprint in flight; several reports of one crash count once. */
+    void recordCrash(
+        const base::TargetId& target, base::Incarnation incarnation, std::span<const std::uint64_t> inFlight);
+    /** Clears the strikes of a fingerprint that completed a run. */
+    void recordCompletion(std::uint64_t fingerprint);
+    void merge(const StrikeList& list);
+    /** At most maxReported strikes; those reported least often come first, of these the newest. */
+    [[nodiscard]] StrikeList report();
+
+    [[nodiscard]] Verdict verdict(std::uint64_t fingerprint) const;
+    /** Strikes that count. */
+    [[nodiscard]] std::size_t strikes(std::uint64_t fingerprint) const;
+    /** Whether a counting strike is against any incarnation of the target. */
+    [[nodiscard]] bool struckOn(std::uint64_t fingerprint, const base::TargetId& target) const;
+    /** Time of the newest counting strike. */
+    [[nodiscard]] std::optional<base::SteadyTime> lastStrike(std::uint64_t fingerprint) const;
+    [[nodiscard]] std::size_t size() const noexcept { return this->total; }
+    /** Strikes dropped because the table was full. */
+    [[nodiscard]] std::uint64_t evictions() const noexcept { return this->evicted; }
+
+private:
+    struct Entry {
+        base::TargetId target;
+        base::Incarnation incarnation {};
+        base::SteadyTime at;
+        bool cleared = false;
+        std::uint32_t reports = 0;
+    };
+    using Entries = std::vector<Entry>;
+
+    [[nodiscard]] bool counts(const Entry& entry) const noexcept;
+    [[nodiscard]] bool forgettable(const Entry& entry) const noexcept;
+    [[nodiscard]] bool sendable(const Entry& entry) const noexcept;
+    void add(const Strike& strike, base::SteadyTime at, bool cleared);
+    void purge();
+    void evict();
+
+    const base::Clock& clock;
+    StrikeOptions options;
+    std::unordered_map<std::uint64_t, Entries> byFingerprint;
+    std::size_t total = 0;
+    std::uint64_t evicted = 0;
+    base::SteadyTime nextPurge;
+};
+
+} // namespace chivewinch::suspect
