Add claim keeper with group commit and stored answers

A write whose acknowledgement is lost is read again and, while the row is unchanged, sent again under the same condition, so that of the two transactions at most one takes effect. A claim that commits after its request was given up is settled as not run.

--- /dev/null
+++ b/src/claim/claim_keeper.hpp
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/random.hpp"
+#include "claim/answer_store.hpp"
+#include "claim/claim.hpp"
+#include "claim/claim_row.hpp"
+#include "claim/group_commit.hpp"
+#include "store/object_store.hpp"
+#include "store/scheduler.hpp"
+#include "store/table_service.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chivewinch::claim {
+
+/** Settings of one entry's claims; compareBody is a switch for tests. */
+struct ClaimOptions {
+    CommitOptions commit;
+    std::string entry; ///< Identity of this instance, for operators.
+    std::size_t maxRowAnswerBytes = 4U << 10;
+    /** Bound of all answers that are not in the store yet; at the bound no new claims are made. */
+    std::size_t maxUnsettledBytes = 16U << 20;
+    std::size_t maxKeys = 10'000; ///< Keys with a claim or a waiting repeat at the same time.
+    std::chrono::nanoseconds pollInterval { std::chrono::milliseconds { 200 } };
+    bool compareBody = true;
+
+    bool operator==(const ClaimOptions&) const = default;
+};
+
+struct ClaimCounters {
+    std::uint64_t granted = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t inProgress = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t unavailable = 0;
+    std::uint64_t released = 0; ///< Claims committed after their request had been given up.
+    std::uint64_t droppedAnswers = 0; ///< Answers not stored because of maxUnsettledBytes.
+    std::uint64_t polls = 0;
+
+    bool operator==(const ClaimCounters&) const = default;
+};
+
+/**
+ * Makes keyed non-repeatable requests run at most once, by one row per key in the table service.
+ * Callbacks run on the scheduler's thread, possibly before the call returns. Not thread-safe.
+ */
+class ClaimKeeper {
+public:
+    ClaimKeeper(const base::Clock& clock, store::Scheduler& scheduler, base::RandomSource& random,
+        store::TableService& tables, store::ObjectStore& objects, ClaimOptions options = {});
+    ~ClaimKeeper();
+
+    /** Answers once, at the latest at the request's deadline. */
+    void claim(ClaimRequest request, ClaimCallback callback);
+    /** Ends a granted claim; repeated until the store has it. */
+    void settle(const ClaimKey& key, std::uint64_t nonce, Settlement settlement, SettleCallback callback);
+
+    [[nodiscard]] const ClaimCounters& counters() const noexcept { return this->counts; }
+    [[nodiscard]] const CommitCounters& commitCounters() const noexcept { return this->commit.counters(); }
+    /** Bytes of answers that are not in the store yet. */
+    [[nodiscard]] std::size_t unsettledBytes() const noexcept { return this->unsettled; }
+    /** Keys with a claim or a waiting repeat. */
+    [[nodiscard]] std::size_t keys() const noexcept { return this->active.size(); }
+
+private:
+    enum class State : std::uint8_t {
+        Claiming, ///< The claim is being written.
+        Watching, ///< Another process holds the claim.
+        Loading, ///< The stored answer is being read.
+        Granted, ///< A request of this process runs.
+        Settling, ///< The settlement is being written.
+    };
+
+    /** One request that has not been answered yet. */
+    struct Waiter {
+        ClaimRequest request;
+        ClaimCallback callback;
+        store::TimerId timer {};
+        bool sawFirst = false; ///< Another request with this key may have run.
+        bool answered = false;
+    };
+    using WaiterPointer = std::shared_ptr<Waiter>;
+
+    struct Active {
+        ClaimKey key;
+        store::RowKey row;
+        State state = State::Claiming;
+        WaiterPointer claimant;
+        std::vector<WaiterPointer> waiters; ///< All unanswered requests, the claimant included.
+        std::uint64_t version = store::absentVersion;
+        ClaimRow value;
+        Settlement settlement;
+        bool answerDropped = false;
+        SettleCallback settled;
+        std::size_t bytes = 0;
+        std::uint32_t failures = 0;
+    };
+    using ActivePointer = std::shared_ptr<Active>;
+
+    void add(const ActivePointer& item, const WaiterPointer& waiter);
+    void answer(const WaiterPointer& waiter, const ClaimResult& result);
+    void count(const ClaimResult& result) noexcept;
+    void expire(const ActivePointer& item, const WaiterPointer& waiter);
+    /** Answers every waiter whose body differs from the first request's. */
+    void refuseConflicts(const ActivePointer& item, const std::string& bodyHash);
+    void answerSettled(const ActivePointer& item);
+    void answerAll(const ActivePointer& item, const ClaimResult& result);
+    void answerUnavailable(const ActivePointer& item);
+    void remove(const ActivePointer& item);
+
+    void startClaim(const ActivePointer& item);
+    void claimWritten(const ActivePointer& item, const WriteResult& result);
+    void grant(const ActivePointer& item);
+    void follow(const ActivePointer& item, const store::Row& row);
+    void watch(const ActivePointer& item);
+    void load(const ActivePointer& item, const StoredAnswer& stored);
+    void schedulePoll();
+    void poll();
+    void polled(const std::vector<store::Row>& rows);
+
+    void startSettle(const ActivePointer& item);
+    void storeAnswer(const ActivePointer& item);
+    void writeSettlement(const ActivePointer& item);
+    void settlementWritten(const ActivePointer& item, const WriteResult& result);
+    void retrySettle(const ActivePointer& item);
+
+    /** Runs the function with the arguments unless this object is gone. */
+    template <typename Function> [[nodiscard]] auto guarded(Function function)
+    {
+        return [guard = std::weak_ptr { this->alive }, function = std::move(function)](auto&&... arguments) {
+            if (!guard.expired())
+                function(std::forward<decltype(arguments)>(arguments)...);
+        };
+    }
+
+    const base::Clock& clock;
+    store::Scheduler& scheduler;
+    base::RandomSource& random;
+    store::TableService& tables;
+    ClaimOptions options;
+    AnswerStore answers;
+    GroupCommit commit;
+    std::map<store::RowKey, ActivePointer> active;
+    std::size_t unsettled = 0;
+    bool pollSet = false;
+    ClaimCounters counts;
+    std::shared_ptr<int> alive = std::make_shared<int>(0);
+};
+
+} // namespace chivewinch::claim
--- /dev/null
+++ b/src/claim/group_commit.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "base/random.hpp"
+#include "store/scheduler.hpp"
+#include "store/table_service.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace chivewinch::claim {
+
+struct CommitOptions {
+    std::chrono::nanoseconds interval { std::chrono::milliseconds { 20 } };
+    std::size_t maxBatch = 100;
+    std::chrono::nanoseconds minBackOff { std::chrono::milliseconds { 50 } };
+    std::chrono::nanoseconds maxBackOff { std::chrono::seconds { 5 } };
+    /** Off: a write whose acknowledgement is lost is reported as having had no effect. */
+    bool resolveAmbiguous = true;
+    /** Off: rows are written whatever their version is. */
+    bool useConditions = true;
+
+    bool operator==(const CommitOptions&) const = default;
+};
+
+/** Sets one row if it still has the expected version. Values must be unique to the writer, e.g. by a nonce. */
+struct RowWrite {
+    store::RowKey key;
+    std::uint64_t expectedVersion = store::absentVersion;
+    std::string value;
+
+    bool operator==(const RowWrite&) const = default;
+};
+
+enum class WriteStatus : std::uint8_t {
+    Committed,
+    Conflicted, ///< The row has another version; nothing was or will be written.
+    Unavailable, ///< The store could not be reached; nothing was or will be written.
+};
+
+struct WriteResult {
+    WriteStatus status = WriteStatus::Unavailable;
+    store::Row row; ///< As written, or as it is after a conflict.
+
+    bool operator==(const WriteResult&) const = default;
+};
+
+struct CommitCounters {
+    std::uint64_t transactions = 0;
+    std::uint64_t rowWrites = 0; ///< Rows in all transactions sent.
+    std::uint64_t reads = 0;
+    std::uint64_t ambiguous = 0; ///< Transactions without a known result.
+
+    bool operator==(const CommitCounters&) const = default;
+};
+
+/**
+ * Commits independent row writes in shared transactions. A write that fails its condition does not hold the others
+ * back. A write without a known result is read again, and sent again while the row is unchanged, until its result
+ * is known; only then is the callback called. Keys of pending writes must be distinct.
+ */
+class GroupCommit {
+public:
+    using Callback = std::function<void(const WriteResult&)>;
+
+    GroupCommit(store::TableService& tables, store::Scheduler& scheduler, base::RandomSource& random,
+        CommitOptions options = {});
+
+    void submit(RowWrite write, Callback callback);
+    [[nodiscard]] const CommitCounters& counters() const noexcept { return this->counts; }
+    /** Delay before the given repetition, counted from 0; exponential with full jitter. */
+    [[nodiscard]] std::chrono::nanoseconds backOff(std::uint32_t repetition);
+
+private:
+    struct Operation {
+        RowWrite write;
+        Callback callback;
+        bool ambiguous = false; ///< An earlier transaction with this write may still take effect.
+        std::uint32_t failures = 0;
+    };
+    using Batch = std::vector<Operation>;
+
+    void enqueue(Operation operation);
+    void flush();
+    void send(Batch batch);
+    void resolve(Batch batch, const store::TransactResult& result);
+    void fail(Batch batch, bool mayHaveTakenEffect);
+    void readAgain(Batch batch);
+    void reread(Batch batch, const std::vector<store::Row>& rows);
+    void finish(Operation& operation, const store::Row& row);
+
+    store::TableService& tables;
+    store::Scheduler& scheduler;
+    base::RandomSource& random;
+    CommitOptions options;
+    Batch queue;
+    bool timerSet = false;
+    CommitCounters counts;
+    /** Expires with this object; callbacks of the store and timers check it. */
+    std::shared_ptr<int> alive = std::make_shared<int>(0);
+};
+
+} // namespace chivewinch::claim
--- /dev/null
+++ b/src/claim/settle.cpp
@@ -0,0 +1,127 @@
+#include "claim/claim_keeper.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewinch::claim {
+
+namespace internal {
+
+ClaimState stateOf(base::Outcome outcome) noexcept
+{
+    switch (outcome) {
+    case base::Outcome::Done:
+        return ClaimState::Done;
+    case base::Outcome::NotRun:
+        return ClaimState::NotRun;
+    case base::Outcome::Unknown:
+        break;
+    }
+    return ClaimState::Unknown;
+}
+
+} // namespace internal
+
+void ClaimKeeper::settle(const ClaimKey& key, std::uint64_t nonce, Settlement settlement, SettleCallback callback)
+{
+    const auto found = this->active.find(rowKey(key));
+    const bool held
+        = found != this->active.end() && found->second->state == State::Granted && found->second->value.nonce == nonce;
+    if (!held) {
+        callback(false);
+        return;
+    }
+    const auto item = found->second;
+    item->settlement = std::move(settlement);
+    item->settled = std::move(callback);
+    this->startSettle(item);
+}
+
+/** Repeats that wait here get a known outcome at once; after "not run" they claim again once that is stored. */
+void ClaimKeeper::startSettle(const ActivePointer& item)
+{
+    auto& settlement = item->settlement;
+    item->state = State::Settling;
+    item->failures = 0;
+    item->answerDropped = false;
+    item->value.state = internal::stateOf(settlement.outcome);
+    item->value.answer = {};
+    const bool done = settlement.outcome == base::Outcome::Done;
+    this->answerSettled(item);
+    if (!done) {
+        this->writeSettlement(item);
+        return;
+    }
+    if (this->unsettled + settlement.answer.size() > this->options.maxUnsettledBytes) {
+        ++this->counts.droppedAnswers;
+        settlement.answer.clear();
+        item->answerDropped = true;
+        this->writeSettlement(item);
+        return;
+    }
+    item->bytes = settlement.answer.size();
+    this->unsettled += item->bytes;
+    this->storeAnswer(item);
+}
+
+void ClaimKeeper::answerSettled(const ActivePointer& item)
+{
+    const auto outcome = item->settlement.outcome;
+    if (outcome == base::Outcome::NotRun)
+        return;
+    Repeat repeat { .outcome = outcome, .answer = std::nullopt };
+    if (outcome == base::Outcome::Done && !item->answerDropped)
+        repeat.answer = item->settlement.answer;
+    this->answerAll(item, repeat);
+}
+
+void ClaimKeeper::storeAnswer(const ActivePointer& item)
+{
+    this->answers.put(item->settlement.answer, this->guarded([this, item](const std::optional<StoredAnswer>& stored) {
+        if (!stored) {
+            this->retrySettle(item);
+            return;
+        }
+        item->value.answer = *stored;
+        this->writeSettlement(item);
+    }));
+}
+
+void ClaimKeeper::writeSettlement(const ActivePointer& item)
+{
+    this->commit.submit({ .key = item->row, .expectedVersion = item->version, .value = encode(item->value) },
+        this->guarded([this, item](const WriteResult& result) { this->settlementWritten(item, result); }));
+}
+
+void ClaimKeeper::retrySettle(const ActivePointer& item)
+{
+    this->scheduler.after(this->commit.backOff(item->failures++), this->guarded([this, item] {
+        const bool stored = item->value.answer != StoredAnswer {};
+        if (item->bytes > 0 && !stored)
+            this->storeAnswer(item);
+        else
+            this->writeSettlement(item);
+    }));
+}
+
+/** Only this process changes a row that it holds, so a conflict means that the settlement took effect before. */
+void ClaimKeeper::settlementWritten(const ActivePointer& item, const WriteResult& result)
+{
+    if (result.status == WriteStatus::Unavailable) {
+        this->retrySettle(item);
+        return;
+    }
+    this->unsettled -= std::exchange(item->bytes, 0);
+    if (const auto callback = std::exchange(item->settled, {}))
+        callback(true);
+    if (result.status == WriteStatus::Conflicted) {
+        this->follow(item, result.row);
+        return;
+    }
+    item->version = result.row.version;
+    for (const auto& waiter : item->waiters)
+        waiter->sawFirst = false;
+    this->startClaim(item);
+}
+
+} // namespace chivewinch::claim
