Add usage ledger with signed and chained segments

A write with an unknown result is repeated with the same bytes; a name that already exists is read back and compared. During an outage nothing further is sealed, so that the backlog goes out as few large segments. canAccept() turns false beyond the memory bound and beyond the backlog age.

--- /dev/null
+++ b/src/usage/ledger.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/random.hpp"
+#include "store/object_store.hpp"
+#include "store/scheduler.hpp"
+#include "usage/record_buffer.hpp"
+#include "usage/segment.hpp"
+#include "usage/segment_writer.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace chivewinch::usage {
+
+/** Time between segments of an entry; bounds the records that a double failure can lose. */
+inline constexpr std::chrono::milliseconds entrySegmentInterval { std::chrono::seconds { 30 } };
+/** Time between segments of an agent. */
+inline constexpr std::chrono::milliseconds agentSegmentInterval { std::chrono::seconds { 300 } };
+
+struct LedgerOptions {
+    Side side = Side::Entry;
+    ProcessId process;
+    std::chrono::milliseconds segmentInterval = entrySegmentInterval;
+    std::size_t maxBufferedBytes = 48ULL << 20;
+    /** Records that work in progress may still add after canAccept has turned false. */
+    std::size_t reservedRecords = 4096;
+    std::size_t maxSegmentRecords = 65536;
+    /** The verifier relies on this bound: a process never counts longer than this past its last stored segment. */
+    std::chrono::milliseconds maxBacklogAge { std::chrono::hours { 2 } };
+    internal::WriterOptions writer {};
+    bool refuseBeyondBound = true; ///< Off: canAccept ignores both bounds. For tests.
+};
+
+/** State of a ledger, for metrics and log events. */
+struct LedgerStatus {
+    std::uint64_t countedRecords = 0;
+    std::uint64_t storedRecords = 0;
+    std::uint64_t storedSegments = 0;
+    std::uint64_t storedBytes = 0;
+    std::uint64_t rewrites = 0;
+    std::size_t bufferedRecords = 0;
+    std::size_t bufferedBytes = 0;
+    std::chrono::milliseconds backlogAge {};
+    bool conflict = false;
+
+    bool operator==(const LedgerStatus&) const = default;
+};
+
+/**
+ * Counts the work of one process and writes it as a chain of signed segments.
+ *
+ * Not thread-safe. add() performs no I/O; segments are written from timers and store callbacks only.
+ */
+class Ledger {
+public:
+    Ledger(LedgerOptions options, SigningKey key, store::ObjectStore& objects, store::Scheduler& scheduler,
+        const base::Clock& clock, base::RandomSource& random);
+    Ledger(const Ledger&) = delete;
+    Ledger& operator=(const Ledger&) = delete;
+    ~Ledger();
+
+    /** Opens the chain: looks up the previous life of this instance and writes the first segment. */
+    void start();
+
+    /** Whether new work may start. When false, refuse it as "not run" with RefusalReason::UsageBacklog. */
+    [[nodiscard]] bool canAccept() const noexcept;
+
+    /** Counts one attempt or charge. Call it before the final frame (agent) or the last byte (entry) is sent. */
+    void add(const RecordView& record);
+    void add(const Record& record) { this->add(viewOf(record)); }
+
+    /** Notes that another process was met, so that its chain is missed if it never appears. */
+    void witness(const ProcessId& process);
+
+    /** Writes everything, then a closing segment, then calls back. Nothing may be added afterwards. */
+    void close(std::function<void()> done);
+
+    [[nodiscard]] LedgerStatus status() const;
+    [[nodiscard]] const Error& lastReason() const noexcept { return this->writer.lastReason(); }
+
+private:
+    LedgerOptions options;
+    SigningKey key;
+    store::ObjectStore& objects;
+    store::Scheduler& scheduler;
+    const base::Clock& clock;
+    base::RandomSource& random;
+    internal::RecordBuffer buffer;
+    internal::SegmentWriter writer;
+    std::vector<ProcessId> newWitnesses;
+    std::set<ProcessId> knownWitnesses;
+    SegmentHeader next;
+    base::SteadyTime storedUntil; ///< Everything counted before this time is stored.
+    std::optional<store::TimerId> timer;
+    std::chrono::milliseconds lookupDelay;
+    std::function<void()> closed;
+    bool started = false;
+    bool closing = false;
+    std::size_t writingRecords = 0;
+    LedgerStatus totals;
+    std::shared_ptr<int> alive = std::make_shared<int>();
+
+    void findPrevious(std::string startAfter);
+    void onPreviousNames(const std::optional<std::vector<std::string>>& names);
+    void schedule(std::chrono::nanoseconds delay, void (Ledger::*step)());
+    void retryLookup();
+    void writeNext();
+    [[nodiscard]] Segment takeSegment();
+    void onWritten(bool stored, std::size_t records, std::size_t bytes, base::SteadyTime coveredUntil);
+};
+
+} // namespace chivewinch::usage
--- /dev/null
+++ b/src/usage/segment.cpp
@@ -0,0 +1,91 @@
+#include "usage/segment.hpp"
+
+#include "usage/segment.pb.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace chivewinch::usage {
+
+Record Segment::record(std::size_t index) const
+{
+    const auto& packed = this->records[index];
+    const auto& subject = this->subjects[packed.subject];
+    const auto& peer = this->peers[packed.peer];
+    return { .kind = packed.kind,
+        .result = packed.result,
+        .id = packed.id,
+        .owner = subject.owner,
+        .team = subject.team,
+        .model = subject.model,
+        .peerInstance = peer.instance,
+        .peerIncarnation = peer.incarnation,
+        .issued = packed.issued,
+        .finished = packed.finished,
+        .counts = packed.counts };
+}
+
+std::string segmentName(const SegmentHeader& header)
+{
+    std::array<char, 24> number {};
+    std::snprintf(number.data(), number.size(), "%010llu", static_cast<unsigned long long>(header.number));
+    if (header.number == 0)
+        return openPrefix(header.process.instance)
+            + toString(header.process).substr(header.process.instance.size() + 1);
+    return "usage/segment/" + hourText(header.coversFrom) + '/' + toString(header.process) + '/' + number.data();
+}
+
+std::string openPrefix(std::string_view instance) { return "usage/open/" + std::string { instance } + '/'; }
+
+std::optional<base::Incarnation> parseOpenName(std::string_view name)
+{
+    const auto digits = name.substr(name.rfind('/') + 1);
+    std::uint64_t value = 0;
+    const auto* end = digits.data() + digits.size();
+    const auto result = std::from_chars(digits.data(), end, value, 16);
+    if (result.ec != std::errc {} || result.ptr != end)
+        return std::nullopt;
+    return static_cast<base::Incarnation>(value);
+}
+
+SealedSegment seal(const Segment& segment, const SigningKey& key)
+{
+    auto payload = encode(segment);
+    const auto digest = sha256(payload);
+    const auto signature = key.sign(digest);
+    return { .name = segmentName(segment.header),
+        .bytes = wrap(std::move(payload), signature),
+        .link = linkOf(digest, signature) };
+}
+
+std::string wrap(std::string payload, const Signature& signature)
+{
+    stored::Signed envelope;
+    envelope.set_payload(std::move(payload));
+    envelope.set_signature(signature.data(), signature.size());
+    return envelope.SerializeAsString();
+}
+
+std::optional<Envelope> unwrap(std::string_view bytes, Error& reason)
+{
+    stored::Signed envelope;
+    Envelope result;
+    const auto fail = [&reason](const char* detail) {
+        reason = { .code = ErrorCode::Malformed, .detail = detail };
+        return std::nullopt;
+    };
+    if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return fail("the object is not a signed message");
+    if (envelope.signature().size() != result.signature.size())
+        return fail("the signature does not have 64 bytes");
+    std::copy(envelope.signature().begin(), envelope.signature().end(), result.signature.begin());
+    result.payload = std::move(*envelope.mutable_payload());
+    if (wrap(result.payload, result.signature) != bytes)
+        return fail("the signed message is not in the canonical form");
+    result.digest = sha256(result.payload);
+    return result;
+}
+
+} // namespace chivewinch::usage
