Add expert maps and the activation protocol

The decider of a group (agent of the first rank) numbers steps in terms and names the map of each step in the step header. A map is decided only after every rank has loaded it; agents refuse headers whose map they do not hold, older terms and smaller fencing numbers.

--- /dev/null
+++ b/src/expert/decider.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "expert/activation.hpp"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivewinch::expert {
+
+struct DeciderOptions {
+    std::uint32_t ranks = 1;
+    base::Incarnation incarnation {}; ///< Start time of this process; grows at each restart.
+    MapRef bootMap; ///< Map of the bundle, used when no rank has run a step.
+    std::chrono::nanoseconds changeTimeout = std::chrono::minutes { 2 };
+    ActivationChecks checks;
+
+    bool operator==(const DeciderOptions&) const = default;
+};
+
+/** Message to the agent of one rank. */
+struct ToRank {
+    std::uint32_t rank = 0;
+    DeciderMessage message;
+
+    bool operator==(const ToRank&) const = default;
+};
+
+using DeciderActions = std::vector<ToRank>;
+
+/** Change of the map that was proposed last. */
+struct ChangeState {
+    MapRef map;
+    ProposalStatus status = ProposalStatus::Preparing;
+
+    bool operator==(const ChangeState&) const = default;
+};
+
+/**
+ * Runs in the agent of the first rank and alone decides which map a step uses. A change is decided after all ranks have
+ * loaded the map, and takes effect with the next step header. Steps never wait for a change.
+ */
+class Decider {
+public:
+    explicit Decider(DeciderOptions options);
+
+    /** Opens the first term; to be sent at the start. */
+    [[nodiscard]] DeciderActions start();
+    [[nodiscard]] DeciderActions onMessage(const AgentMessage& message);
+    /** Order of a planner. The status is Preparing when the change has begun. */
+    [[nodiscard]] ProposalStatus propose(const MapRef& map, base::SteadyTime now, DeciderActions& actions);
+    /** Abandons an overdue change and repeats unanswered messages; to be called about once a second. */
+    [[nodiscard]] DeciderActions onTick(base::SteadyTime now);
+    /** Header of the next step for all ranks; empty while a step is open or the ranks have not all joined. */
+    [[nodiscard]] DeciderActions nextStep();
+    /** The engine of this rank completed a step. In lock-step this means that all ranks ran it. */
+    void onStepFinished(const StepId& step);
+
+    [[nodiscard]] bool running() const noexcept { return this->phase == Phase::Running; }
+    [[nodiscard]] const MapRef& active() const noexcept { return this->activeMap; }
+    [[nodiscard]] const std::optional<ChangeState>& change() const noexcept { return this->current; }
+    [[nodiscard]] base::FencingNumber largestFencing() const noexcept { return this->fencing; }
+
+    /** Appends a canonical form of the state except times: equal states append equal bytes. */
+    void appendState(std::string& out) const;
+
+    bool operator==(const Decider&) const = default;
+
+private:
+    enum class Phase : std::uint8_t { Joining, Loading, Running };
+
+    struct Rank {
+        std::optional<Joined> joined;
+        std::uint64_t session = 0; ///< Largest session heard of.
+        bool prepared = false;
+
+        bool operator==(const Rank&) const = default;
+    };
+
+    void on(const Rejoin& rejoin, DeciderActions& actions);
+    void on(const Joined& joined, DeciderActions& actions);
+    void on(const Prepared& prepared, DeciderActions& actions);
+    void onRestart(Rank& rank, std::uint64_t session, DeciderActions& actions);
+    void openTerm(DeciderActions& actions);
+    void chooseMap(DeciderActions& actions);
+    void abandon(ProposalStatus status, DeciderActions& actions);
+    void repeat(DeciderActions& actions) const;
+    void sendPrepare(const MapRef& map, bool inUse, DeciderActions& actions) const;
+    void sendAll(const DeciderMessage& message, DeciderActions& actions) const;
+    [[nodiscard]] bool changing() const noexcept;
+    [[nodiscard]] bool allPrepared() const;
+    [[nodiscard]] std::optional<ProposalStatus> refusal(const MapRef& map) const;
+
+    DeciderOptions options;
+    Phase phase = Phase::Joining;
+    std::vector<Rank> ranks;
+    Term term;
+    std::uint64_t stepNumber = 0;
+    bool stepOpen = false;
+    bool mapConfirmed = false; ///< All ranks have run a step with the map in use.
+    MapRef activeMap;
+    std::optional<ChangeState> current;
+    base::SteadyTime deadline {};
+    base::FencingNumber fencing {};
+};
+
+} // namespace chivewinch::expert
--- /dev/null
+++ b/src/expert/map.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivewinch::expert {
+
+/** Shares of the replicas of one expert sum to this number. */
+inline constexpr std::uint32_t shareUnit = 1U << 16;
+
+/** Size of a model group. Every rank holds at most slotsPerRank replicas of each layer. */
+struct GroupShape {
+    std::uint32_t ranks = 0;
+    std::uint32_t experts = 0; ///< Per layer.
+    std::uint32_t layers = 0;
+    std::uint32_t slotsPerRank = 0; ///< Per layer; the memory limit of a rank divided by the bytes of an expert.
+
+    auto operator<=>(const GroupShape&) const = default;
+};
+
+/** One copy of an expert's weights and the part of the expert's tokens that it receives. */
+struct Replica {
+    std::uint16_t expert = 0;
+    std::uint16_t rank = 0;
+    std::uint32_t share = 0; ///< Of shareUnit.
+
+    auto operator<=>(const Replica&) const = default;
+};
+
+/** Replicas of one layer, ordered by expert and rank. */
+using LayerMap = std::vector<Replica>;
+
+struct MapError {
+    enum class Code : std::uint8_t {
+        None,
+        BadShape,
+        BadEncoding,
+        UnknownExpert,
+        UnknownRank,
+        NoReplica,
+        Duplicate,
+        MemoryLimit,
+        BadShares
+    };
+    Code code = Code::None;
+    std::string detail;
+
+    bool operator==(const MapError&) const = default;
+};
+
+/** Placement and shares of all experts of a group. Immutable and valid by construction. */
+class ExpertMap {
+public:
+    /** Nullopt when a layer breaks the shape, an expert has no replica, or its shares do not sum to shareUnit. */
+    [[nodiscard]] static std::optional<ExpertMap> create(
+        const GroupShape& shape, std::vector<LayerMap> layers, MapError& reason);
+
+    /** Inverse of encode. */
+    [[nodiscard]] static std::optional<ExpertMap> decode(std::string_view bytes, MapError& reason);
+
+    /** Little-endian canonical form: equal maps have equal bytes. */
+    [[nodiscard]] std::string encode() const;
+
+    [[nodiscard]] const GroupShape& shape() const noexcept { return this->groupShape; }
+    [[nodiscard]] const LayerMap& layer(std::uint32_t index) const { return this->layerMaps.at(index); }
+    [[nodiscard]] const std::vector<LayerMap>& layers() const noexcept { return this->layerMaps; }
+    /** XXH3 of the canonical form. */
+    [[nodiscard]] std::uint64_t digest() const;
+
+    bool operator==(const ExpertMap&) const = default;
+
+private:
+    ExpertMap(const GroupShape& shape, std::vector<LayerMap> layers);
+
+    GroupShape groupShape;
+    std::vector<LayerMap> layerMaps;
+};
+
+/** Replicas of the new layer whose weights the old layer does not have on the same rank. */
+[[nodiscard]] std::uint32_t countMoves(const LayerMap& before, const LayerMap& after);
+
+/** Sum of countMoves over all layers. */
+[[nodiscard]] std::uint64_t countMoves(const ExpertMap& before, const ExpertMap& after);
+
+} // namespace chivewinch::expert
