--- /dev/null
+++ b/app/standin/prefix_cache.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string_view>
+#include <unordered_map>
+
+namespace chivewinch::standin {
+
+/** Prompt prefixes that an engine has seen, with least-recently-used eviction. */
+class PrefixCache {
+public:
+    explicit PrefixCache(std::size_t capacity)
+        : capacity { capacity }
+    {
+    }
+
+    /** Length in bytes of a stored prefix of the prompt; stores the prompt's own prefix. */
+    [[nodiscard]] std::size_t lookup(std::string_view prompt)
+    {
+        const auto prefix = prompt.substr(0, std::min(prompt.size(), prefixBytes));
+        const auto hash = base::hash64(prefix);
+        const auto found = this->index.find(hash);
+        if (found != this->index.end()) {
+            this->order.splice(this->order.begin(), this->order, found->second);
+            return prefix.size();
+        }
+        this->order.push_front(hash);
+        this->index.emplace(hash, this->order.begin());
+        if (this->order.size() > this->capacity) {
+            this->index.erase(this->order.back());
+            this->order.pop_back();
+        }
+        return 0;
+    }
+
+    void clear()
+    {
+        this->order.clear();
+        this->index.clear();
+    }
+
+private:
+    static constexpr std::size_t prefixBytes = 256;
+
+    std::size_t capacity;
+    std::list<std::uint64_t> order;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> index;
+};
+
+} // namespace chivewinch::standin
--- a/cmake/chivewinch_dependencies.cmake
+++ b/cmake/chivewinch_dependencies.cmake
@@ -1,5 +1,5 @@
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS program_options)
+find_package(Boost 1.81 REQUIRED COMPONENTS program_options url)
 find_package(OpenSSL REQUIRED)
 find_package(Protobuf REQUIRED)
 find_package(nlohmann_json REQUIRED)
