Require the head before the frames of a resumed attempt; add schedule tests of delivery

Its first frames can overtake the head that states this, and were passed on to the caller as a continuation. Change: frames of a resumed attempt are dropped until its head is known.

--- a/src/delivery/answer_checker.cpp
+++ b/src/delivery/answer_checker.cpp
@@ -25,6 +25,7 @@
     this->frames = 0;
     this->bytes = 0;
     this->tokens = newStart == AnswerStart::Resumed ? this->progress.tokens : 0;
+    this->startKnown = newStart != AnswerStart::Resumed || !this->options.requireHead;
     this->skipBytes = newStart == AnswerStart::Replayed ? this->progress.bytes : 0;
     if (newStart == AnswerStart::Replayed && this->skipBytes == 0)
         this->deliveredHash.reset();
@@ -66,6 +67,7 @@
     const auto expected = this->start == AnswerStart::Resumed ? this->progress.tokens : 0;
     if (this->frames == 0 && head.fromToken != expected)
         return this->breakWith(FrameVerdict::WrongStart);
+    this->startKnown = true;
     return this->counted(FrameVerdict::Accepted);
 }
 
@@ -77,6 +79,8 @@
         const auto verdict = frame.sequence < this->frames ? FrameVerdict::Duplicate : FrameVerdict::Gap;
         return { .verdict = this->counted(verdict), .forward = {} };
     }
+    if (!this->startKnown)
+        return { .verdict = this->counted(FrameVerdict::Gap), .forward = {} };
     const auto forward = this->skipPrefix(frame.payload);
     if (!forward)
         return { .verdict = this->breakWith(FrameVerdict::PrefixMismatch), .forward = {} };
--- a/src/delivery/answer_checker.hpp
+++ b/src/delivery/answer_checker.hpp
@@ -23,7 +23,7 @@
     Complete, ///< Final frame matches: the answer is whole.
     Foreign, ///< Belongs to another request, attempt or incarnation; dropped.
     Duplicate, ///< Sequence number already accepted; dropped.
-    Gap, ///< Sequence number ahead of the next expected one; dropped.
+    Gap, ///< Ahead of the next expected frame, or of the head of a resumed attempt; dropped.
     AfterEnd, ///< The answer is already complete or broken; dropped.
     Incomplete, ///< Final frame disagrees on frames, bytes or digest: the answer is broken.
     PrefixMismatch, ///< Replayed bytes differ from the delivered ones: the answer is broken.
@@ -37,6 +37,7 @@
     bool checkSequence = true;
     bool checkFinal = true;
     bool checkPrefix = true;
+    bool requireHead = true;
 
     bool operator==(const CheckerOptions&) const = default;
 };
@@ -59,6 +60,7 @@
     /** Closes the open attempt; its later frames are foreign. */
     void close() noexcept;
 
+    /** Has to precede the frames of a resumed attempt, whose first token it states. */
     FrameVerdict head(const AnswerHead& head);
     Result accept(const AnswerFrame& frame);
     FrameVerdict finish(const FinalFrame& frame);
@@ -86,6 +88,7 @@
     std::uint64_t bytes = 0;
     std::uint64_t tokens = 0;
     std::uint64_t skipBytes = 0;
+    bool startKnown = false; ///< Frames may be forwarded: they start at the requested token.
     Progress progress;
     base::StreamHash attemptHash;
     /** Hash of all delivered bytes; absent while attemptHash covers exactly these. */
--- /dev/null
+++ b/tests/delivery/invariant_test.cpp
@@ -0,0 +1,183 @@
+#include "delivery/delivery_schedule.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace chivewinch::delivery {
+
+namespace internal {
+
+constexpr std::uint64_t firstSeed = 20261204'000;
+constexpr std::uint64_t schedules = 30'000;
+constexpr std::uint64_t schedulesWithoutMechanism = 3'000;
+
+struct Violations {
+    std::uint64_t wrongAnswers = 0; ///< Done, but not the whole answer to this request.
+    std::uint64_t foreignBytes = 0; ///< Bytes that do not belong to the request's answer at this position.
+    std::uint64_t falseNotRun = 0; ///< Answered or proved "not run", but ran.
+    std::uint64_t repeatedRuns = 0; ///< Non-repeatable request that ran twice, or an attempt that did.
+    std::uint64_t unfinished = 0;
+    std::uint64_t withoutHint = 0; ///< Given up without a retry-after hint.
+    std::uint64_t done = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t firstBadSeed = 0;
+
+    [[nodiscard]] std::uint64_t total() const
+    {
+        return this->wrongAnswers + this->foreignBytes + this->falseNotRun + this->repeatedRuns + this->unfinished
+            + this->withoutHint;
+    }
+};
+
+void check(const RequestResult& result, Violations& violations)
+{
+    if (!result.finish) {
+        ++violations.unfinished;
+        return;
+    }
+    const auto outcome = result.finish->outcome;
+    violations.done += outcome == base::Outcome::Done ? 1 : 0;
+    violations.notRun += outcome == base::Outcome::NotRun ? 1 : 0;
+    violations.unknown += outcome == base::Outcome::Unknown ? 1 : 0;
+    const auto& answers = result.possibleAnswers;
+    const bool whole = std::find(answers.begin(), answers.end(), result.delivered) != answers.end();
+    violations.wrongAnswers += outcome == base::Outcome::Done && !whole ? 1 : 0;
+    violations.foreignBytes += result.deliveredPrefix ? 0 : 1;
+    violations.falseNotRun += (outcome == base::Outcome::NotRun && result.runs > 0) || result.forgedProof ? 1 : 0;
+    violations.repeatedRuns += (!result.repeatable && result.runs > 1) || result.runsOfOneAttempt > 1 ? 1 : 0;
+    violations.withoutHint += outcome != base::Outcome::Done && result.finish->retryAfter.count() == 0 ? 1 : 0;
+}
+
+Violations runSchedules(ScheduleOptions options, std::uint64_t count)
+{
+    Violations violations;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        options.seed = firstSeed + i;
+        const auto before = violations.total();
+        for (const auto& result : DeliverySchedule { options }.run())
+            check(result, violations);
+        if (before == 0 && violations.total() > 0)
+            violations.firstBadSeed = options.seed;
+    }
+    return violations;
+}
+
+} // namespace internal
+
+/** The same schedules serve all invariants. */
+class DeliveryInvariantTest : public testing::Test {
+protected:
+    static void SetUpTestSuite()
+    {
+        std::cout << "seeds " << internal::firstSeed << " to " << internal::firstSeed + internal::schedules - 1 << "\n";
+        violations = internal::runSchedules({}, internal::schedules);
+        std::cout << "requests done " << violations.done << ", not run " << violations.notRun << ", unknown "
+                  << violations.unknown << "; first violating seed " << violations.firstBadSeed << "\n";
+    }
+
+    static inline internal::Violations violations;
+};
+
+// Guards against late, crossed, duplicated and missing frames, also after a resumed or replayed stream.
+TEST_F(DeliveryInvariantTest, CallerGetsWholeAnswerToItsOwnRequest)
+{
+    EXPECT_EQ(violations.wrongAnswers, 0U);
+    EXPECT_EQ(violations.foreignBytes, 0U);
+    EXPECT_GT(violations.done, internal::schedules);
+}
+
+// Guards against a proof that a delayed copy, an earlier attempt or an earlier incarnation contradicts.
+TEST_F(DeliveryInvariantTest, NotRunTrulyDidNotRun)
+{
+    EXPECT_EQ(violations.falseNotRun, 0U);
+    EXPECT_GT(violations.notRun, 0U);
+}
+
+// Guards against retries after an unknown outcome and against copies that run again.
+TEST_F(DeliveryInvariantTest, NonRepeatableRequestRunsAtMostOnce)
+{
+    EXPECT_EQ(violations.repeatedRuns, 0U);
+    EXPECT_GT(violations.unknown, 0U);
+}
+
+// Guards against a caller that waits although nothing more is tried.
+TEST_F(DeliveryInvariantTest, EveryRequestEndsAndGivesRetryHint)
+{
+    EXPECT_EQ(violations.unfinished, 0U);
+    EXPECT_EQ(violations.withoutHint, 0U);
+}
+
+// Each guards against an invariant test that cannot fail: it finds violations once the mechanism is off.
+TEST(DeliveryMechanismTest, WithoutKeyCheckForeignBytesAreFound)
+{
+    const auto found
+        = internal::runSchedules({ .checker = { .checkKey = false } }, internal::schedulesWithoutMechanism);
+    EXPECT_GT(found.foreignBytes, 0U);
+}
+
+TEST(DeliveryMechanismTest, WithoutSequenceCheckForeignBytesAreFound)
+{
+    const auto found
+        = internal::runSchedules({ .checker = { .checkSequence = false } }, internal::schedulesWithoutMechanism);
+    EXPECT_GT(found.foreignBytes, 0U);
+}
+
+TEST(DeliveryMechanismTest, WithoutFinalCheckWrongAnswersAreFound)
+{
+    const auto found
+        = internal::runSchedules({ .checker = { .checkFinal = false } }, internal::schedulesWithoutMechanism);
+    EXPECT_GT(found.wrongAnswers, 0U);
+}
+
+TEST(DeliveryMechanismTest, WithoutPrefixCheckWrongAnswersAreFound)
+{
+    const auto found
+        = internal::runSchedules({ .checker = { .checkPrefix = false } }, internal::schedulesWithoutMechanism);
+    EXPECT_GT(found.wrongAnswers, 0U);
+}
+
+TEST(DeliveryMechanismTest, WithoutHeadBeforeResumedFramesForeignBytesAreFound)
+{
+    const auto found
+        = internal::runSchedules({ .checker = { .requireHead = false } }, internal::schedulesWithoutMechanism);
+    EXPECT_GT(found.foreignBytes, 0U);
+}
+
+TEST(DeliveryMechanismTest, WithoutIncarnationCheckRepeatedRunsAreFound)
+{
+    ScheduleOptions options;
+    options.gate.checkIncarnation = false;
+    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).repeatedRuns, 0U);
+}
+
+TEST(DeliveryMechanismTest, WithoutRecordRepeatedRunsAreFound)
+{
+    ScheduleOptions options;
+    options.gate.checkSeen = false;
+    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).repeatedRuns, 0U);
+}
+
+TEST(DeliveryMechanismTest, WithoutRecordedRefusalsFalseProofsAreFound)
+{
+    ScheduleOptions options;
+    options.gate.recordRefusals = false;
+    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).falseNotRun, 0U);
+}
+
+TEST(DeliveryMechanismTest, WithoutRecordedCancelsFalseProofsAreFound)
+{
+    ScheduleOptions options;
+    options.gate.recordEarlyCancels = false;
+    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).falseNotRun, 0U);
+}
+
+TEST(DeliveryMechanismTest, WithoutProofRuleRepeatedRunsAreFound)
+{
+    ScheduleOptions options;
+    options.requireProof = false;
+    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).repeatedRuns, 0U);
+}
+
+} // namespace chivewinch::delivery
