Add bundle format with schema, checks, canonical form and lookups

One field table per record drives TOML parsing, range checks, the canonical form and the schema documentation, so they cannot differ. The canonical form is JSON lines in parts, because parts can be hashed and sent one by one.

--- /dev/null
+++ b/src/bundle/canonical.cpp
@@ -0,0 +1,226 @@
+#include "bundle/canonical.hpp"
+
+#include "base/hash.hpp"
+#include "bundle/digest.hpp"
+#include "bundle/schema.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace chivewinch::bundle {
+
+namespace internal {
+
+using Json = nlohmann::json;
+
+template <typename Value> Json toJson(const Value& value)
+{
+    if constexpr (std::is_enum_v<Value>)
+        return namesOf(value)[static_cast<std::size_t>(value)];
+    else
+        return value;
+}
+
+template <typename Value> bool fromJson(const Json& json, Value& value)
+{
+    if constexpr (std::is_enum_v<Value>) {
+        const auto& names = namesOf(value);
+        const auto found = std::ranges::find(names, json.get_ref<const std::string&>());
+        if (found == names.end())
+            return false;
+        value = static_cast<Value>(found - names.begin());
+    } else {
+        json.get_to(value);
+    }
+    return true;
+}
+
+template <typename Record> std::string encodeRecord(const Schema<Record>& schema, const Record& record)
+{
+    Json json = Json::object();
+    for (const auto& field : schema.fields)
+        std::visit([&](auto member) { json[std::string { field.name }] = toJson(record.*member); }, field.member);
+    return json.dump();
+}
+
+template <typename Record> std::optional<Record> decodeRecord(const Schema<Record>& schema, const std::string& text)
+{
+    try {
+        const auto json = Json::parse(text);
+        Record record;
+        bool valid = json.size() == schema.fields.size();
+        for (const auto& field : schema.fields) {
+            const auto& value = json.at(std::string { field.name });
+            valid = std::visit([&](auto member) { return fromJson(value, record.*member); }, field.member) && valid;
+        }
+        if (valid)
+            return record;
+    } catch (const Json::exception&) { // reported by the caller with the part and key
+    }
+    return std::nullopt;
+}
+
+template <typename Record> std::string partName(const Schema<Record>& schema, const std::string& key)
+{
+    if (schema.parts == 1)
+        return std::string { schema.table };
+    std::array<char, 16> suffix {};
+    std::snprintf(suffix.data(), suffix.size(), "/%02x", static_cast<unsigned>(base::hash64(key) % schema.parts));
+    return std::string { schema.table } + suffix.data();
+}
+
+template <typename Record> void encodeList(const Schema<Record>& schema, const Bundle& bundle, Parts& parts)
+{
+    for (const auto& record : bundle.*schema.records) {
+        auto key = schema.key(record);
+        parts[partName(schema, key)].insert_or_assign(std::move(key), encodeRecord(schema, record));
+    }
+}
+
+/** Reads the records of parts into a bundle and names the first malformed one. */
+class Decoder {
+public:
+    Decoder(const Parts& parts, Error& reason) noexcept
+        : parts { parts }
+        , reason { reason }
+    {
+    }
+
+    bool readAll(Bundle& bundle)
+    {
+        std::size_t partsRead = 0;
+        bool valid = true;
+        forEachList([&](const auto& list) { valid = valid && this->readList(list, bundle, partsRead); });
+        const auto& costs = schema<CostAttribution>();
+        if (const auto cost = this->parts.find(costs.table); valid && cost != this->parts.end()) {
+            ++partsRead;
+            const auto record = cost->second.find(costs.key(bundle.cost));
+            const bool single = cost->second.size() == 1 && record != cost->second.end();
+            const auto decoded = single ? decodeRecord(costs, record->second) : std::nullopt;
+            valid = decoded ? true : this->fail("cost", "cost");
+            bundle.cost = decoded.value_or(CostAttribution {});
+        }
+        return valid && (partsRead == this->parts.size() || this->fail("unknown table", ""));
+    }
+
+private:
+    const Parts& parts;
+    Error& reason;
+
+    bool fail(std::string_view part, std::string_view key)
+    {
+        this->reason = { .code = ErrorCode::Invalid,
+            .detail = "malformed record in part " + std::string { part } + ": " + std::string { key } };
+        return false;
+    }
+
+    template <typename Record> bool readList(const Schema<Record>& schema, Bundle& bundle, std::size_t& partsRead)
+    {
+        const std::string table { schema.table };
+        const auto belongs = [&](const std::string& name) { return name == table || name.starts_with(table + "/"); };
+        auto& records = bundle.*schema.records;
+        for (auto part = this->parts.lower_bound(table); part != this->parts.end() && part->first.starts_with(table);
+             ++part) {
+            if (!belongs(part->first))
+                continue;
+            ++partsRead;
+            for (const auto& [key, text] : part->second) {
+                auto record = decodeRecord(schema, text);
+                if (!record || schema.key(*record) != key || partName(schema, key) != part->first)
+                    return this->fail(part->first, key);
+                records.push_back(std::move(*record));
+            }
+        }
+        std::ranges::sort(records, {}, schema.key);
+        return true;
+    }
+};
+
+template <typename Record> void appendToml(const Schema<Record>& schema, const Record& record, std::string& text)
+{
+    text += schema.records == nullptr ? "\n[" + std::string { schema.table } + "]\n"
+                                      : "\n[[" + std::string { schema.table } + "]]\n";
+    for (const auto& field : schema.fields) {
+        std::visit(
+            [&](auto member) { text += std::string { field.name } + " = " + toJson(record.*member).dump() + "\n"; },
+            field.member);
+    }
+}
+
+} // namespace internal
+
+Parts encode(const Bundle& bundle)
+{
+    Parts parts;
+    forEachList([&](const auto& list) { internal::encodeList(list, bundle, parts); });
+    const auto& costs = schema<CostAttribution>();
+    parts[std::string { costs.table }].emplace(costs.key(bundle.cost), internal::encodeRecord(costs, bundle.cost));
+    return parts;
+}
+
+std::optional<Bundle> decode(const Parts& parts, Error& reason)
+{
+    Bundle bundle;
+    internal::Decoder decoder { parts, reason };
+    if (!decoder.readAll(bundle))
+        return std::nullopt;
+    return bundle;
+}
+
+std::string partText(const PartRecords& records)
+{
+    std::string text;
+    for (const auto& [key, record] : records)
+        text.append(key).append(" ").append(record).append("\n");
+    return text;
+}
+
+std::optional<PartRecords> parsePartText(std::string_view text)
+{
+    PartRecords records;
+    while (!text.empty()) {
+        const auto end = text.find('\n');
+        const auto space = text.find(' ');
+        if (end == std::string_view::npos || space > end)
+            return std::nullopt;
+        std::string key { text.substr(0, space) };
+        if (!records.empty() && records.rbegin()->first >= key)
+            return std::nullopt;
+        records.emplace_hint(records.end(), std::move(key), text.substr(space + 1, end - space - 1));
+        text.remove_prefix(end + 1);
+    }
+    return records;
+}
+
+PartHashes hashParts(const Parts& parts)
+{
+    PartHashes hashes;
+    for (const auto& [name, records] : parts)
+        hashes.emplace_hint(hashes.end(), name, sha256Hex(partText(records)));
+    return hashes;
+}
+
+std::string contentHash(const PartHashes& hashes)
+{
+    std::string lines;
+    for (const auto& [name, hash] : hashes)
+        lines.append(name).append(" ").append(hash).append("\n");
+    return sha256Hex(lines);
+}
+
+std::string contentHash(const Bundle& bundle) { return contentHash(hashParts(encode(bundle))); }
+
+std::string toToml(const Bundle& bundle)
+{
+    std::string text = "format = " + std::to_string(formatNumber) + "\n";
+    forEachList([&](const auto& list) {
+        for (const auto& record : bundle.*list.records)
+            internal::appendToml(list, record, text);
+    });
+    internal::appendToml(schema<CostAttribution>(), bundle.cost, text);
+    return text;
+}
+
+} // namespace chivewinch::bundle
--- /dev/null
+++ b/src/bundle/parse.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "bundle/bundle.hpp"
+#include "bundle/error.hpp"
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace chivewinch::bundle {
+
+/**
+ * Reads a bundle from TOML. Lists are sorted by key.
+ * All faults of syntax, type, range and reference are appended to errors; with any error there is no result.
+ */
+[[nodiscard]] std::optional<Bundle> parse(std::string_view text, std::vector<ConfigError>& errors);
+
+/** Faults of range, uniqueness and reference; empty for a valid bundle. */
+[[nodiscard]] std::vector<ConfigError> check(const Bundle& bundle);
+
+} // namespace chivewinch::bundle
