--- /dev/null
+++ b/app/agent/target_monitor.cpp
@@ -0,0 +1,103 @@
+#include "agent/target_monitor.hpp"
+
+#include "logging/event.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace chivewinch::agent {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+constexpr std::chrono::milliseconds probeTimeout { 2000 };
+
+// A slow answer alone is no crash; a refused connection is one at once.
+constexpr std::uint32_t slowProbesUntilDown = 3;
+
+} // namespace internal
+
+TargetMonitor::TargetMonitor(http::Client& client, std::chrono::milliseconds interval, CrashHandler onCrash)
+    : client { client }
+    , interval { interval }
+    , onCrash { std::move(onCrash) }
+{
+}
+
+http::Task<void> TargetMonitor::run()
+{
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer pause { executor };
+    this->timer = &pause;
+    while (!this->stopped) {
+        (void)co_await this->probe();
+        pause.expires_after(this->interval);
+        co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    this->timer = nullptr;
+}
+
+void TargetMonitor::stop()
+{
+    this->stopped = true;
+    if (this->timer != nullptr)
+        this->timer->cancel();
+}
+
+http::Task<bool> TargetMonitor::probe()
+{
+    const auto crashesBefore = this->crashes;
+    http::Error reason;
+    http::SendOptions options;
+    options.readTimeout = internal::probeTimeout;
+    // A kept connection to a target that has restarted would report a failure of its own.
+    options.freshConnection = true;
+    auto request = http::makeRequest("GET", "/load");
+    request.keep_alive(false);
+    const auto response = co_await this->client.send(std::move(request), options, reason);
+    const bool isAnswer = response && response->status == 200;
+    (void)(isAnswer ? this->noteAnswer(response->body) : this->noteFailure(reason));
+    co_return this->crashes != crashesBefore;
+}
+
+bool TargetMonitor::noteAnswer(const std::string& body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object())
+        return false;
+    this->failures = 0;
+    const auto reported = static_cast<base::Incarnation>(json.value("incarnation", std::uint64_t { 0 }));
+    if (this->incarnation && *this->incarnation != reported)
+        this->crashed();
+    if (!this->incarnation)
+        logging::Event { "target_up" }.field("target_incarnation", static_cast<std::uint64_t>(reported)).info();
+    this->incarnation = reported;
+    this->report.set_in_flight(json.value("running", 0U));
+    this->report.set_queued(json.value("queued", 0U));
+    this->report.set_capacity(json.value("capacity", 0U));
+    return true;
+}
+
+bool TargetMonitor::noteFailure(const http::Error& reason)
+{
+    ++this->failures;
+    const bool refused = reason.code == http::ErrorCode::NotSent;
+    if (this->incarnation && (refused || this->failures >= internal::slowProbesUntilDown)) {
+        logging::Event { "target_down" }.field("detail", reason.detail).warning();
+        this->crashed();
+        this->incarnation.reset();
+    }
+    return false;
+}
+
+void TargetMonitor::crashed()
+{
+    ++this->crashes;
+    this->onCrash(*this->incarnation);
+}
+
+} // namespace chivewinch::agent
--- a/app/standin/engine.cpp
+++ b/app/standin/engine.cpp
@@ -106,7 +106,7 @@
         choice["delta"] = last ? Json::object() : Json { { "content", text } };
     else
         choice["text"] = text;
-    choice["finish_reason"] = last ? Json { "length" } : Json {};
+    choice["finish_reason"] = last ? Json("length") : Json();
     return internal::serverSentEvent(
         { { "id", "cmpl-" + job.requestId }, { "object", job.chat ? "chat.completion.chunk" : "text_completion" },
             { "created", job.created }, { "model", this->options.model }, { "choices", Json::array({ choice }) } });
--- /dev/null
+++ b/src/protocol/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace chivewinch::protocol {
+
+class MessageReader;
+
+} // namespace chivewinch::protocol
