--- a/src/limit/load_shedder.cpp
+++ b/src/limit/load_shedder.cpp
@@ -9,7 +9,7 @@
 
 namespace internal {
 
-constexpr double rateGain = 0.2; ///< Weight of the latest interval in the smoothed rates.
+constexpr double rateGain = 0.1; ///< Weight of the latest interval in the smoothed rates.
 constexpr double minRate = 1; ///< Requests per second per owner that are assumed for Retry-After.
 
 void smooth(double& rate, double sample) noexcept { rate += rateGain * (sample - rate); }
--- a/src/limit/options.hpp
+++ b/src/limit/options.hpp
@@ -39,7 +39,7 @@
     std::chrono::nanoseconds interval { std::chrono::milliseconds { 100 } }; ///< Between two updates of the shares.
     std::chrono::nanoseconds targetDelay { std::chrono::milliseconds { 100 } }; ///< Queueing delay aimed at.
     std::chrono::nanoseconds correctionTime { std::chrono::milliseconds { 500 } };
-    std::size_t minQueue = 4; ///< A queue of up to this length is never overload.
+    std::size_t minQueue = 16; ///< A queue of up to this length is never overload.
     std::chrono::nanoseconds minRetryAfter { std::chrono::seconds { 1 } };
     std::chrono::nanoseconds maxRetryAfter { std::chrono::seconds { 30 } };
 
