Add zone schedules of the suspect module

With the candidate pair, no schedule loses more than two targets to a fingerprint, with and without propagation. Without it, entries that start a new fingerprint at the same time lose up to 8 targets (4 entries, no propagation) or 4 (timely strikes), which are the bounds of two per entry and of one per entry plus one. The mechanism tests switch off the pair, the rule of the struck target, the single target per entry, the hold and the isolation one at a time; each time the schedules exceed the bound.

--- /dev/null
+++ b/tests/suspect/zone_schedule.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/random.hpp"
+#include "support/fake_scheduler.hpp"
+#include "suspect/entry_guard.hpp"
+#include "suspect/target_guard.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chivewinch::suspect {
+
+struct ZoneOptions {
+    std::uint64_t seed = 0;
+    std::size_t killers = 1; ///< Fingerprints that crash every target that runs them.
+    std::size_t innocents = 4;
+    bool propagate = true; ///< Off: the processes of the zone hear nothing from each other.
+    double lost = 0.2; ///< Share of strike lists that are lost.
+    std::chrono::milliseconds maxDelay { 20 }; ///< Of any message.
+    bool agentKeepsStrikes = true; ///< Off: the agent dies together with its target.
+    EntryGuardOptions entry;
+    TargetGuardOptions target;
+};
+
+struct ZoneResult {
+    std::size_t entries = 0;
+    std::size_t mostLost = 0; ///< Largest number of crashes caused by one fingerprint.
+    std::size_t innocentsCompleted = 0;
+    std::size_t innocentsNotNormal = 0; ///< Innocent fingerprints without Verdict::Normal somewhere at the end.
+    std::size_t sharedIsolation = 0; ///< Starts of a struck fingerprint beside another struck one.
+    std::size_t killersBlocked = 0; ///< Killers that every entry blocks a second after the last crash.
+};
+
+/** Entries and targets of one zone; callers send each fingerprint to all entries at once and again and again. */
+class ZoneSchedule {
+public:
+    explicit ZoneSchedule(const ZoneOptions& options);
+
+    [[nodiscard]] ZoneResult run();
+
+private:
+    struct Entry {
+        std::shared_ptr<StrikeTable> table;
+        std::unique_ptr<EntryGuard> guard;
+    };
+
+    struct Attempt {
+        std::size_t entry = 0;
+        std::size_t caller = 0;
+        std::uint64_t fingerprint = 0;
+
+        bool operator==(const Attempt&) const = default;
+    };
+
+    struct Target {
+        std::shared_ptr<StrikeTable> table;
+        std::unique_ptr<TargetGuard> guard;
+        std::uint64_t incarnation = 1;
+        bool up = true;
+        std::vector<Attempt> inFlight;
+    };
+
+    void startAgent(std::size_t index);
+    void resend(const Attempt& attempt, int left);
+    void arrive(std::size_t target, const Attempt& attempt, int left);
+    void complete(std::size_t target, const Attempt& attempt, int left, std::uint64_t incarnation);
+    void crash(std::size_t target, std::uint64_t killer, std::uint64_t incarnation);
+    void heartbeat();
+    void send(const StrikeList& list, const std::shared_ptr<StrikeTable>& receiver);
+    void retry(const Attempt& attempt, int left);
+    [[nodiscard]] bool kills(std::uint64_t fingerprint) const { return fingerprint <= this->options.killers; }
+    [[nodiscard]] std::chrono::nanoseconds delay();
+
+    ZoneOptions options;
+    base::SeededRandom random;
+    base::ManualClock clock;
+    support::FakeScheduler scheduler { this->clock };
+    std::vector<base::TargetId> names;
+    std::vector<Entry> entries;
+    std::vector<Target> targets;
+    std::map<std::uint64_t, std::size_t> lost;
+    ZoneResult result;
+    bool stopped = false;
+};
+
+} // namespace chivewinch::suspect
--- /dev/null
+++ b/tests/suspect/zone_test.cpp
@@ -0,0 +1,123 @@
+#include "suspect/zone_schedule.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chivewinch::suspect {
+
+using namespace std::chrono_literals;
+
+namespace internal {
+
+constexpr std::uint64_t firstSeed = 20261204;
+constexpr std::uint64_t schedules = 1'500;
+
+struct ZoneSum {
+    std::size_t mostLost = 0;
+    std::size_t mostOverTwicePerEntry = 0; ///< Schedules with more than two crashes per entry.
+    std::size_t mostOverEntriesPlusOne = 0; ///< Schedules with more crashes than entries and one.
+    std::size_t overTwo = 0;
+    std::size_t innocentsCompleted = 0;
+    std::size_t innocentsNotNormal = 0;
+    std::size_t sharedIsolation = 0;
+    std::size_t killersBlocked = 0;
+};
+
+ZoneSum runZones(ZoneOptions options, std::uint64_t count = schedules)
+{
+    ZoneSum sum;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + count; ++seed) {
+        options.seed = seed;
+        options.killers = 1 + seed % 2;
+        const auto one = ZoneSchedule { options }.run();
+        sum.mostLost = std::max(sum.mostLost, one.mostLost);
+        sum.overTwo += one.mostLost > 2 ? 1 : 0;
+        sum.mostOverTwicePerEntry += one.mostLost > 2 * one.entries ? 1 : 0;
+        sum.mostOverEntriesPlusOne += one.mostLost > one.entries + 1 ? 1 : 0;
+        sum.innocentsCompleted += one.innocentsCompleted;
+        sum.innocentsNotNormal += one.innocentsNotNormal;
+        sum.sharedIsolation += one.sharedIsolation;
+        sum.killersBlocked += one.killersBlocked;
+    }
+    std::cout << "seeds " << firstSeed << " to " << firstSeed + count - 1 << ": at most " << sum.mostLost
+              << " targets lost to a fingerprint, " << sum.overTwo << " schedules over two, " << sum.innocentsCompleted
+              << " innocent runs completed, " << sum.killersBlocked << " killers blocked\n";
+    return sum;
+}
+
+} // namespace internal
+
+// Guards against a request that its callers send to all entries at once and that crashes target after target.
+TEST(SuspectZoneTest, AtMostTwoTargetsAreLostPerFingerprint)
+{
+    const auto sum = internal::runZones({});
+    EXPECT_LE(sum.mostLost, 2U);
+    EXPECT_GT(sum.killersBlocked, 0U);
+    EXPECT_GT(sum.innocentsCompleted, internal::schedules);
+}
+
+// Guards against a bound that needs messages: no strike reaches another process.
+TEST(SuspectZoneTest, AtMostTwoTargetsAreLostWithoutPropagation)
+{
+    EXPECT_LE(internal::runZones({ .propagate = false }).mostLost, 2U);
+}
+
+// Guards against an agent that dies with its target and runs the fingerprint again after its restart.
+TEST(SuspectZoneTest, AtMostTwoTargetsAreLostWhenAgentsForget)
+{
+    EXPECT_LE(internal::runZones({ .lost = 0, .agentKeepsStrikes = false }).mostLost, 2U);
+}
+
+// Guards against an unbounded loss when entries choose targets independently of each other.
+TEST(SuspectZoneTest, WithoutPairLossIsTwicePerEntryAndOnePerEntryPlusOneWithTimelyStrikes)
+{
+    const EntryGuardOptions independent { .usePair = false };
+    const auto silent = internal::runZones({ .propagate = false, .entry = independent });
+    EXPECT_EQ(silent.mostOverTwicePerEntry, 0U);
+    const auto timely = internal::runZones({ .lost = 0, .entry = independent });
+    EXPECT_EQ(timely.mostOverEntriesPlusOne, 0U);
+}
+
+// Guards against an innocent fingerprint that stays isolated or blocked because peers renew its strikes.
+TEST(SuspectZoneTest, InnocentRequestsAreNormalAgainAfterExpiry)
+{
+    EXPECT_EQ(internal::runZones({ .innocents = 8 }, 1'000).innocentsNotNormal, 0U);
+}
+
+// Guards against two struck fingerprints on one target, where an innocent one collects its second strike.
+TEST(SuspectZoneTest, StruckFingerprintsDoNotShareATarget)
+{
+    EXPECT_EQ(internal::runZones({ .innocents = 8 }, 1'000).sharedIsolation, 0U);
+}
+
+// Each guards against an invariant test that cannot fail: it finds violations once the mechanism is off.
+TEST(SuspectMechanismTest, WithoutPairMoreThanTwoAreLost)
+{
+    EXPECT_GT(internal::runZones({ .entry = { .usePair = false } }, 500).overTwo, 0U);
+}
+
+TEST(SuspectMechanismTest, WithoutStruckTargetRuleMoreThanTwoAreLost)
+{
+    const ZoneOptions options { .propagate = false, .target = { .refuseStruckHere = false } };
+    EXPECT_GT(internal::runZones(options, 500).overTwo, 0U);
+}
+
+TEST(SuspectMechanismTest, WithoutOneTargetPerEntryTwicePerEntryIsExceeded)
+{
+    const ZoneOptions options { .propagate = false,
+        .entry = { .hold = 0ns, .oneTarget = false, .usePair = false },
+        .target = { .refuseStruckHere = false } };
+    EXPECT_GT(internal::runZones(options, 500).mostOverTwicePerEntry, 0U);
+}
+
+TEST(SuspectMechanismTest, WithoutHoldEntriesPlusOneIsExceeded)
+{
+    const ZoneOptions options { .lost = 0, .maxDelay = 400ms, .entry = { .hold = 0ns, .usePair = false } };
+    EXPECT_GT(internal::runZones(options).mostOverEntriesPlusOne, 0U);
+}
+
+TEST(SuspectMechanismTest, WithoutIsolationStruckFingerprintsShareATarget)
+{
+    EXPECT_GT(internal::runZones({ .innocents = 8, .target = { .isolate = false } }, 500).sharedIsolation, 0U);
+}
+
+} // namespace chivewinch::suspect
