--- a/src/claim/claim_keeper.cpp
+++ b/src/claim/claim_keeper.cpp
@@ -189,7 +189,7 @@
         this->watch(item);
         break;
     case ClaimState::Done:
-        this->load(item, value->answer);
+        this->load(item, *value);
         break;
     case ClaimState::NotRun:
         for (const auto& waiter : item->waiters)
@@ -212,17 +212,19 @@
         this->schedulePoll();
 }
 
-void ClaimKeeper::load(const ActivePointer& item, const StoredAnswer& stored)
+void ClaimKeeper::load(const ActivePointer& item, const ClaimRow& row)
 {
     item->state = State::Loading;
-    this->answers.get(stored, this->guarded([this, item](const std::optional<std::optional<std::string>>& bytes) {
+    const auto loaded = [this, item, hash = row.bodyHash](const std::optional<std::optional<std::string>>& bytes) {
         if (!bytes) {
             this->watch(item);
             return;
         }
+        this->refuseConflicts(item, hash); // Requests may have joined while the answer was read.
         this->remove(item);
         this->answerAll(item, Repeat { .outcome = base::Outcome::Done, .answer = *bytes });
-    }));
+    };
+    this->answers.get(row.answer, this->guarded(loaded));
 }
 
 void ClaimKeeper::schedulePoll()
--- a/src/claim/claim_keeper.hpp
+++ b/src/claim/claim_keeper.hpp
@@ -120,7 +120,7 @@
     void grant(const ActivePointer& item);
     void follow(const ActivePointer& item, const store::Row& row);
     void watch(const ActivePointer& item);
-    void load(const ActivePointer& item, const StoredAnswer& stored);
+    void load(const ActivePointer& item, const ClaimRow& row);
     void schedulePoll();
     void poll();
     void polled(const std::vector<store::Row>& rows);
