Add store client with deadlines, back-off, budget and resolution of ambiguous writes

An ambiguous transaction is re-read: a written value, which has its writer's nonce, proves that it took effect; unchanged conditions allow the same transaction to be sent again, since at most one copy can meet them.

With resolveAmbiguous off, the outcome stays unknown (ClientTest.WithoutReReadOutcomeStaysUnknown).

--- a/src/store/fwd.hpp
+++ b/src/store/fwd.hpp
@@ -2,11 +2,14 @@
 
 namespace chivewinch::store {
 
+class Client;
 class MemoryObjectStore;
 class MemoryTableService;
 class ObjectStore;
 class Scheduler;
 class TableService;
+struct ClientOptions;
+struct ClientStats;
 struct Error;
 struct Row;
 struct RowKey;
--- /dev/null
+++ b/src/store/table_client.cpp
@@ -0,0 +1,185 @@
+#include "store/table_client.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace chivewinch::store::internal {
+
+/**
+ * One transaction until its outcome is known. After an ambiguous attempt the rows are re-read: the written values
+ * prove that it took effect, and rows that still meet all conditions allow the same transaction to be sent again,
+ * since at most one copy can meet them.
+ */
+class TransactOperation : public std::enable_shared_from_this<TransactOperation> {
+public:
+    TransactOperation(TableService& next, std::shared_ptr<ClientCore> core, Transaction transaction,
+        TableService::TransactCallback callback)
+        : next { next }
+        , core { std::move(core) }
+        , transaction { std::move(transaction) }
+        , callback { std::move(callback) }
+        , end { this->core->operationEnd() }
+    {
+    }
+
+    void run()
+    {
+        const Send<TransactResult> send = [self = this->shared_from_this()](Done<TransactResult> done) {
+            self->next.transact(self->transaction, std::move(done));
+        };
+        this->core->attempt<TransactResult>(Kind::Write, send,
+            [self = this->shared_from_this()](std::optional<TransactResult> result, const Error& error) {
+                self->onAnswer(std::move(result), error);
+            });
+    }
+
+private:
+    TableService& next;
+    std::shared_ptr<ClientCore> core;
+    Transaction transaction;
+    TableService::TransactCallback callback;
+    base::SteadyTime end;
+    std::uint32_t failures = 0;
+    bool ambiguous = false; ///< An earlier attempt may have taken effect.
+
+    void onAnswer(std::optional<TransactResult> result, const Error& error)
+    {
+        if (result && (result->committed || !this->ambiguous)) {
+            this->finish(std::move(result), {});
+        } else if (result || error.code == ErrorCode::Ambiguous) {
+            this->ambiguous = true;
+            this->resolve();
+        } else {
+            this->retryOr(error);
+        }
+    }
+
+    void retryOr(const Error& error)
+    {
+        const bool refused = error.code == ErrorCode::BudgetExhausted && this->failures == 0;
+        if (isRetryable(error.code) && !refused
+            && this->core->retryLater(++this->failures, this->end, [self = this->shared_from_this()] { self->run(); }))
+            return;
+        if (this->ambiguous)
+            this->giveUp("the outcome of an earlier attempt is not known");
+        else
+            this->finish(std::nullopt, error);
+    }
+
+    void resolve()
+    {
+        if (!this->core->options.resolveAmbiguous) {
+            this->giveUp("no answer");
+            return;
+        }
+        const Send<std::vector<Row>> send = [self = this->shared_from_this()](Done<std::vector<Row>> done) {
+            self->next.get(self->involvedKeys(), std::move(done));
+        };
+        retry<std::vector<Row>>(this->core, Kind::Read, this->end, send,
+            [self = this->shared_from_this()](
+                const std::optional<std::vector<Row>>& rows, const Error&) { self->onRows(rows); });
+    }
+
+    [[nodiscard]] std::vector<RowKey> involvedKeys() const
+    {
+        std::set<RowKey> keys;
+        for (const auto& condition : this->transaction.conditions)
+            keys.insert(condition.key);
+        for (const auto& write : this->transaction.writes)
+            keys.insert(write.key);
+        return { keys.begin(), keys.end() };
+    }
+
+    void onRows(const std::optional<std::vector<Row>>& rows)
+    {
+        if (!rows) {
+            this->giveUp("the rows could not be re-read");
+        } else if (this->tookEffect(*rows)) {
+            ++this->core->stats.resolvedCommitted;
+            this->finish(TransactResult { .committed = true, .rows = this->writtenRows(*rows) }, {});
+        } else if (this->stillAllowed(*rows)) {
+            ++this->core->stats.resolvedAbsent;
+            this->retryOr({ .code = ErrorCode::Unavailable, .detail = "an earlier attempt had no effect yet" });
+        } else {
+            this->giveUp("another writer has changed the rows");
+        }
+    }
+
+    static const Row& rowOf(const std::vector<Row>& rows, const RowKey& key)
+    {
+        return *std::ranges::find(rows, key, &Row::key);
+    }
+
+    /** Any written value proves the whole transaction, since each value has its writer's nonce. */
+    [[nodiscard]] bool tookEffect(const std::vector<Row>& rows) const
+    {
+        return std::ranges::any_of(this->transaction.writes, [&](const Write& write) {
+            return write.value && !write.value->empty() && rowOf(rows, write.key).value == *write.value;
+        });
+    }
+
+    /** Without conditions a late copy could overwrite another writer, so nothing is sent again. */
+    [[nodiscard]] bool stillAllowed(const std::vector<Row>& rows) const
+    {
+        return !this->transaction.conditions.empty()
+            && std::ranges::all_of(this->transaction.conditions,
+                [&](const Condition& condition) { return rowOf(rows, condition.key).version == condition.version; });
+    }
+
+    [[nodiscard]] std::vector<Row> writtenRows(const std::vector<Row>& rows) const
+    {
+        std::vector<Row> result;
+        for (const auto& write : this->transaction.writes)
+            result.push_back(rowOf(rows, write.key));
+        return result;
+    }
+
+    void giveUp(std::string detail)
+    {
+        ++this->core->stats.unresolved;
+        this->finish(std::nullopt, { .code = ErrorCode::Ambiguous, .detail = std::move(detail) });
+    }
+
+    void finish(std::optional<TransactResult> result, const Error& error)
+    {
+        ++this->core->writeEpoch;
+        this->callback(std::move(result), error);
+    }
+};
+
+TableClient::TableClient(TableService& next, std::shared_ptr<ClientCore> core)
+    : next { next }
+    , core { std::move(core) }
+    , reads { std::make_shared<Coalescer<std::vector<Row>>>(this->core) }
+{
+}
+
+void TableClient::get(std::vector<RowKey> keys, GetCallback callback)
+{
+    std::string identity = "get";
+    for (const auto& key : keys)
+        identity.append(1, '\0').append(key.table).append(1, '\0').append(key.key);
+    this->reads->read(
+        identity, [&next = this->next, keys = std::move(keys)](auto done) { next.get(keys, std::move(done)); },
+        std::move(callback));
+}
+
+void TableClient::scan(std::string table, std::string prefix, std::size_t limit, GetCallback callback)
+{
+    std::string identity = "scan";
+    identity.append(1, '\0').append(table).append(1, '\0').append(prefix).append(1, '\0');
+    identity += std::to_string(limit);
+    this->reads->read(
+        identity,
+        [&next = this->next, table = std::move(table), prefix = std::move(prefix), limit](
+            auto done) { next.scan(table, prefix, limit, std::move(done)); },
+        std::move(callback));
+}
+
+void TableClient::transact(Transaction transaction, TransactCallback callback)
+{
+    ++this->core->writeEpoch;
+    std::make_shared<TransactOperation>(this->next, this->core, std::move(transaction), std::move(callback))->run();
+}
+
+} // namespace chivewinch::store::internal
