--- a/src/bundle/check.cpp
+++ b/src/bundle/check.cpp
@@ -157,9 +157,11 @@
         std::map<std::string, std::string> first;
         for (const auto& record : records) {
             const auto [found, inserted] = first.emplace(record.*member, record.id);
-            if (!inserted && !(record.*member).empty())
-                this->add(prefix + record.id + suffix, record.*member,
-                    "use another one; " + found->second + " has it already");
+            if (inserted || (record.*member).empty())
+                continue;
+            std::string path { prefix };
+            path.append(record.id).append(suffix);
+            this->add(std::move(path), record.*member, "use another one; " + found->second + " has it already");
         }
     }
 
