--- a/src/bundle/canonical.cpp
+++ b/src/bundle/canonical.cpp
@@ -1,76 +1,14 @@
 #include "bundle/canonical.hpp"
 
-#include "base/hash.hpp"
 #include "bundle/digest.hpp"
-#include "bundle/schema.hpp"
-
-#include <nlohmann/json.hpp>
+#include "bundle/record_codec.hpp"
 
 #include <algorithm>
-#include <cstdio>
 
 namespace chivewinch::bundle {
 
 namespace internal {
 
-using Json = nlohmann::json;
-
-template <typename Value> Json toJson(const Value& value)
-{
-    if constexpr (std::is_enum_v<Value>)
-        return namesOf(value)[static_cast<std::size_t>(value)];
-    else
-        return value;
-}
-
-template <typename Value> bool fromJson(const Json& json, Value& value)
-{
-    if constexpr (std::is_enum_v<Value>) {
-        const auto& names = namesOf(value);
-        const auto found = std::ranges::find(names, json.get_ref<const std::string&>());
-        if (found == names.end())
-            return false;
-        value = static_cast<Value>(found - names.begin());
-    } else {
-        json.get_to(value);
-    }
-    return true;
-}
-
-template <typename Record> std::string encodeRecord(const Schema<Record>& schema, const Record& record)
-{
-    Json json = Json::object();
-    for (const auto& field : schema.fields)
-        std::visit([&](auto member) { json[std::string { field.name }] = toJson(record.*member); }, field.member);
-    return json.dump();
-}
-
-template <typename Record> std::optional<Record> decodeRecord(const Schema<Record>& schema, const std::string& text)
-{
-    try {
-        const auto json = Json::parse(text);
-        Record record;
-        bool valid = json.size() == schema.fields.size();
-        for (const auto& field : schema.fields) {
-            const auto& value = json.at(std::string { field.name });
-            valid = std::visit([&](auto member) { return fromJson(value, record.*member); }, field.member) && valid;
-        }
-        if (valid)
-            return record;
-    } catch (const Json::exception&) { // reported by the caller with the part and key
-    }
-    return std::nullopt;
-}
-
-template <typename Record> std::string partName(const Schema<Record>& schema, const std::string& key)
-{
-    if (schema.parts == 1)
-        return std::string { schema.table };
-    std::array<char, 16> suffix {};
-    std::snprintf(suffix.data(), suffix.size(), "/%02x", static_cast<unsigned>(base::hash64(key) % schema.parts));
-    return std::string { schema.table } + suffix.data();
-}
-
 template <typename Record> void encodeList(const Schema<Record>& schema, const Bundle& bundle, Parts& parts)
 {
     for (const auto& record : bundle.*schema.records) {
--- /dev/null
+++ b/src/bundle/signature.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "bundle/error.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chivewinch::bundle {
+
+/** Ed25519 private key of an owner. */
+class PrivateKey {
+public:
+    PrivateKey(PrivateKey&&) noexcept;
+    PrivateKey& operator=(PrivateKey&&) noexcept;
+    ~PrivateKey();
+
+    /** New key from the random generator of OpenSSL. */
+    [[nodiscard]] static PrivateKey generate();
+    /** Key of a 32-byte seed (RFC 8032), for tests and examples. */
+    [[nodiscard]] static std::optional<PrivateKey> fromSeed(std::string_view seed, Error& reason);
+    /** Key of a PKCS #8 file in PEM form without a passphrase. */
+    [[nodiscard]] static std::optional<PrivateKey> fromPem(std::string_view pem, Error& reason);
+
+    [[nodiscard]] std::string toPem() const;
+    /** 64 hexadecimal digits, as in `owner.public_key`. */
+    [[nodiscard]] std::string publicKey() const;
+    /** Signature as 128 hexadecimal digits. */
+    [[nodiscard]] std::string sign(std::string_view message) const;
+
+private:
+    struct Handle;
+    explicit PrivateKey(std::unique_ptr<Handle> handle) noexcept;
+    std::unique_ptr<Handle> handle;
+};
+
+/** Whether a signature in hexadecimal is by the public key in hexadecimal. */
+[[nodiscard]] bool verify(std::string_view publicKey, std::string_view message, std::string_view signature);
+
+/** Writes a private key to a new file that only its user may read; an existing file is an error. */
+[[nodiscard]] bool writeKeyFile(const std::string& path, const PrivateKey& key, Error& reason);
+/** Reads a private key; a file that other users may read is an error. */
+[[nodiscard]] std::optional<PrivateKey> readKeyFile(const std::string& path, Error& reason);
+
+} // namespace chivewinch::bundle
