--- /dev/null
+++ b/src/expert/layer_plan.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "expert/layer_balance.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace chivewinch::expert {
+
+/** Placement from scratch: replicas by popularity, then the heaviest replica to the least loaded rank. */
+[[nodiscard]] std::optional<LayerMap> solveLayer(const GroupShape& shape, std::span<const double> loads);
+
+struct ImproveOptions {
+    double targetSkew = 1.01; ///< No more moves below this skew.
+    double minGainPerMove = 0; ///< Reduction of the skew that one moved weight must bring on average.
+    std::uint32_t maxMoves = 64;
+    std::uint32_t patience = 12; ///< Moves without a better balance of gain and moves before the search stops.
+    std::uint32_t sweeps = 8; ///< Of evenShares after each move.
+
+    bool operator==(const ImproveOptions&) const = default;
+};
+
+struct LayerPlan {
+    LayerMap layer;
+    double skewBefore = 1;
+    double skewAfter = 1;
+    std::uint32_t moves = 0;
+};
+
+/** Changes the shares and a few placements of a layer so that the ranks are even under the given popularity. */
+[[nodiscard]] LayerPlan improveLayer(
+    const GroupShape& shape, const LayerMap& layer, std::span<const double> loads, const ImproveOptions& options);
+
+} // namespace chivewinch::expert
--- /dev/null
+++ b/src/expert/planner.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "expert/cost.hpp"
+#include "expert/load_estimator.hpp"
+#include "expert/map.hpp"
+#include "expert/pacer.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivewinch::expert {
+
+struct PlannerOptions {
+    std::uint64_t bytesPerExpert = 44'000'000; ///< Weights of one expert in one layer.
+    double horizonIntervals = 30; ///< Intervals for which a gain is expected to last.
+    double changeCost = 0.0005; ///< Fixed cost of a change, as a part of loading all weights.
+    double significance = 4.5; ///< Standard deviations by which the hottest rank must exceed its load under the map.
+    double targetSkew = 1.01;
+    double tolerableSkew = 1.03; ///< A layer below this skew is left as it is.
+    std::uint32_t maxMovesPerLayer = 64;
+
+    bool operator==(const PlannerOptions&) const = default;
+};
+
+/** Why a map was or was not changed. The names are metric labels and log values. */
+enum class DecisionReason : std::uint8_t {
+    Changed,
+    BalancedEnough,
+    WithinNoise,
+    GainBelowCost,
+    WeightStoreBusy,
+    NoOwners,
+    Count
+};
+
+[[nodiscard]] std::string_view toString(DecisionReason reason) noexcept;
+
+/** Result of planning, with everything an operator needs to see why. */
+struct Decision {
+    DecisionReason reason = DecisionReason::BalancedEnough;
+    std::optional<ExpertMap> map; ///< Set when the reason is Changed.
+    double skewNow = 1; ///< Expected step-time skew with the map in use: mean over the layers of max/mean rank load.
+    double skewProposed = 1;
+    double gain = 0; ///< Weighted by the owners' settings; a change needs gain > cost.
+    double cost = 0;
+    std::uint32_t layersChanged = 0;
+    std::uint32_t layersWithinNoise = 0;
+    std::uint64_t moves = 0;
+    std::uint64_t bytes = 0;
+    std::chrono::nanoseconds transferTime {};
+    std::optional<Reservation> transfer;
+    std::vector<OwnerCharge> charges;
+};
+
+/** Decides whether a new expert map is worth its cost. */
+class Planner {
+public:
+    explicit Planner(PlannerOptions options = {})
+        : options { options }
+    {
+    }
+
+    /** Reserves the transfer at the pacer when the map is changed. */
+    [[nodiscard]] Decision decide(const ExpertMap& map, const LoadEstimator& estimator,
+        const std::vector<OwnerPolicy>& owners, WeightPacer& pacer, base::SteadyTime now) const;
+
+private:
+    struct Weights {
+        double skew = 0;
+        double cost = 0;
+    };
+
+    struct Draft;
+
+    [[nodiscard]] static Weights combine(const std::vector<OwnerPolicy>& owners);
+    void planLayer(Draft& draft, std::uint32_t index, const LayerEstimate& estimate) const;
+    [[nodiscard]] bool significant(const ExpertMap& map, std::uint32_t index, const LayerEstimate& estimate) const;
+    void finish(Draft& draft, const std::vector<OwnerPolicy>& owners, WeightPacer& pacer, base::SteadyTime now) const;
+
+    PlannerOptions options;
+};
+
+} // namespace chivewinch::expert
