Add entry daemon: a request runs from caller to target and back

The entry admits requests, claims keyed non-repeatable ones, chooses a target, follows its attempts and returns whole answers.

--- /dev/null
+++ b/app/entry/claim_desk.cpp
@@ -0,0 +1,58 @@
+#include "entry/claim_desk.hpp"
+
+#include "logging/event.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace chivewinch::entry {
+
+namespace internal {
+
+// The keeper answers at the deadline at the latest; this covers the way through its strand.
+constexpr std::chrono::seconds answerMargin { 5 };
+
+claim::ClaimKey keyOf(const CallerRequest& request)
+{
+    return { .team = request.team->id, .key = request.idempotencyKey };
+}
+
+std::string bodyHashOf(const CallerRequest& request)
+{
+    return claim::contentHash(request.service + "\n" + request.method + "\n" + request.path + "\n" + request.body);
+}
+
+} // namespace internal
+
+http::Task<claim::ClaimResult> ClaimDesk::claim(const CallerRequest& request, std::shared_ptr<RequestChannel> channel)
+{
+    claim::ClaimRequest ask;
+    ask.key = internal::keyOf(request);
+    ask.bodyHash = internal::bodyHashOf(request);
+    ask.deadline = request.deadline;
+    boost::asio::post(this->strand, [this, ask = std::move(ask), channel] {
+        this->keeper.claim(
+            ask, [channel](const claim::ClaimResult& result) { channel->push(ClaimAnswered { .result = result }); });
+    });
+    while (true) {
+        // A caller that leaves is ignored here: a claim that was granted must be settled.
+        auto event = co_await channel->next(request.deadline + internal::answerMargin);
+        if (!event) {
+            logging::Event { "claim_not_answered" }.field("request", base::toString(request.id)).error();
+            co_return claim::InProgress {};
+        }
+        if (auto* answered = std::get_if<ClaimAnswered>(&*event))
+            co_return std::move(answered->result);
+    }
+}
+
+void ClaimDesk::settle(const CallerRequest& request, std::uint64_t nonce, claim::Settlement settlement)
+{
+    boost::asio::post(
+        this->strand, [this, key = internal::keyOf(request), nonce, settlement = std::move(settlement)]() mutable {
+            this->keeper.settle(key, nonce, std::move(settlement), [](bool) {});
+        });
+}
+
+} // namespace chivewinch::entry
--- /dev/null
+++ b/app/entry/claim_desk.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "claim/claim_keeper.hpp"
+#include "entry/attempt_channel.hpp"
+#include "entry/caller_request.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace chivewinch::entry {
+
+/** Lets request coroutines use the claim keeper, which lives on the control strand. */
+class ClaimDesk {
+public:
+    ClaimDesk(boost::asio::any_io_executor strand, claim::ClaimKeeper& keeper)
+        : strand { std::move(strand) }
+        , keeper { keeper }
+    {
+    }
+
+    /** Claims the key of a request. */
+    [[nodiscard]] http::Task<claim::ClaimResult> claim(
+        const CallerRequest& request, std::shared_ptr<RequestChannel> channel);
+    /** Records how a granted request ended. */
+    void settle(const CallerRequest& request, std::uint64_t nonce, claim::Settlement settlement);
+
+private:
+    boost::asio::any_io_executor strand;
+    claim::ClaimKeeper& keeper;
+};
+
+/** Whether the request needs a claim before it is run. */
+[[nodiscard]] inline bool needsClaim(const CallerRequest& request) noexcept
+{
+    return !request.repeatable && !request.idempotencyKey.empty();
+}
+
+} // namespace chivewinch::entry
--- /dev/null
+++ b/app/entry/entry.cpp
@@ -0,0 +1,429 @@
+#include "entry/entry.hpp"
+
+#include "bundle/digest.hpp"
+#include "bundle/parse.hpp"
+#include "logging/event.hpp"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace chivewinch::entry {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+constexpr std::chrono::milliseconds tickInterval { 50 };
+constexpr std::chrono::milliseconds drainCheckInterval { 20 };
+constexpr std::chrono::milliseconds flushTime { 200 };
+
+base::Incarnation startIncarnation(const base::Clock& clock)
+{
+    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::nanoseconds>(clock.wallNow().time_since_epoch());
+    return base::Incarnation { static_cast<std::uint64_t>(sinceEpoch.count()) };
+}
+
+http::ClientOptions clientOptions(const settings::Endpoint& server)
+{
+    http::ClientOptions options;
+    options.server = server;
+    options.readTimeout = std::chrono::seconds { 2 };
+    return options;
+}
+
+claim::ClaimOptions claimOptions(const EntryOptions& options)
+{
+    claim::ClaimOptions claims;
+    claims.entry = options.instance;
+    return claims;
+}
+
+usage::LedgerOptions ledgerOptions(const EntryOptions& options, base::Incarnation incarnation)
+{
+    usage::LedgerOptions ledger;
+    ledger.side = usage::Side::Entry;
+    ledger.process = { .instance = options.instance, .incarnation = incarnation };
+    ledger.segmentInterval = options.usageInterval;
+    return ledger;
+}
+
+} // namespace internal
+
+Entry::Entry(asio::io_context& context, EntryOptions entryOptions, usage::SigningKey key)
+    : context { context }
+    , options { std::move(entryOptions) }
+    , incarnation { internal::startIncarnation(this->clock) }
+    , tables { this->options, this->clock }
+    , control { asio::make_strand(context) }
+    , scheduler { this->control }
+    , tableService { this->control, internal::clientOptions(this->options.tableService) }
+    , objects { this->control, internal::clientOptions(this->options.objectStore) }
+    , claims { this->clock, this->scheduler, this->controlRandom, this->tableService, this->objects,
+        internal::claimOptions(this->options) }
+    , claimDesk { this->control, this->claims }
+    , ledger { internal::ledgerOptions(this->options, this->incarnation), std::move(key), this->objects,
+        this->scheduler, this->clock, this->controlRandom }
+    , links { context.get_executor(), this->options, this->tables, this->clock, this->incarnation }
+    , services { this->makeServices() }
+    , tickTimer { this->control }
+    , drainTimer { this->control }
+    , completed { this->registry.counter("chivewinch_requests_done_total", "Requests answered completely") }
+{
+}
+
+Services Entry::makeServices()
+{
+    return {
+        .options = this->options,
+        .clock = this->clock,
+        .tables = this->tables,
+        .metrics = this->registry,
+        .timeToFirstToken = this->registry.seconds(
+            "chivewinch_time_to_first_token_seconds", "Time from arrival to the first bytes of the answer"),
+        .requestTime
+        = this->registry.seconds("chivewinch_request_seconds", "Time from arrival to the end of the answer"),
+        .droppedFrames
+        = this->registry.counter("chivewinch_frames_dropped_total", "Frames that did not match the open attempt"),
+        .linkOf = [this](const base::TargetId& target) { return this->links.find(target); },
+        .countUsage = [this](const usage::Record& record) { this->countUsage(record); },
+        .agentInstanceOf = [this](const base::TargetId& target) { return this->links.agentInstance(target); },
+    };
+}
+
+bool Entry::start()
+{
+    http::ServerOptions serverOptions;
+    serverOptions.listen = this->options.listen;
+    serverOptions.maxBodyBytes = this->options.maxBodyBytes;
+    serverOptions.maxConnections = this->options.maxConnections;
+    this->server = std::make_shared<http::Server>(
+        this->context.get_executor(), std::move(serverOptions),
+        [this](const http::Request& request, http::ResponseWriter& writer) { return this->handle(request, writer); },
+        [this](http::BadInput kind) {
+            const bool large = kind == http::BadInput::BodyTooLarge;
+            this->registry.refused(large ? base::RefusalReason::BodyTooLarge : base::RefusalReason::BadRequest);
+        });
+    if (!this->options.bundleFile.empty() && !this->loadBundleFile())
+        return false;
+    if (!this->server->start()) {
+        this->reason = this->server->lastReason();
+        return false;
+    }
+    asio::post(this->control, [this] {
+        this->ledger.start();
+        this->scheduleTick();
+    });
+    logging::Event { "started" }
+        .field("zone", this->options.zone)
+        .field("incarnation", static_cast<std::uint64_t>(this->incarnation))
+        .field("listen", settings::toString(this->options.listen))
+        .info();
+    return true;
+}
+
+bool Entry::loadBundleFile()
+{
+    std::ifstream file { this->options.bundleFile };
+    std::ostringstream text;
+    text << file.rdbuf();
+    std::vector<bundle::ConfigError> errors;
+    auto bundle = bundle::parse(text.str(), errors);
+    if (!file || !bundle) {
+        this->reason = "bundle " + this->options.bundleFile + " cannot be read";
+        if (!errors.empty())
+            this->reason += ": " + errors.front().path + ": " + errors.front().fix;
+        return false;
+    }
+    this->adopt(std::make_shared<const bundle::Snapshot>(
+        std::move(*bundle), base::BundleVersion { 1 }, bundle::sha256Hex(text.str())));
+    return true;
+}
+
+void Entry::adopt(const std::shared_ptr<const bundle::Snapshot>& snapshot)
+{
+    this->tables.adopt(snapshot);
+    this->links.adopt(*snapshot);
+    this->tables.refreshTargets();
+    logging::Event { "bundle_in_force" }.field("version", static_cast<std::uint64_t>(snapshot->version())).info();
+}
+
+void Entry::countUsage(const usage::Record& record)
+{
+    asio::post(this->control, [this, record] { this->ledger.add(record); });
+}
+
+void Entry::scheduleTick()
+{
+    this->tickTimer.expires_after(internal::tickInterval);
+    this->tickTimer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        this->tick();
+        this->scheduleTick();
+    });
+}
+
+void Entry::tick()
+{
+    const auto now = this->clock.now();
+    this->tables.membership.with([now](membership::TargetTable& table) { table.advance(now); });
+    this->tables.refreshTargets();
+    const auto waiting = this->tables.routing.with([now](Routing& routing) {
+        routing.waiting.advance(routing.router, now);
+        return routing.waiting.size();
+    });
+    this->tables.limits.with([waiting](Limits& limits) { limits.shedder.setQueued(waiting); });
+    this->usageAccepts = this->ledger.canAccept();
+}
+
+http::Task<void> Entry::handle(const http::Request& request, http::ResponseWriter& writer)
+{
+    auto admin = this->adminResponse(http::pathOf(request));
+    if (admin) {
+        (void)co_await writer.send(std::move(*admin));
+        co_return;
+    }
+    co_await this->serveCaller(request, writer);
+}
+
+std::optional<http::Response> Entry::adminResponse(std::string_view path)
+{
+    http::Response response;
+    response.contentType = "text/plain";
+    if (path == "/healthz") {
+        response.body = "ok\n";
+    } else if (path == "/readyz") {
+        const bool ready = !this->draining && this->tables.snapshot.load() != nullptr;
+        response.status = ready ? 200 : 503;
+        response.body = ready ? "ready\n" : "not ready\n";
+    } else if (path == "/metrics") {
+        response.body = this->registry.text();
+    } else if (path == "/status") {
+        response.contentType = "application/json";
+        response.body = this->statusJson();
+    } else {
+        return std::nullopt;
+    }
+    return response;
+}
+
+std::string Entry::statusJson()
+{
+    auto targets = nlohmann::ordered_json::array();
+    const auto views = this->tables.membership.with([](membership::TargetTable& table) { return table.snapshot(); });
+    for (const auto& view : views) {
+        targets.push_back(
+            { { "target", view.target }, { "zone", view.zone }, { "state", membership::toString(view.state) },
+                { "incarnation", static_cast<std::uint64_t>(view.incarnation) } });
+    }
+    const auto snapshot = this->tables.snapshot.load();
+    const auto version = snapshot ? static_cast<std::uint64_t>(snapshot->version()) : 0;
+    const nlohmann::ordered_json status { { "instance", this->options.instance }, { "zone", this->options.zone },
+        { "bundle_version", version }, { "draining", this->draining.load() },
+        { "open_requests", this->server->openRequests() }, { "targets", std::move(targets) } };
+    return status.dump();
+}
+
+http::Task<void> Entry::serveCaller(const http::Request& request, http::ResponseWriter& writer)
+{
+    const auto id = this->requestIds.with([](base::SeededRandom& random) { return base::randomRequestId(random); });
+    auto snapshot = this->tables.snapshot.load();
+    ApiError error;
+    error.reason = base::RefusalReason::NoBundle;
+    std::optional<CallerRequest> caller;
+    const RequestLimits limits { .defaultDeadline = this->options.defaultDeadline,
+        .maxDeadline = this->options.maxDeadline };
+    if (snapshot)
+        caller = readCallerRequest(request, std::move(snapshot), limits, this->clock, id, error);
+    if (!caller) {
+        co_await this->sendError(writer, error, base::toString(id));
+        co_return;
+    }
+    const auto refused = this->admit(*caller);
+    if (refused) {
+        co_await this->sendError(writer, *refused, caller->shownId);
+        co_return;
+    }
+    co_await this->runAdmitted(*caller, writer);
+    this->tables.limits.with([&](Limits& state) { state.teams.finished(caller->team->id, this->clock.now()); });
+}
+
+std::optional<ApiError> Entry::admit(const CallerRequest& request)
+{
+    if (!this->usageAccepts)
+        return ApiError { .reason = base::RefusalReason::UsageBacklog, .retryAfter = std::chrono::seconds { 5 } };
+    const auto decision = this->tables.limits.with([&](Limits& limits) {
+        const auto now = this->clock.now();
+        const auto priority = static_cast<std::uint8_t>(request.priority * (limit::priorityCount - 1) / 9);
+        const auto shed = limits.shedder.admit(request.team->owner, priority, now);
+        return shed.admitted() ? limits.teams.tryStart(request.team->id, now) : shed;
+    });
+    if (decision.admitted())
+        return std::nullopt;
+    return ApiError { .reason = decision.reason, .retryAfter = decision.retryAfter };
+}
+
+http::Task<void> Entry::sendError(http::ResponseWriter& writer, const ApiError& error, const std::string& shownId)
+{
+    this->registry.refused(error.reason);
+    auto response = toResponse(error);
+    response.headers.emplace_back("X-Request-Id", shownId);
+    (void)co_await writer.send(std::move(response));
+}
+
+http::Task<void> Entry::sendAnswer(const CallerRequest& request, http::ResponseWriter& writer, http::Response answer)
+{
+    answer.headers.emplace_back("X-Request-Id", request.shownId);
+    answer.headers.emplace_back("X-Chivewinch-Outcome", base::toString(base::Outcome::Done));
+    (void)co_await writer.send(std::move(answer));
+}
+
+http::Task<void> Entry::runAdmitted(const CallerRequest& request, http::ResponseWriter& writer)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    const auto channel = std::make_shared<RequestChannel>(executor);
+    DisconnectWatch watch { executor };
+    watch.start(writer, channel);
+    if (needsClaim(request)) {
+        co_await this->runClaimed(request, writer, channel);
+    } else {
+        RequestRun run { this->services, request, writer, channel };
+        auto result = co_await run.run();
+        this->noteEnd(request, result);
+        if (result.outcome == base::Outcome::Done && !writer.started())
+            co_await this->sendAnswer(request, writer, std::move(result.answer));
+    }
+    co_await watch.stop();
+}
+
+http::Task<void> Entry::runClaimed(
+    const CallerRequest& request, http::ResponseWriter& writer, std::shared_ptr<RequestChannel> channel)
+{
+    const auto claimed = co_await this->claimDesk.claim(request, channel);
+    if (const auto* granted = std::get_if<claim::Granted>(&claimed)) {
+        co_await this->runGranted(request, writer, std::move(channel), granted->nonce);
+        co_return;
+    }
+    if (const auto* repeat = std::get_if<claim::Repeat>(&claimed)) {
+        co_await this->sendRepeat(request, writer, *repeat);
+        co_return;
+    }
+    ApiError error;
+    error.retryAfter = std::chrono::seconds { 1 };
+    error.reason = base::RefusalReason::ClaimUnavailable;
+    if (std::holds_alternative<claim::Conflict>(claimed)) {
+        error.reason = base::RefusalReason::ClaimConflict;
+        error.retryAfter = {};
+    } else if (std::holds_alternative<claim::InProgress>(claimed)) {
+        error.outcome = base::Outcome::Unknown;
+        error.reason = base::RefusalReason::ClaimInProgress;
+    }
+    co_await this->sendError(writer, error, request.shownId);
+}
+
+http::Task<void> Entry::runGranted(const CallerRequest& request, http::ResponseWriter& writer,
+    std::shared_ptr<RequestChannel> channel, std::uint64_t nonce)
+{
+    RequestRun run { this->services, request, writer, std::move(channel) };
+    auto result = co_await run.run();
+    this->noteEnd(request, result);
+    claim::Settlement settlement;
+    settlement.outcome = result.outcome;
+    if (result.outcome == base::Outcome::Done)
+        settlement.answer = encodeAnswer(result.answer);
+    this->claimDesk.settle(request, nonce, std::move(settlement));
+    if (result.outcome == base::Outcome::Done)
+        co_await this->sendAnswer(request, writer, std::move(result.answer));
+}
+
+http::Task<void> Entry::sendRepeat(
+    const CallerRequest& request, http::ResponseWriter& writer, const claim::Repeat& repeat)
+{
+    std::optional<http::Response> answer;
+    if (repeat.outcome == base::Outcome::Done && repeat.answer)
+        answer = decodeAnswer(*repeat.answer);
+    if (answer) {
+        answer->headers.emplace_back("X-Chivewinch-Replayed", "true");
+        co_await this->sendAnswer(request, writer, std::move(*answer));
+        co_return;
+    }
+    ApiError error;
+    error.outcome = repeat.outcome;
+    error.reason = base::RefusalReason::ClaimInProgress;
+    error.message = repeat.outcome == base::Outcome::Done
+        ? "the first request with this idempotency key was done, but its answer was not retained"
+        : "the outcome of the first request with this idempotency key is unknown; it may have run";
+    co_await this->sendError(writer, error, request.shownId);
+}
+
+void Entry::noteEnd(const CallerRequest& request, const RequestRun::Result& result)
+{
+    const std::chrono::duration<double> elapsed = this->clock.wallNow() - request.arrived;
+    this->services.requestTime.Observe(elapsed.count());
+    if (result.outcome == base::Outcome::Done)
+        this->completed.Increment();
+    else
+        this->registry.refused(result.reason);
+    logging::Event { "request_ended" }
+        .field("request", base::toString(request.id))
+        .field("team", request.team->id)
+        .field("pool", request.pool())
+        .field("outcome", base::toString(result.outcome))
+        .field("reason", base::toString(result.reason))
+        .field("seconds", elapsed.count())
+        .debug();
+}
+
+void Entry::drain()
+{
+    if (this->draining.exchange(true))
+        return;
+    logging::Event { "draining" }.field("open_requests", this->server->openRequests()).info();
+    this->server->drain();
+    asio::dispatch(
+        this->control, [this] { this->finishDrainWhenIdle(this->clock.now() + this->options.drainTimeout); });
+}
+
+void Entry::finishDrainWhenIdle(base::SteadyTime deadline)
+{
+    if (this->server->openRequests() == 0 || this->clock.now() >= deadline) {
+        if (this->server->openRequests() > 0)
+            logging::Event { "drain_timeout" }.field("open_requests", this->server->openRequests()).warning();
+        this->closeLedger();
+        return;
+    }
+    this->drainTimer.expires_after(internal::drainCheckInterval);
+    this->drainTimer.async_wait([this, deadline](const boost::system::error_code& error) {
+        if (!error)
+            this->finishDrainWhenIdle(deadline);
+    });
+}
+
+void Entry::closeLedger()
+{
+    const auto stop = [this] {
+        this->links.stop();
+        this->drainTimer.expires_after(internal::flushTime);
+        this->drainTimer.async_wait([this](const boost::system::error_code&) {
+            logging::Event { "stopped" }.info();
+            this->context.stop();
+        });
+    };
+    this->ledger.close(stop);
+    // The store may be down: the process does not wait for it longer than its drain time-out.
+    this->tickTimer.expires_after(this->options.drainTimeout);
+    this->tickTimer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        logging::Event { "usage_not_stored" }.field("records", this->ledger.status().bufferedRecords).error();
+        this->context.stop();
+    });
+}
+
+} // namespace chivewinch::entry
--- /dev/null
+++ b/app/entry/entry.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/random.hpp"
+#include "claim/claim_keeper.hpp"
+#include "entry/claim_desk.hpp"
+#include "entry/disconnect_watch.hpp"
+#include "entry/link_set.hpp"
+#include "entry/options.hpp"
+#include "entry/request_run.hpp"
+#include "entry/services.hpp"
+#include "entry/stored_answer.hpp"
+#include "entry/tables.hpp"
+#include "http/server.hpp"
+#include "metrics/registry.hpp"
+#include "store_http/asio_scheduler.hpp"
+#include "store_http/http_services.hpp"
+#include "usage/ledger.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace chivewinch::entry {
+
+/** Serves callers. Requests run on all threads of the context; store clients and timers on the control strand. */
+class Entry {
+public:
+    Entry(boost::asio::io_context& context, EntryOptions options, usage::SigningKey key);
+    Entry(const Entry&) = delete;
+    Entry& operator=(const Entry&) = delete;
+
+    [[nodiscard]] bool start();
+    [[nodiscard]] const std::string& lastReason() const noexcept { return this->reason; }
+    /** Stops accepting, finishes the requests in flight and stops the context. */
+    void drain();
+
+private:
+    boost::asio::io_context& context;
+    EntryOptions options;
+    base::SystemClock clock;
+    base::Guarded<base::SeededRandom> requestIds { base::entropySeed() };
+    base::SeededRandom controlRandom { base::entropySeed() };
+    base::Incarnation incarnation;
+    metrics::Registry registry;
+    Tables tables;
+    boost::asio::strand<boost::asio::io_context::executor_type> control;
+    store_http::AsioScheduler scheduler;
+    store_http::HttpTableService tableService;
+    store_http::HttpObjectStore objects;
+    claim::ClaimKeeper claims;
+    ClaimDesk claimDesk;
+    usage::Ledger ledger;
+    LinkSet links;
+    Services services;
+    std::shared_ptr<http::Server> server;
+    boost::asio::steady_timer tickTimer;
+    boost::asio::steady_timer drainTimer;
+    prometheus::Counter& completed;
+    std::atomic<bool> draining { false };
+    std::atomic<bool> usageAccepts { true };
+    std::string reason;
+
+    [[nodiscard]] Services makeServices();
+    [[nodiscard]] bool loadBundleFile();
+    void adopt(const std::shared_ptr<const bundle::Snapshot>& snapshot);
+    void countUsage(const usage::Record& record);
+    void scheduleTick();
+    void tick();
+    void finishDrainWhenIdle(base::SteadyTime deadline);
+    void closeLedger();
+
+    [[nodiscard]] http::Task<void> handle(const http::Request& request, http::ResponseWriter& writer);
+    [[nodiscard]] std::optional<http::Response> adminResponse(std::string_view path);
+    [[nodiscard]] std::string statusJson();
+    [[nodiscard]] http::Task<void> serveCaller(const http::Request& request, http::ResponseWriter& writer);
+    [[nodiscard]] std::optional<ApiError> admit(const CallerRequest& request);
+    [[nodiscard]] http::Task<void> runAdmitted(const CallerRequest& request, http::ResponseWriter& writer);
+    [[nodiscard]] http::Task<void> runClaimed(
+        const CallerRequest& request, http::ResponseWriter& writer, std::shared_ptr<RequestChannel> channel);
+    [[nodiscard]] http::Task<void> runGranted(const CallerRequest& request, http::ResponseWriter& writer,
+        std::shared_ptr<RequestChannel> channel, std::uint64_t nonce);
+    [[nodiscard]] http::Task<void> sendRepeat(
+        const CallerRequest& request, http::ResponseWriter& writer, const claim::Repeat& repeat);
+    [[nodiscard]] http::Task<void> sendAnswer(
+        const CallerRequest& request, http::ResponseWriter& writer, http::Response answer);
+    [[nodiscard]] http::Task<void> sendError(
+        http::ResponseWriter& writer, const ApiError& error, const std::string& shownId);
+    void noteEnd(const CallerRequest& request, const RequestRun::Result& result);
+};
+
+} // namespace chivewinch::entry
--- /dev/null
+++ b/app/entry/link_set.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/guarded.hpp"
+#include "base/id.hpp"
+#include "bundle/snapshot.hpp"
+#include "entry/agent_link.hpp"
+#include "entry/tables.hpp"
+#include "wire/wire.pb.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace chivewinch::entry {
+
+/** Links to the agents of the targets that this entry uses. */
+class LinkSet {
+public:
+    LinkSet(boost::asio::any_io_executor executor, const EntryOptions& options, Tables& tables,
+        const base::Clock& clock, base::Incarnation incarnation);
+
+    /** Opens links to the targets of the bundle that this entry may use and closes the others. */
+    void adopt(const bundle::Snapshot& snapshot);
+    [[nodiscard]] std::shared_ptr<Link> find(const base::TargetId& target);
+    /** Instance of the agent behind a target; empty before its hello. */
+    [[nodiscard]] std::string agentInstance(const base::TargetId& target);
+    void stop();
+
+private:
+    struct Entry {
+        settings::Endpoint endpoint;
+        std::shared_ptr<Link> link;
+        std::string agent;
+    };
+    using Links = std::map<base::TargetId, Entry>;
+
+    boost::asio::any_io_executor executor;
+    const EntryOptions& options;
+    Tables& tables;
+    const base::Clock& clock;
+    base::Incarnation incarnation;
+    std::atomic<std::uint64_t> heartbeatSequence { 0 };
+    base::Guarded<Links> links;
+
+    [[nodiscard]] std::shared_ptr<Link> makeLink(const bundle::Target& target);
+    void handleControl(const base::TargetId& target, const base::ZoneId& zone, const wire::Control& message);
+    void handleHello(const base::TargetId& target, const base::ZoneId& zone, const wire::Hello& hello);
+    void handleHeartbeat(const base::TargetId& target, const wire::Heartbeat& heartbeat);
+    void apply(const membership::Event& event);
+    [[nodiscard]] wire::Control hello() const;
+    [[nodiscard]] wire::Control heartbeat();
+};
+
+} // namespace chivewinch::entry
--- /dev/null
+++ b/app/entry/stored_answer.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "http/message.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chivewinch::entry {
+
+/** Bytes that a claim remembers of an answer. */
+[[nodiscard]] std::string encodeAnswer(const http::Response& answer);
+[[nodiscard]] std::optional<http::Response> decodeAnswer(std::string_view bytes);
+
+} // namespace chivewinch::entry
--- /dev/null
+++ b/scripts/installation.py
@@ -0,0 +1,221 @@
+"""Starts a small installation on loopback: stand-ins, agents and entries of several availability zones."""
+
+import hashlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+ADDRESS = "127.0.0.1"
+OWNERS = {"kilat-lilin": ("assistant", "ordering"), "lepelgilde": ("inscription", "order-desk")}
+START_SECONDS = 20
+STOP_SECONDS = 30
+
+
+def free_ports(count):
+    """Ports that were free a moment ago; all are held open until the last one is chosen."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((ADDRESS, 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def http(method, port, path, body=None, headers=None, timeout=10):
+    """Status and body of one request; status 0 if there was no answer."""
+    data = body.encode() if isinstance(body, str) else body
+    request = urllib.request.Request(f"http://{ADDRESS}:{port}{path}", data=data, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, response.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except OSError:
+        return 0, b""
+
+
+def key_hash(key):
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def wait_until(condition, what, seconds=START_SECONDS):
+    deadline = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            raise RuntimeError(f"{what} did not happen within {seconds} s")
+        time.sleep(0.02)
+
+
+class Process:
+    """One process that this installation started."""
+
+    def __init__(self, name, arguments, log_folder):
+        self.name = name
+        self.arguments = [str(argument) for argument in arguments]
+        self.log = pathlib.Path(log_folder) / f"{name}.log"
+        self.child = None
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.child = subprocess.Popen(self.arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        return self
+
+    @property
+    def pid(self):
+        return self.child.pid
+
+    def running(self):
+        return self.child is not None and self.child.poll() is None
+
+    def signal(self, number):
+        if self.running():
+            self.child.send_signal(number)
+
+    def terminate(self):
+        self.signal(signal.SIGTERM)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.wait()
+
+    def wait(self, seconds=STOP_SECONDS):
+        """Exit code, or None if the process is still running."""
+        try:
+            return self.child.wait(seconds)
+        except subprocess.TimeoutExpired:
+            return None
+
+
+class Installation:
+    """Processes of an installation, by name."""
+
+    def __init__(self, folder, binaries=None, zones=("zone-a", "zone-b", "zone-c"), entries_per_zone=2,
+                 engines_per_zone=1, engine_flags=(), team_limits=(10000, 10000), capacity=8):
+        self.folder = pathlib.Path(folder)
+        self.binaries = pathlib.Path(binaries or ROOT / "build" / "release" / "bin")
+        self.zones = zones
+        self.entries_per_zone = entries_per_zone
+        self.engines_per_zone = engines_per_zone
+        self.engine_flags = list(engine_flags)
+        self.team_limits = team_limits
+        self.capacity = capacity
+        self.processes = {}
+        self.targets = []
+        self.entry_ports = {}
+        self.bundle_path = self.folder / "bundle.toml"
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.plan()
+
+    def plan(self):
+        """Chooses ports and targets."""
+        per_owner = self.engines_per_zone * len(self.zones) + 1
+        target_count = per_owner * len(OWNERS)
+        entry_count = self.entries_per_zone * len(self.zones)
+        ports = iter(free_ports(3 + 3 * target_count + 2 * entry_count))
+        self.tables, self.objects, self.instances = next(ports), next(ports), next(ports)
+        for index, (owner, (model, service)) in enumerate(OWNERS.items()):
+            for zone in self.zones:
+                for number in range(self.engines_per_zone):
+                    self.add_target(f"{model}-{zone}-{number}", owner, "engine", model, zone, ports)
+            self.add_target(f"{service}-0", owner, "service", service, self.zones[index % len(self.zones)], ports)
+        self.entries = [(f"entry-{zone}-{number}", zone, next(ports), next(ports))
+                        for zone in self.zones for number in range(self.entries_per_zone)]
+        self.entry_ports = {name: port for name, _, port, _ in self.entries}
+
+    def add_target(self, name, owner, kind, pool, zone, ports):
+        self.targets.append({"id": name, "owner": owner, "kind": kind, "pool": pool, "zone": zone,
+                             "port": next(ports), "agent_port": next(ports), "http_port": next(ports)})
+
+    def bundle_text(self):
+        lines = ["format = 1", ""]
+        for owner in OWNERS:
+            seed = key_hash(owner)
+            lines += ["[[owner]]", f'id = "{owner}"', f'name = "{owner}"', f'public_key = "{seed}"', ""]
+        for zone in self.zones:
+            lines += ["[[zone]]", f'id = "{zone}"', 'region = "local"', f"expected_entries = {self.entries_per_zone}", ""]
+        for owner, (model, service) in OWNERS.items():
+            lines += ["[[model]]", f'id = "{model}"', f'owner = "{owner}"', ""]
+            lines += ["[[service]]", f'id = "{service}"', f'owner = "{owner}"', 'non_repeatable = ["POST /orders"]', ""]
+            rate, concurrency = self.team_limits
+            lines += ["[[team]]", f'id = "{owner}-team"', f'owner = "{owner}"', f'key_hash = "{key_hash(owner + "-key")}"',
+                      f"rate = {rate}", f"concurrency = {concurrency}", 'models = ["*"]', 'services = ["*"]', ""]
+        for target in self.targets:
+            field = "model" if target["kind"] == "engine" else "service"
+            lines += ["[[target]]", f'id = "{target["id"]}"', f'owner = "{target["owner"]}"', f'kind = "{target["kind"]}"',
+                      f'{field} = "{target["pool"]}"', f'zone = "{target["zone"]}"', f'address = "{ADDRESS}"',
+                      f'port = {target["agent_port"]}', f"capacity = {self.capacity if target['kind'] == 'engine' else 64}",
+                      f'can_resume = {"true" if target["kind"] == "engine" else "false"}', ""]
+        return "\n".join(lines)
+
+    def add(self, name, program, *arguments):
+        process = Process(name, [self.binaries / f"chivewinch-{program}", *arguments], self.folder)
+        self.processes[name] = process
+        return process.start()
+
+    def start_platform(self):
+        for kind, port in (("tables", self.tables), ("objects", self.objects), ("instances", self.instances)):
+            self.add(kind, "standin", kind, "--listen", f"{ADDRESS}:{port}")
+
+    def start_target(self, target):
+        flags = ["--listen", f"{ADDRESS}:{target['port']}"]
+        if target["kind"] == "engine":
+            flags += ["--model", target["pool"], "--slots", self.capacity, *self.engine_flags]
+        return self.add(f"target-{target['id']}", "standin", target["kind"], *flags)
+
+    def start_agent(self, target):
+        return self.add(f"agent-{target['id']}", "agent", "--instance", f"agent-{target['id']}", "--zone", target["zone"],
+                        "--target", target["id"], "--kind", target["kind"], "--listen", f"{ADDRESS}:{target['agent_port']}",
+                        "--http-listen", f"{ADDRESS}:{target['http_port']}",
+                        "--target-endpoint", f"{ADDRESS}:{target['port']}", "--object-store", f"{ADDRESS}:{self.objects}",
+                        "--capacity", self.capacity if target["kind"] == "engine" else 64, "--usage-interval", "2s")
+
+    def start_entry(self, entry):
+        name, zone, port, peer_port = entry
+        peers = ",".join(f"{ADDRESS}:{other[3]}" for other in self.entries if other[0] != name)
+        return self.add(name, "entry", "--instance", name, "--zone", zone, "--listen", f"{ADDRESS}:{port}",
+                        "--peer-listen", f"{ADDRESS}:{peer_port}", "--peers", peers,
+                        "--table-service", f"{ADDRESS}:{self.tables}", "--object-store", f"{ADDRESS}:{self.objects}",
+                        "--bundle-file", self.bundle_path, "--usage-interval", "2s")
+
+    def start(self):
+        self.bundle_path.write_text(self.bundle_text(), encoding="utf-8")
+        self.start_platform()
+        for target in self.targets:
+            self.start_target(target)
+        for target in self.targets:
+            self.start_agent(target)
+        for entry in self.entries:
+            self.start_entry(entry)
+        for entry in self.entries:
+            wait_until(lambda: self.sees_targets(entry), f"{entry[0]} with live targets")
+        return self
+
+    def status(self, port):
+        code, body = http("GET", port, "/status")
+        return json.loads(body) if code == 200 else None
+
+    def sees_targets(self, entry):
+        status = self.status(entry[2])
+        return status is not None and sum(target["state"] == "live" for target in status["targets"]) == len(self.targets)
+
+    def stop(self):
+        """Stops entries, then agents, then stand-ins; returns the names of processes that did not exit with 0."""
+        failed = []
+        for prefix in ("entry-", "agent-", ""):
+            group = [process for name, process in self.processes.items() if name.startswith(prefix) and process.running()]
+            for process in group:
+                process.terminate()
+            for process in group:
+                code = process.wait()
+                if code is None:
+                    process.kill()
+                if code != 0:
+                    failed.append(f"{process.name} ({code})")
+        return failed
