--- a/app/entry/request_run.cpp
+++ b/app/entry/request_run.cpp
@@ -141,7 +141,8 @@
         .excluded = without };
 }
 
-base::RefusalReason RequestRun::applySuspicion(std::vector<base::TargetId>& without, std::chrono::nanoseconds& wait) const
+base::RefusalReason RequestRun::applySuspicion(
+    std::vector<base::TargetId>& without, std::chrono::nanoseconds& wait) const
 {
     const auto& pool = this->request.pool();
     const auto& targets = this->request.model.empty() ? this->request.snapshot->targetsByService(pool)
@@ -151,6 +152,11 @@
         if (target->zone == this->services.options.zone)
             inZone.push_back(target->id);
     }
+    // A pool without targets in this zone is served from the others, where the strikes of this zone still count.
+    if (inZone.empty()) {
+        for (const auto* target : targets)
+            inZone.push_back(target->id);
+    }
     const auto placement = this->services.tables.suspects.with(
         [&](Suspects& suspects) { return suspects.guard.place(this->request.fingerprint, inZone); });
     if (placement.refusal != base::RefusalReason::None) {
@@ -505,7 +511,8 @@
             suspects.strikes.recordCompletion(this->request.fingerprint);
         // An agent that is still there reports the crash of its target itself.
         if (event.kind == delivery::EventKind::ConnectionLost)
-            suspects.strikes.recordCrash(attempt.target, attempt.key.incarnation, std::array { this->request.fingerprint });
+            suspects.strikes.recordCrash(
+                attempt.target, attempt.key.incarnation, std::array { this->request.fingerprint });
         suspects.guard.finished(this->request.fingerprint);
     });
     this->services.tables.limits.with([&](Limits& limits) {
--- a/app/entry/tables.cpp
+++ b/app/entry/tables.cpp
@@ -23,11 +23,12 @@
     return guard;
 }
 
-std::vector<routing::PoolSpec> poolsOf(const bundle::Snapshot& snapshot)
+std::vector<routing::PoolSpec> poolsOf(const bundle::Snapshot& snapshot, const base::ZoneId& zone)
 {
     std::vector<routing::PoolSpec> pools;
-    const auto add = [&pools](const std::string& name, const std::vector<const bundle::Target*>& targets) {
+    const auto add = [&](const std::string& name, const std::vector<const bundle::Target*>& targets) {
         routing::PoolSpec spec { .name = name, .targets = {} };
+        spec.hasLocalTargets = std::ranges::any_of(targets, [&](const auto* target) { return target->zone == zone; });
         for (const auto* target : targets)
             spec.targets.push_back(target->id);
         pools.push_back(std::move(spec));
@@ -68,13 +69,14 @@
 Tables::Tables(const EntryOptions& options, const base::Clock& clock)
     : suspects { clock }
     , routing { options, this->random }
+    , zone { options.zone }
     , random { base::entropySeed() }
 {
 }
 
 void Tables::adopt(std::shared_ptr<const bundle::Snapshot> next)
 {
-    const auto pools = internal::poolsOf(*next);
+    const auto pools = internal::poolsOf(*next, this->zone);
     const auto teams = internal::limitsOf(*next);
     this->limits.with([&](Limits& limits) {
         limits.teams.setTeams(teams);
--- a/app/entry/tables.hpp
+++ b/app/entry/tables.hpp
@@ -63,6 +63,7 @@
     void refreshTargets();
 
 private:
+    base::ZoneId zone;
     base::SeededRandom random;
     std::atomic<std::uint64_t> routedVersion { 0 };
 };
--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -15,6 +15,8 @@
 struct PoolSpec {
     std::string name;
     std::vector<base::TargetId> targets;
+    /** False if every target is placed in another zone: there is nothing to spill over from, and no share limit. */
+    bool hasLocalTargets = true;
 
     auto operator<=>(const PoolSpec&) const = default;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -44,6 +44,7 @@
         auto pool
             = known == this->pools.end() ? std::make_unique<Pool>(spec.name, this->options) : std::move(known->second);
         pool->targets = spec.targets;
+        pool->hasLocalTargets = spec.hasLocalTargets;
         this->rebuild(*pool);
         next.insert_or_assign(spec.name, std::move(pool));
     }
@@ -194,7 +195,8 @@
 
 std::optional<Choice> Router::chooseRemote(Pool& pool, const RouteRequest& request, base::SteadyTime now)
 {
-    if (!this->options.spill.enabled || (this->options.spill.limitShare && !pool.spills.allows(now)))
+    const bool limited = this->options.spill.limitShare && pool.hasLocalTargets;
+    if (!this->options.spill.enabled || (limited && !pool.spills.allows(now)))
         return std::nullopt;
     (void)this->gather(pool.remote, request, this->options.spill.maxUtilization, now);
     if (const auto* slot = this->pickOfTwo())
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -76,6 +76,7 @@
 
         std::string name;
         std::vector<base::TargetId> targets;
+        bool hasLocalTargets = true;
         std::vector<Slot*> local; ///< Live targets of this zone.
         std::vector<Slot*> remote; ///< Live targets of other zones.
         std::vector<Slot*> suspect; ///< Suspect targets of this zone.
