Let the tables of the attempt record grow by half and fill to seven eighths

Cause: tables that double and fill to three quarters are 38 to 75 % full. Change: growth by half, load up to 7/8. The test of the bound is tightened from 64 to 42 bytes per record.

--- a/src/delivery/attempt_record.cpp
+++ b/src/delivery/attempt_record.cpp
@@ -16,14 +16,14 @@
 
 std::size_t RecordBucket::slotOf(const base::AttemptId& attempt) const noexcept
 {
-    const auto mask = this->slots.size() - 1;
     const auto hash = std::hash<base::AttemptId> {}(attempt)*hashMultiplier;
-    auto index = (hash >> 32) & mask;
+    // Scales the hash to the table; the table grows by half, which no power of two does.
+    auto index = static_cast<std::size_t>((static_cast<__uint128_t>(hash) * this->slots.size()) >> 64);
     while (this->slots[index].state != RecordState::Free) {
         const auto& slot = this->slots[index];
         if (slot.request == attempt.request && slot.number == attempt.number)
             break;
-        index = (index + 1) & mask;
+        index = index + 1 == this->slots.size() ? 0 : index + 1;
     }
     return index;
 }
@@ -38,7 +38,7 @@
 
 bool RecordBucket::set(const base::AttemptId& attempt, RecordState state)
 {
-    if ((this->used + 1) * 4 > this->slots.size() * 3)
+    if ((this->used + 1) * 8 > this->slots.size() * 7)
         this->grow();
     auto& slot = this->slots[this->slotOf(attempt)];
     const bool isNew = slot.state == RecordState::Free;
@@ -49,7 +49,7 @@
 
 void RecordBucket::grow()
 {
-    auto old = std::exchange(this->slots, std::vector<Slot>(std::max(initialSlots, this->slots.size() * 2)));
+    auto old = std::exchange(this->slots, std::vector<Slot>(std::max(initialSlots, this->slots.size() * 3 / 2)));
     for (const auto& slot : old)
         if (slot.state != RecordState::Free)
             this->slots[this->slotOf({ .request = slot.request, .number = slot.number })] = slot;
--- a/tests/delivery/gate_test.cpp
+++ b/tests/delivery/gate_test.cpp
@@ -256,7 +256,7 @@
 TEST_F(GateTest, RecordMemoryIsBounded)
 {
     constexpr std::size_t maxRecords = 10'000;
-    constexpr std::size_t bytesPerRecord = 64; // 24-byte slots, at least 3/8 full after a doubling.
+    constexpr std::size_t bytesPerRecord = 42; // 24-byte slots, at least 7/12 full after growing by half.
     constexpr std::size_t bucketBytes = 64U << 10;
     Gate gate { this->clock, incarnation, { .maxRecords = maxRecords } };
     for (std::uint64_t i = 0; i < 300'000; ++i) {
