Pace the transactions of claims

Cause: at 20 ms per batch one entry sends up to 50 transactions/s (42 at 200 claims/s, 50 at 2,000), so that a few entries exceed a tenth of the store's several hundred writes/s. Change: a token bucket of 10 transactions/s with a burst of 20; waiting writes share larger transactions, claims whose request was answered in the meantime are not sent, and a claim that cannot be sent before its deadline is refused at once.

--- a/bench/claim_bench.cpp
+++ b/bench/claim_bench.cpp
@@ -110,6 +110,7 @@
     double transactionsPerSecond = 0;
     double meanDelay = 0; ///< Virtual milliseconds from claim to grant.
     double p99Delay = 0;
+    double refusedShare = 0;
 };
 
 /** Poisson arrivals at one entry, each settled 50 ms after its grant; store round trip 5 ms. */
@@ -127,6 +128,8 @@
         const claim::ClaimKey key { .team = "team", .key = "order-" + std::to_string(index) };
         keeper.claim({ .key = key, .bodyHash = "hash", .deadline = clock.now() + 10s },
             [&, key, at = clock.now()](const claim::ClaimResult& result) {
+                if (!std::holds_alternative<claim::Granted>(result))
+                    return;
                 delays.push_back(std::chrono::duration<double, std::milli>(clock.now() - at).count());
                 const auto nonce = std::get<claim::Granted>(result).nonce;
                 scheduler.after(50ms, [&keeper, key, nonce] {
@@ -150,57 +153,46 @@
     double sum = 0;
     for (const auto delay : delays)
         sum += delay;
+    const auto granted = static_cast<double>(delays.size());
     return { .cpuClaimsPerSecond = claims / wall.count(),
-        .transactionsPerClaim = transactions / claims,
+        .transactionsPerClaim = transactions / granted,
         .transactionsPerSecond = transactions / virtualTime.count(),
-        .meanDelay = sum / claims,
-        .p99Delay = delays[static_cast<std::size_t>(claims * 0.99)] };
+        .meanDelay = sum / granted,
+        .p99Delay = delays[static_cast<std::size_t>(granted * 0.99)],
+        .refusedShare = 1 - granted / claims };
 }
 
-void measureIntervals(double claimsPerSecond)
+/** One row of figures: the options under test beside one write per claim and settlement. */
+void measure(const std::string& label, double claimsPerSecond, const claim::CommitOptions& commit)
 {
     const auto claims = static_cast<std::size_t>(claimsPerSecond * 20);
-    const auto single = runClaims(
-        { .claims = claims, .claimsPerSecond = claimsPerSecond, .commit = { .interval = 0ms, .maxBatch = 1 } });
-    const auto name = [&](const std::string& figure, std::chrono::milliseconds interval) {
-        return "claim_" + figure + "_" + std::to_string(interval.count()) + "ms";
+    constexpr claim::CommitOptions unbatched {
+        .interval = 0ms, .maxBatch = 1, .transactionsPerSecond = 1e9, .transactionBurst = 1e9
     };
-    for (const auto interval : { 5ms, 20ms, 50ms }) {
-        const auto batched
-            = runClaims({ .claims = claims, .claimsPerSecond = claimsPerSecond, .commit = { .interval = interval } });
-        const auto size = static_cast<std::uint64_t>(claimsPerSecond);
-        const std::string baseline = "one write per claim and settlement";
-        report({ .name = name("store_writes_per_claim", interval),
-            .value = batched.transactionsPerClaim,
-            .unit = "transactions",
-            .size = size,
-            .baseline = single.transactionsPerClaim,
-            .baselineName = baseline });
-        report({ .name = name("store_writes_per_second", interval),
-            .value = batched.transactionsPerSecond,
-            .unit = "transactions/s",
-            .size = size,
-            .baseline = single.transactionsPerSecond,
-            .baselineName = baseline });
-        report({ .name = name("grant_delay_mean", interval),
-            .value = batched.meanDelay,
-            .unit = "ms",
-            .size = size,
-            .baseline = single.meanDelay,
-            .baselineName = baseline });
-        report({ .name = name("grant_delay_p99", interval),
-            .value = batched.p99Delay,
-            .unit = "ms",
-            .size = size,
-            .baseline = single.p99Delay,
-            .baselineName = baseline });
-        report({ .name = name("claims_per_cpu_second", interval),
-            .value = batched.cpuClaimsPerSecond,
-            .unit = "claims/s",
-            .size = size,
-            .baseline = single.cpuClaimsPerSecond,
-            .baselineName = baseline });
-    }
+    const auto single = runClaims({ .claims = claims, .claimsPerSecond = claimsPerSecond, .commit = unbatched });
+    const auto batched = runClaims({ .claims = claims, .claimsPerSecond = claimsPerSecond, .commit = commit });
+    const auto add = [&](const std::string& figure, const std::string& unit, double ClaimFigures::*member) {
+        report({ .name = "claim_" + figure + "_" + label,
+            .value = batched.*member,
+            .unit = unit,
+            .size = static_cast<std::uint64_t>(claimsPerSecond),
+            .baseline = single.*member,
+            .baselineName = "one write per claim and settlement" });
+    };
+    add("store_writes_per_claim", "transactions", &ClaimFigures::transactionsPerClaim);
+    add("store_writes_per_second", "transactions/s", &ClaimFigures::transactionsPerSecond);
+    add("grant_delay_mean", "ms", &ClaimFigures::meanDelay);
+    add("grant_delay_p99", "ms", &ClaimFigures::p99Delay);
+    add("claims_per_cpu_second", "claims/s", &ClaimFigures::cpuClaimsPerSecond);
+    add("refused_share", "of claims", &ClaimFigures::refusedShare);
+}
+
+void measureIntervals(double claimsPerSecond)
+{
+    for (const auto interval : { 5ms, 20ms, 50ms })
+        measure("unpaced_" + std::to_string(interval.count()) + "ms", claimsPerSecond,
+            { .interval = interval, .transactionsPerSecond = 1e9, .transactionBurst = 1e9 });
+    measure("paced_10_per_second", claimsPerSecond, {});
 }
 
 /** Option (b): a record in the memory of the key's home target. */
--- a/src/claim/claim_keeper.cpp
+++ b/src/claim/claim_keeper.cpp
@@ -13,7 +13,7 @@
     , tables { tables }
     , options { std::move(options) }
     , answers { objects, this->options.maxRowAnswerBytes }
-    , commit { tables, scheduler, random, this->options.commit }
+    , commit { clock, tables, scheduler, random, this->options.commit }
 {
 }
 
@@ -31,7 +31,8 @@
     }
     const bool full
         = this->active.size() >= this->options.maxKeys || this->unsettled >= this->options.maxUnsettledBytes;
-    if (full || this->clock.now() >= waiter->request.deadline) {
+    // A claim that cannot be sent before its deadline is refused now instead of then.
+    if (full || this->clock.now() + this->commit.expectedWait() >= waiter->request.deadline) {
         this->answer(waiter, Unavailable {});
         return;
     }
@@ -128,7 +129,9 @@
         .state = ClaimState::Claimed,
         .entry = this->options.entry,
         .at = this->clock.wallNow() };
-    this->commit.submit({ .key = item->row, .expectedVersion = item->version, .value = encode(item->value) },
+    this->commit.submit(
+        { .key = item->row, .expectedVersion = item->version, .value = encode(item->value) },
+        [claimant = item->claimant] { return !claimant->answered; },
         this->guarded([this, item](const WriteResult& result) { this->claimWritten(item, result); }));
 }
 
--- a/src/claim/group_commit.cpp
+++ b/src/claim/group_commit.cpp
@@ -23,12 +23,15 @@
 
 } // namespace internal
 
-GroupCommit::GroupCommit(
-    store::TableService& tables, store::Scheduler& scheduler, base::RandomSource& random, CommitOptions options)
-    : tables { tables }
+GroupCommit::GroupCommit(const base::Clock& clock, store::TableService& tables, store::Scheduler& scheduler,
+    base::RandomSource& random, CommitOptions options)
+    : clock { clock }
+    , tables { tables }
     , scheduler { scheduler }
     , random { random }
     , options { options }
+    , tokens { options.transactionBurst }
+    , refilledAt { clock.now() }
 {
 }
 
@@ -39,21 +42,26 @@
     return std::chrono::nanoseconds { 1 + this->random.below(static_cast<std::uint64_t>(limit.count())) };
 }
 
-void GroupCommit::submit(RowWrite write, Callback callback)
+void GroupCommit::submit(RowWrite write, Wanted wanted, Callback callback)
 {
-    this->enqueue({ .write = std::move(write), .callback = std::move(callback) });
+    this->enqueue({ .write = std::move(write), .wanted = std::move(wanted), .callback = std::move(callback) });
 }
 
 void GroupCommit::enqueue(Operation operation)
 {
     this->queue.push_back(std::move(operation));
-    if (this->queue.size() >= this->options.maxBatch) {
+    if (this->queue.size() >= this->options.maxBatch && this->untilToken() == std::chrono::nanoseconds { 0 })
         this->flush();
-        return;
-    }
+    else
+        this->arm();
+}
+
+void GroupCommit::arm()
+{
     if (std::exchange(this->timerSet, true))
         return;
-    this->scheduler.after(this->options.interval, [this, guard = std::weak_ptr { this->alive }] {
+    const auto delay = std::max(this->options.interval, this->untilToken());
+    this->scheduler.after(delay, [this, guard = std::weak_ptr { this->alive }] {
         if (guard.expired())
             return;
         this->timerSet = false;
@@ -61,10 +69,52 @@
     });
 }
 
+void GroupCommit::refill()
+{
+    const std::chrono::duration<double> elapsed = this->clock.now() - this->refilledAt;
+    this->refilledAt = this->clock.now();
+    const auto refilled = this->tokens + elapsed.count() * this->options.transactionsPerSecond;
+    this->tokens = std::min(refilled, this->options.transactionBurst);
+}
+
+std::chrono::nanoseconds GroupCommit::untilToken()
+{
+    this->refill();
+    if (this->tokens >= 1)
+        return std::chrono::nanoseconds { 0 };
+    const std::chrono::duration<double> wait { (1 - this->tokens) / this->options.transactionsPerSecond };
+    return std::chrono::ceil<std::chrono::nanoseconds>(wait);
+}
+
+std::chrono::nanoseconds GroupCommit::expectedWait()
+{
+    const auto fullBatches = static_cast<double>(this->queue.size() / this->options.maxBatch);
+    const std::chrono::duration<double> drain { fullBatches / this->options.transactionsPerSecond };
+    return this->untilToken() + std::chrono::ceil<std::chrono::nanoseconds>(drain);
+}
+
+/** Oldest writes that are still wanted. One that may have been written before stays until its result is known. */
+GroupCommit::Batch GroupCommit::takeBatch()
+{
+    Batch batch;
+    Batch unwanted;
+    auto next = this->queue.begin();
+    for (; next != this->queue.end() && batch.size() < this->options.maxBatch; ++next) {
+        const bool keep = next->ambiguous || !next->wanted || next->wanted();
+        (keep ? batch : unwanted).push_back(std::move(*next));
+    }
+    this->queue.erase(this->queue.begin(), next);
+    for (auto& operation : unwanted)
+        operation.callback({ .status = WriteStatus::Unavailable, .row = { .key = operation.write.key } });
+    return batch;
+}
+
 void GroupCommit::flush()
 {
+    if (auto batch = this->takeBatch(); !batch.empty())
+        this->send(std::move(batch));
     if (!this->queue.empty())
-        this->send(std::exchange(this->queue, {}));
+        this->arm();
 }
 
 void GroupCommit::send(Batch batch)
@@ -73,6 +123,8 @@
     writes.reserve(batch.size());
     for (const auto& operation : batch)
         writes.push_back(operation.write);
+    this->refill();
+    this->tokens -= 1;
     ++this->counts.transactions;
     this->counts.rowWrites += writes.size();
     auto shared = std::make_shared<Batch>(std::move(batch));
--- a/src/claim/group_commit.hpp
+++ b/src/claim/group_commit.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.hpp"
 #include "base/random.hpp"
 #include "store/scheduler.hpp"
 #include "store/table_service.hpp"
@@ -14,8 +15,13 @@
 namespace chivewinch::claim {
 
 struct CommitOptions {
+    /** Wait of a write for others to share its transaction. */
     std::chrono::nanoseconds interval { std::chrono::milliseconds { 20 } };
     std::size_t maxBatch = 100;
+    /** Sustained rate; beyond it, transactions wait and grow up to maxBatch. */
+    double transactionsPerSecond = 10;
+    /** Transactions that may be sent at once after a quiet time. */
+    double transactionBurst = 20;
     std::chrono::nanoseconds minBackOff { std::chrono::milliseconds { 50 } };
     std::chrono::nanoseconds maxBackOff { std::chrono::seconds { 5 } };
     /** Off: a write whose acknowledgement is lost is reported as having had no effect. */
@@ -65,11 +71,15 @@
 class GroupCommit {
 public:
     using Callback = std::function<void(const WriteResult&)>;
+    using Wanted = std::function<bool()>;
 
-    GroupCommit(store::TableService& tables, store::Scheduler& scheduler, base::RandomSource& random,
-        CommitOptions options = {});
+    GroupCommit(const base::Clock& clock, store::TableService& tables, store::Scheduler& scheduler,
+        base::RandomSource& random, CommitOptions options = {});
 
-    void submit(RowWrite write, Callback callback);
+    /** A write that is no longer wanted when its transaction is built ends as unavailable without being sent. */
+    void submit(RowWrite write, Wanted wanted, Callback callback);
+    /** Time until a write submitted now is sent, if the rate of transactions is the limit. */
+    [[nodiscard]] std::chrono::nanoseconds expectedWait();
     [[nodiscard]] const CommitCounters& counters() const noexcept { return this->counts; }
     /** Delay before the given repetition, counted from 0; exponential with full jitter. */
     [[nodiscard]] std::chrono::nanoseconds backOff(std::uint32_t repetition);
@@ -77,6 +87,7 @@
 private:
     struct Operation {
         RowWrite write;
+        Wanted wanted;
         Callback callback;
         bool ambiguous = false; ///< An earlier transaction with this write may still take effect.
         std::uint32_t failures = 0;
@@ -84,7 +95,12 @@
     using Batch = std::vector<Operation>;
 
     void enqueue(Operation operation);
+    void arm();
     void flush();
+    [[nodiscard]] Batch takeBatch();
+    void refill();
+    /** Time until a transaction may be sent. */
+    [[nodiscard]] std::chrono::nanoseconds untilToken();
     void send(Batch batch);
     void resolve(Batch batch, const store::TransactResult& result);
     void fail(Batch batch, bool mayHaveTakenEffect);
@@ -92,12 +108,15 @@
     void reread(Batch batch, const std::vector<store::Row>& rows);
     void finish(Operation& operation, const store::Row& row);
 
+    const base::Clock& clock;
     store::TableService& tables;
     store::Scheduler& scheduler;
     base::RandomSource& random;
     CommitOptions options;
     Batch queue;
     bool timerSet = false;
+    double tokens;
+    base::SteadyTime refilledAt;
     CommitCounters counts;
     /** Expires with this object; callbacks of the store and timers check it. */
     std::shared_ptr<int> alive = std::make_shared<int>(0);
--- a/src/claim/settle.cpp
+++ b/src/claim/settle.cpp
@@ -89,7 +89,7 @@
 
 void ClaimKeeper::writeSettlement(const ActivePointer& item)
 {
-    this->commit.submit({ .key = item->row, .expectedVersion = item->version, .value = encode(item->value) },
+    this->commit.submit({ .key = item->row, .expectedVersion = item->version, .value = encode(item->value) }, {},
         this->guarded([this, item](const WriteResult& result) { this->settlementWritten(item, result); }));
 }
 
--- a/tests/claim/claim_keeper_test.cpp
+++ b/tests/claim/claim_keeper_test.cpp
@@ -191,6 +191,34 @@
         EXPECT_TRUE(result->has_value() && std::holds_alternative<Granted>(**result));
 }
 
+// Guards against claims that use more of the store than its share, and against waits that cannot succeed.
+TEST_F(ClaimKeeperTest, TransactionsStayWithinTheirRate)
+{
+    constexpr int seconds = 20;
+    constexpr int claimsPerSecond = 2'000;
+    const CommitOptions limits;
+    std::vector<std::optional<ClaimResult>> results(seconds * claimsPerSecond);
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        const ClaimKey one { .team = "wax", .key = std::to_string(i) };
+        this->first.claim({ .key = one, .bodyHash = "body", .deadline = this->clock.now() + 10s },
+            [this, one, &result = results[i]](const ClaimResult& answer) {
+                result = answer;
+                if (const auto* granted = std::get_if<Granted>(&answer))
+                    this->first.settle(one, granted->nonce, { .outcome = base::Outcome::Unknown }, [](bool) {});
+            });
+        this->scheduler.runFor(std::chrono::nanoseconds { 1s } / claimsPerSecond);
+    }
+    EXPECT_LE(static_cast<double>(this->first.commitCounters().transactions),
+        limits.transactionBurst + seconds * limits.transactionsPerSecond);
+    // A claim and its settlement are two of the rows that fit into the transactions.
+    const auto capacity = seconds * limits.transactionsPerSecond * static_cast<double>(limits.maxBatch) / 2;
+    EXPECT_GE(static_cast<double>(this->first.counters().granted), capacity * 0.95);
+    EXPECT_EQ(results.back(), ClaimResult { Unavailable {} });
+    this->scheduler.runFor(11s);
+    for (const auto& result : results)
+        ASSERT_TRUE(result.has_value());
+}
+
 // Guards against callbacks into an object that is gone.
 TEST_F(ClaimKeeperTest, MayBeDestroyedWithPendingOperations)
 {
