--- a/app/agent/agent.cpp
+++ b/app/agent/agent.cpp
@@ -41,6 +41,14 @@
     return gate;
 }
 
+suspect::TargetGuardOptions guardOptions()
+{
+    suspect::TargetGuardOptions guard;
+    // The entry prefers other targets; in a zone with a single target the request has to run here again.
+    guard.refuseStruckHere = false;
+    return guard;
+}
+
 usage::LedgerOptions ledgerOptions(const AgentOptions& options, base::Incarnation incarnation)
 {
     usage::LedgerOptions ledger;
@@ -57,7 +65,7 @@
     , options { std::move(agentOptions) }
     , incarnation { internal::startIncarnation(this->systemClock) }
     , strikes { this->systemClock }
-    , targetGuard { this->strikes, this->options.target }
+    , targetGuard { this->strikes, this->options.target, internal::guardOptions() }
     , attemptGate { this->systemClock, this->incarnation, internal::gateOptions(this->options),
         [this](const delivery::AttemptStart& start) { return this->checkAttempt(start); } }
     , targetClient { context.get_executor(), internal::clientOptions(this->options.targetEndpoint) }
--- a/scripts/installation.py
+++ b/scripts/installation.py
@@ -3,9 +3,11 @@
 import hashlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -17,14 +19,23 @@
 STOP_SECONDS = 30
 
 
+# Below the range from which the system takes ports for outgoing connections, so that none of these is taken meanwhile.
+FIRST_PORT, LAST_PORT = 12000, 32000
+CHOSEN_PORTS = set()
+PORT_LOCK = threading.Lock()
+
+
 def free_ports(count):
-    """Ports that were free a moment ago; all are held open until the last one is chosen."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((ADDRESS, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Ports that nobody listens on; different for all installations of this process."""
+    ports = []
+    with PORT_LOCK:
+        while len(ports) < count:
+            port = random.randrange(FIRST_PORT, LAST_PORT)
+            with socket.socket() as probe:
+                if port in CHOSEN_PORTS or probe.connect_ex((ADDRESS, port)) == 0:
+                    continue
+            CHOSEN_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
--- a/src/suspect/entry_guard.cpp
+++ b/src/suspect/entry_guard.cpp
@@ -50,8 +50,10 @@
 {
     auto result = this->options.usePair ? candidatePair(fingerprint, targets)
                                         : std::vector<base::TargetId> { targets.begin(), targets.end() };
-    std::erase_if(result, [&](const auto& target) { return this->table.struckOn(fingerprint, target); });
-    return result;
+    auto unstruck = result;
+    std::erase_if(unstruck, [&](const auto& target) { return this->table.struckOn(fingerprint, target); });
+    // With a single target in the zone, an innocent fingerprint must be able to run there again.
+    return unstruck.empty() ? result : unstruck;
 }
 
 Placement EntryGuard::place(std::uint64_t fingerprint, std::span<const base::TargetId> targets) const
