--- /dev/null
+++ b/src/bundle/distributor_peers.cpp
@@ -0,0 +1,131 @@
+#include "bundle/distributor.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewinch::bundle {
+
+namespace internal {
+
+// A peer that has nothing new has reported a version that it lost, or answered an older request; ask again soon.
+constexpr std::chrono::milliseconds nothingNewDelay { 200 };
+
+} // namespace internal
+
+void Distributor::onHeartbeat(const std::string& peer, const base::ZoneId& zone, base::BundleVersion version)
+{
+    auto& known = this->peers[peer];
+    known.zone = zone;
+    known.version = version;
+    this->fetchFromPeer();
+}
+
+void Distributor::onPeerGone(const std::string& peer)
+{
+    this->peers.erase(peer);
+    if (this->fetch && this->fetch->peer() == peer)
+        this->endPeerFetch(std::chrono::nanoseconds { 0 });
+}
+
+/** A starting process that has not heard from the store waits, since the first peer may be behind the others. */
+bool Distributor::mayUsePeers() const
+{
+    if (!this->started || !this->options.usePeers)
+        return false;
+    return !this->options.useGrace || this->storeAnswered || this->replica.snapshot() != nullptr
+        || this->clock.now() - this->startedAt >= this->options.startGrace;
+}
+
+/** Any newer version is useful once one is in force; the first one must not be older than that of the store. */
+base::BundleVersion Distributor::smallestUseful() const noexcept
+{
+    if (!this->replica.snapshot() && this->head)
+        return this->head->version;
+    return base::BundleVersion { static_cast<std::uint64_t>(this->replica.version()) + 1 };
+}
+
+/** Peers with the newest version on offer, those of the own zone if any. */
+std::vector<std::string> Distributor::candidates() const
+{
+    auto best = this->smallestUseful();
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const auto& [id, peer] : this->peers) {
+        if (peer.version < best || peer.blockedUntil > this->clock.now())
+            continue;
+        if (peer.version > best) {
+            best = peer.version;
+            near.clear();
+            far.clear();
+        }
+        (peer.zone == this->self.zone ? near : far).push_back(id);
+    }
+    return near.empty() ? far : near;
+}
+
+void Distributor::fetchFromPeer()
+{
+    if (this->fetch || !this->mayUsePeers())
+        return;
+    const auto choices = this->candidates();
+    if (choices.empty())
+        return;
+    this->fetch.emplace(this->replica, choices[this->random.below(choices.size())], this->smallestUseful(),
+        this->options.partsPerRequest);
+    this->send();
+}
+
+void Distributor::send()
+{
+    if (this->fetchTimer)
+        this->scheduler.cancel(*this->fetchTimer);
+    const auto weak = std::weak_ptr { this->alive };
+    this->fetchTimer = this->scheduler.after(this->options.peerTimeout, [this, weak] {
+        if (!weak.lock())
+            return;
+        this->fetchTimer.reset();
+        ++this->counts.failedPeerFetches;
+        this->onFailure(this->fetch->peer(), { .code = ErrorCode::MissingPart, .detail = "no answer" });
+        this->endPeerFetch(this->options.peerTimeout);
+    });
+    this->channel.request(this->fetch->peer(), this->fetch->nextRequest());
+}
+
+void Distributor::onReply(const std::string& peer, const PeerReply& reply)
+{
+    if (!this->fetch || this->fetch->peer() != peer)
+        return; // the answer to a request that was given up
+    const auto step = this->fetch->onReply(reply);
+    if (step == FetchStep::Request) {
+        this->send();
+        return;
+    }
+    if (step == FetchStep::Applied) {
+        ++this->counts.fromPeers;
+        this->endPeerFetch(std::chrono::nanoseconds { 0 });
+        this->announceInForce();
+        return;
+    }
+    const auto& reason = this->fetch->lastReason();
+    const bool harmless
+        = step == FetchStep::NothingNew || reason.code == ErrorCode::Older || reason.code == ErrorCode::MissingPart;
+    if (step == FetchStep::Failed) {
+        ++this->counts.failedPeerFetches;
+        this->onFailure(peer, reason);
+    }
+    this->endPeerFetch(harmless ? internal::nothingNewDelay : this->options.peerPenalty);
+}
+
+/** Ends the fetch, blocks its peer for some time and tries another one. */
+void Distributor::endPeerFetch(std::chrono::nanoseconds block)
+{
+    if (this->fetchTimer)
+        this->scheduler.cancel(*this->fetchTimer);
+    this->fetchTimer.reset();
+    if (const auto found = this->peers.find(this->fetch->peer()); found != this->peers.end())
+        found->second.blockedUntil = this->clock.now() + block;
+    this->fetch.reset();
+    this->fetchFromPeer();
+}
+
+} // namespace chivewinch::bundle
--- a/src/bundle/replica.cpp
+++ b/src/bundle/replica.cpp
@@ -98,6 +98,12 @@
     return partText(this->parts.find(found->first)->second);
 }
 
+const PartRecords* Replica::records(const std::string& part) const
+{
+    const auto found = this->parts.find(part);
+    return found == this->parts.end() ? nullptr : &found->second;
+}
+
 std::optional<Delta> Replica::deltaSince(base::BundleVersion version) const
 {
     const auto first = std::ranges::find(this->history, version, &Step::from);
--- a/src/bundle/replica.hpp
+++ b/src/bundle/replica.hpp
@@ -44,6 +44,9 @@
     /** Bytes of the part with this hash, if it is part of the content in force. */
     [[nodiscard]] std::optional<std::string> part(const std::string& hash) const;
 
+    /** Records of a part in force, or null. */
+    [[nodiscard]] const PartRecords* records(const std::string& part) const;
+
     /** Difference from an earlier version to the one in force, if that version is recent enough. */
     [[nodiscard]] std::optional<Delta> deltaSince(base::BundleVersion version) const;
 
--- /dev/null
+++ b/src/bundle/rollout_duty.cpp
@@ -0,0 +1,23 @@
+#include "bundle/rollout_duty.hpp"
+
+#include <algorithm>
+
+namespace chivewinch::bundle {
+
+void RolloutDuty::update(base::BundleVersion inForce, const std::map<std::string, base::BundleVersion>& live)
+{
+    const auto fencing = this->lease.fencing();
+    if (!fencing || this->writing || inForce <= this->done)
+        return;
+    if (std::ranges::any_of(live, [&](const auto& process) { return process.second < inForce; }))
+        return;
+    this->writing = true;
+    this->operations.confirm(inForce, *fencing, [this, inForce](const auto& record, const Error& error) {
+        this->writing = false;
+        // Another holder may have confirmed it, or a newer version may roll already.
+        if (record || error.code == ErrorCode::WrongState || error.code == ErrorCode::LostRace)
+            this->done = std::max(this->done, inForce);
+    });
+}
+
+} // namespace chivewinch::bundle
--- /dev/null
+++ b/src/bundle/rollout_duty.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "bundle/operations.hpp"
+#include "lease/lease.hpp"
+
+#include <map>
+#include <string>
+
+namespace chivewinch::bundle {
+
+/**
+ * Confirms a rolling version once every live process has reported it. Runs in each process that competes for the
+ * rollout lease and acts only while it holds the lease.
+ */
+class RolloutDuty {
+public:
+    RolloutDuty(Operations& operations, lease::Lease& lease) noexcept
+        : operations { operations }
+        , lease { lease }
+    {
+    }
+
+    /** Version in force here, and the version that each live process reported last. */
+    void update(base::BundleVersion inForce, const std::map<std::string, base::BundleVersion>& live);
+
+    /** Largest version that this process confirmed or found confirmed. */
+    [[nodiscard]] base::BundleVersion confirmed() const noexcept { return this->done; }
+
+private:
+    Operations& operations;
+    lease::Lease& lease;
+    base::BundleVersion done {};
+    bool writing = false;
+};
+
+} // namespace chivewinch::bundle
--- a/src/bundle/signature.cpp
+++ b/src/bundle/signature.cpp
@@ -45,19 +45,16 @@
     internal::KeyPointer key;
 };
 
-PrivateKey::PrivateKey(std::unique_ptr<Handle> handle) noexcept
+PrivateKey::PrivateKey(std::shared_ptr<const Handle> handle) noexcept
     : handle { std::move(handle) }
 {
 }
-PrivateKey::PrivateKey(PrivateKey&&) noexcept = default;
-PrivateKey& PrivateKey::operator=(PrivateKey&&) noexcept = default;
-PrivateKey::~PrivateKey() = default;
 
 PrivateKey PrivateKey::generate()
 {
     internal::KeyPointer key { EVP_PKEY_Q_keygen(nullptr, nullptr, "ED25519") };
     internal::require(key != nullptr, "key generation");
-    return PrivateKey { std::make_unique<Handle>(Handle { std::move(key) }) };
+    return PrivateKey { std::make_shared<const Handle>(Handle { std::move(key) }) };
 }
 
 std::optional<PrivateKey> PrivateKey::fromSeed(std::string_view seed, Error& reason)
@@ -69,7 +66,7 @@
     internal::KeyPointer key { EVP_PKEY_new_raw_private_key(
         EVP_PKEY_ED25519, nullptr, internal::bytesOf(seed), seed.size()) };
     internal::require(key != nullptr, "key from seed");
-    return PrivateKey { std::make_unique<Handle>(Handle { std::move(key) }) };
+    return PrivateKey { std::make_shared<const Handle>(Handle { std::move(key) }) };
 }
 
 std::optional<PrivateKey> PrivateKey::fromPem(std::string_view pem, Error& reason)
@@ -82,7 +79,7 @@
         reason = { .code = ErrorCode::Invalid, .detail = "not an Ed25519 private key in PEM form without passphrase" };
         return std::nullopt;
     }
-    return PrivateKey { std::make_unique<Handle>(Handle { std::move(key) }) };
+    return PrivateKey { std::make_shared<const Handle>(Handle { std::move(key) }) };
 }
 
 std::string PrivateKey::toPem() const
--- a/src/bundle/signature.hpp
+++ b/src/bundle/signature.hpp
@@ -9,13 +9,9 @@
 
 namespace chivewinch::bundle {
 
-/** Ed25519 private key of an owner. */
+/** Ed25519 private key of an owner; copies share one key. */
 class PrivateKey {
 public:
-    PrivateKey(PrivateKey&&) noexcept;
-    PrivateKey& operator=(PrivateKey&&) noexcept;
-    ~PrivateKey();
-
     /** New key from the random generator of OpenSSL. */
     [[nodiscard]] static PrivateKey generate();
     /** Key of a 32-byte seed (RFC 8032), for tests and examples. */
@@ -31,8 +27,8 @@
 
 private:
     struct Handle;
-    explicit PrivateKey(std::unique_ptr<Handle> handle) noexcept;
-    std::unique_ptr<Handle> handle;
+    explicit PrivateKey(std::shared_ptr<const Handle> handle) noexcept;
+    std::shared_ptr<const Handle> handle;
 };
 
 /** Whether a signature in hexadecimal is by the public key in hexadecimal. */
