--- /dev/null
+++ b/tests/bundle/distributor_test.cpp
@@ -0,0 +1,353 @@
+#include "bundle/cluster.hpp"
+#include "bundle/readers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+
+namespace chivewinch::bundle {
+
+using namespace std::chrono_literals;
+using sample::Cluster;
+
+namespace {
+
+const std::vector<base::ZoneId> zones { "zone-a", "zone-b", "zone-c" };
+
+Bundle withRate(std::uint64_t rate)
+{
+    auto bundle = sample::bundle(30, 6);
+    bundle.teams[0].rate = rate;
+    return bundle;
+}
+
+void startAll(Cluster& cluster, int perZone)
+{
+    for (const auto& zone : zones) {
+        for (int i = 0; i < perZone; ++i)
+            cluster.start(zone);
+    }
+}
+
+std::vector<Cluster::Process*> inZone(Cluster& cluster, const base::ZoneId& zone)
+{
+    std::vector<Cluster::Process*> result;
+    for (auto& [id, process] : cluster.processes) {
+        if (process->self.zone == zone)
+            result.push_back(process.get());
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against readers that all change when one entry comes or goes.
+TEST(ReadersTest, OneEntryChangesAtMostOneReader)
+{
+    std::vector<std::string> entries;
+    for (int i = 0; i < 20; ++i)
+        entries.push_back("entry-" + std::to_string(i));
+    const auto before = readersOf("zone", entries, 2);
+    ASSERT_EQ(before.size(), 2U);
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        auto fewer = entries;
+        fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(i));
+        const auto after = readersOf("zone", fewer, 2);
+        const auto kept = std::ranges::count_if(
+            before, [&](const auto& reader) { return std::ranges::find(after, reader) != after.end(); });
+        EXPECT_GE(kept, 1);
+    }
+    EXPECT_EQ(readersOf("zone", { "only" }, 2).size(), 1U);
+}
+
+// Guards against a version that takes longer than 2 s to every process of a healthy region.
+TEST(DistributorTest, ChangeReachesAllWithinTwoSecondsAndFewProcessesReadTheStore)
+{
+    Cluster cluster { 1 };
+    cluster.roll(withRate(1));
+    startAll(cluster, 8);
+    cluster.run(10s);
+    ASSERT_TRUE(cluster.allOnHead());
+    for (std::uint64_t rate = 2; rate < 12; ++rate) {
+        cluster.roll(withRate(rate));
+        cluster.run(2s);
+        EXPECT_TRUE(cluster.allOnHead()) << rate;
+        cluster.run(std::chrono::milliseconds { cluster.random.below(3000) });
+    }
+    const auto readers = std::ranges::count_if(
+        cluster.processes, [](const auto& item) { return item.second->distributor.isReader(); });
+    EXPECT_EQ(readers, 6);
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+// Guards against a process that starts before the first bundle, and against a store outage that stops the others.
+TEST(DistributorTest, StoreDownForAnHourKeepsTheVersionAndNewProcessesTakeItFromPeers)
+{
+    Cluster cluster { 2 };
+    startAll(cluster, 3);
+    cluster.run(5s);
+    cluster.roll(withRate(1));
+    cluster.run(5s);
+    ASSERT_TRUE(cluster.allOnHead());
+    cluster.storeDown = true;
+    cluster.applyStoreFaults();
+    cluster.run(30min);
+    auto& late = cluster.start("zone-a");
+    cluster.run(30min);
+    EXPECT_EQ(late.replica.version(), base::BundleVersion { 1 });
+    cluster.storeDown = false;
+    cluster.applyStoreFaults();
+    cluster.roll(withRate(2));
+    cluster.run(3s);
+    EXPECT_TRUE(cluster.allOnHead());
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+// Guards against a zone that keeps the old version after a partition, or loses its version during one.
+TEST(DistributorTest, ZoneCutOffDuringARollCatchesUpWhenHealed)
+{
+    Cluster cluster { 3 };
+    cluster.roll(withRate(1));
+    startAll(cluster, 3);
+    cluster.run(10s);
+    cluster.roll(withRate(2));
+    cluster.run(500ms);
+    cluster.cut("zone-b");
+    cluster.roll(withRate(3));
+    cluster.run(5min);
+    for (auto* process : inZone(cluster, "zone-b"))
+        EXPECT_GE(process->replica.version(), base::BundleVersion { 1 });
+    cluster.heal("zone-b");
+    cluster.run(3s);
+    EXPECT_TRUE(cluster.allOnHead());
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+// Guards against an entry that serves an old version although a peer can prove a newer one.
+TEST(DistributorTest, EntryStartedWhileCutOffTakesTheNewestProvableVersion)
+{
+    Cluster cluster { 4 };
+    cluster.roll(withRate(1));
+    startAll(cluster, 3);
+    cluster.run(10s);
+    // One process of the zone misses version 2, the others have it.
+    auto& behind = *inZone(cluster, "zone-b").front();
+    for (auto* process : inZone(cluster, "zone-b"))
+        process->tables.faults().down = process == &behind;
+    cluster.roll(withRate(2));
+    cluster.run(3s);
+    cluster.cut("zone-b");
+    auto& late = cluster.start("zone-b");
+    EXPECT_EQ(late.replica.snapshot(), nullptr);
+    cluster.run(4s);
+    ASSERT_EQ(late.inForce.size(), 1U);
+    EXPECT_EQ(late.inForce.front().first, base::BundleVersion { 2 });
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+// Without the grace period a starting process may take an older version first.
+TEST(DistributorTest, GracePeriodIsNeededForTheNewestVersion)
+{
+    int older = 0;
+    for (const bool useGrace : { true, false }) {
+        Cluster cluster { 5 };
+        cluster.roll(withRate(1));
+        auto& behind = cluster.start("zone-b");
+        cluster.run(5s);
+        cluster.roll(withRate(2));
+        cluster.storeDown = true;
+        cluster.applyStoreFaults();
+        auto& ahead = cluster.start("zone-b");
+        ASSERT_TRUE(ahead.replica.apply(*cluster.head().rolled, encode(withRate(2))));
+        behind.distributor.onPeerGone(ahead.self.id); // and it has not reconnected yet
+        auto& late = cluster.start("zone-b", {}, { .useGrace = useGrace });
+        late.distributor.onHeartbeat(behind.self.id, "zone-b", behind.replica.version());
+        cluster.run(10ms);
+        cluster.run(10s);
+        older += late.inForce.front().first == base::BundleVersion { 1 } ? 1 : 0;
+        EXPECT_EQ(late.replica.version(), base::BundleVersion { 2 });
+        EXPECT_EQ(older, useGrace ? 0 : 1);
+    }
+}
+
+// Guards against a version that is lost when no process survives from before the roll.
+TEST(DistributorTest, AllEntriesReplacedDuringARoll)
+{
+    Cluster cluster { 6 };
+    cluster.roll(withRate(1));
+    startAll(cluster, 3);
+    cluster.run(10s);
+    cluster.roll(withRate(2));
+    std::vector<std::string> old;
+    for (const auto& [id, process] : cluster.processes)
+        old.push_back(id);
+    for (const auto& id : old) {
+        cluster.start(id.substr(0, id.find('/')));
+        cluster.run(300ms);
+        cluster.stop(id);
+    }
+    cluster.run(5s);
+    EXPECT_EQ(cluster.processes.size(), 9U);
+    EXPECT_TRUE(cluster.allOnHead());
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+// Guards against a head row that was replaced by an old one, and shows that the guard is what refuses it.
+TEST(DistributorTest, ReplayedOldHeadIsRefused)
+{
+    for (const bool keepMonotonic : { true, false }) {
+        Cluster cluster { 7 };
+        cluster.roll(withRate(1));
+        const auto old = cluster.head();
+        auto& process = cluster.start("zone-a", { .keepMonotonic = keepMonotonic });
+        cluster.run(5s);
+        cluster.roll(withRate(2));
+        cluster.run(5s);
+        ASSERT_EQ(process.replica.version(), base::BundleVersion { 2 });
+        cluster.setHead(old);
+        cluster.run(60s);
+        EXPECT_EQ(process.replica.version(), base::BundleVersion { 2 });
+        EXPECT_EQ(process.replica.apply(*old.rolled, encode(withRate(1))), !keepMonotonic);
+        EXPECT_EQ(cluster.violation(), "");
+    }
+}
+
+class DamageTest : public testing::TestWithParam<std::string> { };
+
+// Guards against damaged objects in the store: the version in force stays, and the new one comes once it is repaired.
+TEST_P(DamageTest, DamagedObjectDoesNotGoIntoForceAndRecovers)
+{
+    Cluster cluster { 8 };
+    cluster.roll(withRate(1));
+    startAll(cluster, 2);
+    cluster.run(10s);
+    const auto before = cluster.objectMemory.all();
+    cluster.roll(withRate(2));
+    const auto after = cluster.objectMemory.all();
+    for (const auto& [name, bytes] : after) {
+        if (before.contains(name))
+            continue;
+        if (this->GetParam() == "missing")
+            cluster.objectMemory.remove(name);
+        else
+            cluster.objectMemory.overwrite(name, this->GetParam() == "empty" ? "" : bytes.substr(1) + "x");
+    }
+    cluster.run(10s);
+    for (const auto& [id, process] : cluster.processes) {
+        EXPECT_EQ(process->replica.version(), base::BundleVersion { 1 });
+        EXPECT_EQ(process->failures.empty(), !process->distributor.isReader());
+    }
+    for (const auto& [name, bytes] : after)
+        cluster.objectMemory.overwrite(name, bytes);
+    cluster.run(5s);
+    EXPECT_TRUE(cluster.allOnHead());
+    EXPECT_EQ(cluster.violation(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Objects, DamageTest, testing::Values("missing", "empty", "altered"));
+
+// Guards against a version that one owner did not sign, written to the store past the operations.
+TEST(DistributorTest, VersionWithoutBothSignaturesStaysOut)
+{
+    for (const bool remove : { true, false }) {
+        Cluster cluster { 9 };
+        cluster.roll(withRate(1));
+        startAll(cluster, 2);
+        cluster.run(10s);
+        cluster.roll(withRate(2));
+        auto head = cluster.head();
+        auto& signatures = head.rolled->signatures;
+        if (remove)
+            signatures.erase(sample::firstOwner);
+        else
+            signatures[sample::firstOwner] = signatures[sample::secondOwner];
+        cluster.setHead(head);
+        cluster.run(30s);
+        for (const auto& [id, process] : cluster.processes)
+            EXPECT_EQ(process->replica.version(), base::BundleVersion { 1 });
+    }
+}
+
+// Guards against five seconds of latency that stop the distribution instead of delaying it.
+TEST(DistributorTest, SlowStoreOnlyDelaysAVersion)
+{
+    Cluster cluster { 10 };
+    cluster.storeFaults.minDelay = 2500ms;
+    cluster.storeFaults.maxDelay = 2500ms;
+    cluster.roll(withRate(1));
+    startAll(cluster, 2);
+    cluster.run(400s);
+    ASSERT_TRUE(cluster.allOnHead());
+    cluster.roll(withRate(2));
+    cluster.run(20s);
+    EXPECT_TRUE(cluster.allOnHead());
+}
+
+namespace {
+
+/** One random schedule; returns the first broken invariant. */
+std::string runSchedule(std::uint64_t seed)
+{
+    Cluster cluster { seed };
+    cluster.lossRate = 0.3 * cluster.random.unit();
+    cluster.corruptionRate = 0.1 * cluster.random.unit();
+    cluster.maxLatency = std::chrono::milliseconds { 1 + cluster.random.below(1500) };
+    cluster.storeFaults.lostRequest = 0.3 * cluster.random.unit();
+    cluster.storeFaults.maxDelay = std::chrono::milliseconds { 1 + cluster.random.below(800) };
+    cluster.roll(withRate(1));
+    startAll(cluster, 2);
+    for (int step = 0; step < 15; ++step) {
+        const auto zone = zones[cluster.random.below(zones.size())];
+        switch (cluster.random.below(6)) {
+        case 0:
+            cluster.cut(zone);
+            break;
+        case 1:
+            cluster.heal(zone);
+            break;
+        case 2:
+            cluster.storeDown = !cluster.storeDown;
+            cluster.applyStoreFaults();
+            break;
+        case 3: {
+            const auto victims = inZone(cluster, zone);
+            const auto id = victims[cluster.random.below(victims.size())]->self.id;
+            cluster.stop(id);
+            cluster.start(zone);
+            break;
+        }
+        default:
+            cluster.roll(withRate(1 + cluster.random.below(50)));
+        }
+        cluster.run(std::chrono::milliseconds { cluster.random.below(5000) });
+        if (auto broken = cluster.violation(); !broken.empty())
+            return broken;
+    }
+    cluster.cutZones.clear();
+    cluster.storeDown = false;
+    cluster.storeFaults = {};
+    cluster.lossRate = 0;
+    cluster.corruptionRate = 0;
+    cluster.maxLatency = 5ms;
+    cluster.applyStoreFaults();
+    // Longest wait: a peer that was blocked for damaged content, then the backstop poll.
+    cluster.run(40s);
+    if (!cluster.allOnHead())
+        return "a process is behind after all faults ended";
+    return cluster.violation();
+}
+
+} // namespace
+
+// Guards against reverts, unproven content and processes left behind under random faults.
+TEST(DistributorPropertyTest, VersionsOnlyGrowAndAllCatchUp)
+{
+    constexpr std::uint64_t firstSeed = 80'000;
+    constexpr std::uint64_t schedules = 2000;
+    std::cout << "seeds " << firstSeed << " to " << firstSeed + schedules - 1 << std::endl;
+    for (auto seed = firstSeed; seed < firstSeed + schedules; ++seed)
+        ASSERT_EQ(runSchedule(seed), "") << "seed " << seed;
+}
+
+} // namespace chivewinch::bundle
