--- a/src/bundle/version_guard.cpp
+++ b/src/bundle/version_guard.cpp
@@ -16,7 +16,12 @@
         return this->refuse(ErrorCode::Older,
             "version " + std::to_string(static_cast<std::uint64_t>(proof.version)) + " is not newer than "
                 + std::to_string(static_cast<std::uint64_t>(this->inForce)));
-    return !this->options.verifySignatures || verifyProof(proof, this->keys, this->reason);
+    if (!this->options.verifySignatures || proof == this->verified)
+        return true;
+    if (!verifyProof(proof, this->keys, this->reason))
+        return false;
+    this->verified = proof;
+    return true;
 }
 
 bool VersionGuard::admit(const Proof& proof, const std::string& contentHash)
--- a/src/bundle/version_guard.hpp
+++ b/src/bundle/version_guard.hpp
@@ -30,6 +30,7 @@
     TrustedKeys keys;
     VersionGuardOptions options;
     base::BundleVersion inForce {};
+    Proof verified; ///< Last proof with valid signatures; one version is offered several times on its way into force.
     Error reason;
 
     bool refuse(ErrorCode code, std::string detail);
