Search moves by trial and compare policies on four traces

Layers with fewer than eight observed intervals are left alone: estimates from the first reports had raised the p99 skew to 5.6.

--- a/bench/expert_bench.cpp
+++ b/bench/expert_bench.cpp
@@ -35,11 +35,14 @@
 using Policy = std::function<Step(const expert::ExpertMap&, const expert::LoadEstimator&, std::uint64_t)>;
 
 expert::ExpertMap solveAll(
-    const expert::GroupShape& shape, const std::function<std::vector<double>(std::uint32_t)>& load)
+    const expert::GroupShape& shape, const std::function<std::vector<double>(std::uint32_t)>& load, bool improve)
 {
     std::vector<expert::LayerMap> layers;
-    for (std::uint32_t layer = 0; layer < shape.layers; ++layer)
+    for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
         layers.push_back(*expert::solveLayer(shape, load(layer)));
+        if (improve)
+            layers.back() = expert::improveLayer(shape, layers.back(), load(layer), {}).layer;
+    }
     expert::MapError error;
     return *expert::ExpertMap::create(shape, std::move(layers), error);
 }
@@ -68,8 +71,8 @@
     for (std::uint64_t interval = 0; interval < options.intervals; ++interval) {
         const auto loads = trace.next();
         if (!map)
-            map = std::make_shared<expert::ExpertMap>(
-                solveAll(options.shape, [&](auto layer) { return loads[layer]; }));
+            map = std::make_shared<expert::ExpertMap>(solveAll(
+                options.shape, [&](auto layer) { return loads[layer]; }, true));
         if (next && interval >= nextAt)
             map = std::exchange(next, nullptr);
         for (std::uint32_t layer = 0; layer < options.shape.layers; ++layer)
@@ -100,7 +103,10 @@
 Policy resolveAlways()
 {
     return [](const expert::ExpertMap& map, const expert::LoadEstimator& estimator, std::uint64_t) {
-        return Step { .map = solveAll(map.shape(), [&](auto layer) { return estimator.layer(layer).load; }) };
+        if (estimator.layer(0).intervals < expert::PlannerOptions {}.minIntervals)
+            return Step {};
+        return Step { .map = solveAll(
+                          map.shape(), [&](auto layer) { return estimator.layer(layer).load; }, false) };
     };
 }
 
--- a/src/expert/layer_plan.cpp
+++ b/src/expert/layer_plan.cpp
@@ -58,71 +58,96 @@
     return balance;
 }
 
-/** Replica to give up for another one. */
-struct Victim {
+/** Loads a replica of an expert into a slot, which another replica may have to leave. */
+struct Move {
+    double score = 0;
+    std::uint32_t expert = 0;
     std::uint32_t rank = 0;
-    std::optional<std::uint32_t> expert; ///< Empty when the rank has a free slot.
+    std::optional<std::uint32_t> victim; ///< Empty when the rank has a free slot.
 };
 
-std::optional<Victim> coldestVictim(const LayerBalance& balance, std::uint32_t wanted)
+constexpr std::size_t expertsTried = 2;
+constexpr std::size_t slotsTried = 5;
+
+double partOf(const LayerBalance& balance, std::uint32_t expert, std::uint32_t rank)
 {
-    std::optional<Victim> best;
-    auto bestScore = std::numeric_limits<double>::infinity();
-    const auto consider = [&](double score, Victim victim) {
-        if (score < bestScore) {
-            bestScore = score;
-            best = victim;
-        }
-    };
+    return std::ranges::find(balance.parts(expert), rank, &LayerBalance::Part::rank)->load;
+}
+
+/** The slots with the least load on the rank and the replica to be given up. */
+void collectSlots(const LayerBalance& balance, std::uint32_t wanted, std::vector<Move>& moves)
+{
+    std::vector<Move> found;
     for (std::uint32_t rank = 0; rank < balance.rankLoads().size(); ++rank) {
         const auto rankLoad = balance.rankLoads()[rank];
-        if (rankLoad >= bestScore || balance.holds(wanted, rank))
+        if (balance.holds(wanted, rank))
             continue;
         if (balance.freeSlots(rank) > 0) {
-            consider(rankLoad, { .rank = rank, .expert = std::nullopt });
+            found.push_back({ .score = rankLoad, .expert = wanted, .rank = rank, .victim = std::nullopt });
             continue;
         }
         for (const auto expert : balance.expertsOn(rank)) {
-            const auto& parts = balance.parts(expert);
-            if (parts.size() < 2)
-                continue;
-            const auto part = std::ranges::find(parts, rank, &LayerBalance::Part::rank)->load;
-            consider(rankLoad + part, { .rank = rank, .expert = expert });
+            if (balance.parts(expert).size() > 1)
+                found.push_back({ rankLoad + partOf(balance, expert, rank), wanted, rank, expert });
         }
     }
-    return best;
+    const auto count = std::min(slotsTried, found.size());
+    std::ranges::partial_sort(found, found.begin() + static_cast<std::ptrdiff_t>(count), {}, &Move::score);
+    moves.insert(moves.end(), found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count));
 }
 
-/** Expert that puts the most load on the rank. */
-std::optional<std::uint32_t> heaviestExpert(const LayerBalance& balance, std::uint32_t rank)
+/** Experts that put the most load on the rank. */
+std::vector<std::uint32_t> heaviestExperts(const LayerBalance& balance, std::uint32_t rank)
 {
-    std::optional<std::uint32_t> best;
-    double bestLoad = 0;
+    std::vector<std::uint32_t> found;
     for (const auto expert : balance.expertsOn(rank)) {
-        const auto& parts = balance.parts(expert);
-        const auto load = std::ranges::find(parts, rank, &LayerBalance::Part::rank)->load;
-        if (load > bestLoad && parts.size() < balance.rankLoads().size()) {
-            bestLoad = load;
-            best = expert;
-        }
+        if (balance.parts(expert).size() < balance.rankLoads().size())
+            found.push_back(expert);
     }
-    return best;
+    std::ranges::sort(found, std::greater {}, [&](auto expert) { return partOf(balance, expert, rank); });
+    found.resize(std::min(found.size(), expertsTried));
+    return found;
+}
+
+/** Smooth stand-in for the maximum: several equally loaded ranks count more than one. */
+double unevenness(const LayerBalance& balance)
+{
+    double sum = 0;
+    for (const auto load : balance.rankLoads()) {
+        const auto square = load * load * static_cast<double>(balance.rankLoads().size() * balance.rankLoads().size());
+        const auto fourth = square * square;
+        sum += fourth * fourth;
+    }
+    return sum;
+}
+
+LayerBalance moved(LayerBalance balance, const Move& move, std::uint32_t sweeps)
+{
+    if (move.victim)
+        balance.removeReplica(*move.victim, move.rank);
+    balance.addReplica(move.expert, move.rank);
+    balance.evenShares(sweeps);
+    return balance;
 }
 
-/** Gives the heaviest expert of the hottest rank a replica on a cold rank; false when there is no such move. */
-bool moveOnce(LayerBalance& balance)
+/** Best of a few moves that relieve the hottest rank; nullopt when there is none. */
+std::optional<LayerBalance> bestMove(const LayerBalance& balance, std::uint32_t sweeps)
 {
     const auto hottest = std::ranges::max_element(balance.rankLoads()) - balance.rankLoads().begin();
-    const auto expert = heaviestExpert(balance, static_cast<std::uint32_t>(hottest));
-    if (!expert)
-        return false;
-    const auto victim = coldestVictim(balance, *expert);
-    if (!victim)
-        return false;
-    if (victim->expert)
-        balance.removeReplica(*victim->expert, victim->rank);
-    balance.addReplica(*expert, victim->rank);
-    return true;
+    std::vector<Move> moves;
+    for (const auto expert : heaviestExperts(balance, static_cast<std::uint32_t>(hottest)))
+        collectSlots(balance, expert, moves);
+    std::optional<LayerBalance> best;
+    double bestScore = std::numeric_limits<double>::infinity();
+    for (const auto& move : moves) {
+        auto tried = moved(balance, move, sweeps);
+        const auto score = unevenness(tried);
+        if (score < bestScore) {
+            bestScore = score;
+            best = std::move(tried);
+        }
+    }
+    return best;
 }
 
 } // namespace internal
@@ -150,9 +175,12 @@
     auto bestCost = balance.skew();
     std::uint32_t sinceBest = 0;
     for (std::uint32_t moves = 1; moves <= options.maxMoves && sinceBest < options.patience; ++moves) {
-        if (balance.skew() <= options.targetSkew || !internal::moveOnce(balance))
+        if (balance.skew() <= options.targetSkew)
+            break;
+        auto next = internal::bestMove(balance, options.sweeps);
+        if (!next)
             break;
-        balance.evenShares(options.sweeps);
+        balance = std::move(*next);
         ++sinceBest;
         const auto cost = balance.skew() + moves * options.minGainPerMove;
         if (cost < bestCost) {
--- a/src/expert/load_estimator.cpp
+++ b/src/expert/load_estimator.cpp
@@ -23,13 +23,13 @@
         if (seen[expert])
             total += result[expert] = tokens[expert] / shares[expert];
         else
-            kept += previous.empty() ? 0 : previous[expert];
+            kept += previous[expert];
     }
     for (std::size_t expert = 0; expert < tokens.size(); ++expert) {
         if (seen[expert])
             result[expert] = total > 0 ? result[expert] * (1 - kept) / total : 0;
         else
-            result[expert] = previous.empty() ? 0 : previous[expert];
+            result[expert] = previous[expert];
     }
     return result;
 }
@@ -136,7 +136,8 @@
     if (total <= 0)
         return;
     std::vector<bool> seen(this->shape.experts);
-    const auto observed = internal::normalised(sums.tokens, sums.shares, layer.fast, seen);
+    const auto& previous = layer.observations == 0 ? layer.estimate.load : layer.fast;
+    const auto observed = internal::normalised(sums.tokens, sums.shares, previous, seen);
     this->observe(layer, observed, seen);
     this->publish(layer, this->classify(layer));
 }
@@ -197,6 +198,7 @@
         layer.driftRun = 0;
     }
     layer.estimate.drift = drift;
+    layer.estimate.intervals = layer.observations;
     layer.estimate.load = layer.slow;
     internal::scaleToOne(layer.estimate.load);
     const auto factor = std::max(internal::averageFactor(this->options.slowWeight), 1 / static_cast<double>(layer.age));
--- a/src/expert/load_estimator.hpp
+++ b/src/expert/load_estimator.hpp
@@ -40,6 +40,7 @@
     std::vector<double> load;
     std::vector<double> deviation; ///< Standard deviation of each load.
     Drift drift = Drift::None;
+    std::uint64_t intervals = 0; ///< Observed so far.
 
     bool operator==(const LayerEstimate&) const = default;
 };
--- a/src/expert/planner.cpp
+++ b/src/expert/planner.cpp
@@ -14,6 +14,7 @@
 constexpr std::array<std::string_view, static_cast<std::size_t>(DecisionReason::Count)> decisionNames {
     "changed",
     "balanced_enough",
+    "too_few_reports",
     "within_noise",
     "gain_below_cost",
     "weight_store_busy",
@@ -89,6 +90,10 @@
     const auto skewNow = LayerBalance { shape, layer, estimate.load }.skew();
     decision.skewNow += draft.perLayer(skewNow);
     const auto keep = [&] { decision.skewProposed += draft.perLayer(skewNow); };
+    if (estimate.intervals < this->options.minIntervals) {
+        ++decision.layersUnknown;
+        return keep();
+    }
     if (skewNow <= this->options.tolerableSkew)
         return keep();
     if (!this->significant(draft.map, index, estimate)) {
@@ -160,6 +165,8 @@
         decision.reason = draft.storeLimited ? DecisionReason::WeightStoreBusy : DecisionReason::GainBelowCost;
     else if (decision.layersWithinNoise > 0)
         decision.reason = DecisionReason::WithinNoise;
+    else if (decision.layersUnknown > 0)
+        decision.reason = DecisionReason::TooFewReports;
 }
 
 } // namespace chivewinch::expert
--- a/src/expert/planner.hpp
+++ b/src/expert/planner.hpp
@@ -19,6 +19,7 @@
     double horizonIntervals = 30; ///< Intervals for which a gain is expected to last.
     double changeCost = 0.0005; ///< Fixed cost of a change, as a part of loading all weights.
     double significance = 4.5; ///< Standard deviations by which the hottest rank must exceed its load under the map.
+    std::uint64_t minIntervals = 8; ///< A layer with fewer observed intervals is left as it is.
     double targetSkew = 1.01;
     double tolerableSkew = 1.03; ///< A layer below this skew is left as it is.
     std::uint32_t maxMovesPerLayer = 64;
@@ -30,6 +31,7 @@
 enum class DecisionReason : std::uint8_t {
     Changed,
     BalancedEnough,
+    TooFewReports,
     WithinNoise,
     GainBelowCost,
     WeightStoreBusy,
@@ -49,6 +51,7 @@
     double cost = 0;
     std::uint32_t layersChanged = 0;
     std::uint32_t layersWithinNoise = 0;
+    std::uint32_t layersUnknown = 0; ///< Too few reports.
     std::uint64_t moves = 0;
     std::uint64_t bytes = 0;
     std::chrono::nanoseconds transferTime {};
