--- a/bench/expert_bench.cpp
+++ b/bench/expert_bench.cpp
@@ -78,6 +78,17 @@
         for (std::uint32_t layer = 0; layer < options.shape.layers; ++layer)
             samples.push_back(bench::layerSkew(*map, layer, loads[layer]));
         reporter.report(map, loads, interval, estimator);
+        if (std::getenv("DBG") && interval % 20 == 19) {
+            double m = 0, x = 0, lo = 9;
+            for (std::uint32_t l = 0; l < options.shape.layers; ++l) {
+                const auto& e = estimator.layer(l);
+                m += e.driftScore / options.shape.layers;
+                x = std::max(x, e.driftScore);
+                lo = std::min(lo, e.driftScore);
+            }
+            std::cerr << options.kind << " " << interval << " score min " << lo << " mean " << m << " max " << x
+                      << "\n";
+        }
         if (next)
             continue;
         auto step = policy(*map, estimator, interval);
--- a/src/expert/load_estimator.cpp
+++ b/src/expert/load_estimator.cpp
@@ -8,8 +8,8 @@
 
 namespace internal {
 
-/** Variance of an exponential average relative to that of one observation. */
-double averageFactor(double weight) { return weight / (2 - weight); }
+constexpr std::size_t longDifference = 4; ///< Intervals.
+constexpr double trendWeight = 0.4;
 
 /** Popularities of the experts that were seen; the others keep their previous value. */
 std::vector<double> normalised(const std::vector<double>& tokens, const std::vector<double>& shares,
@@ -86,11 +86,11 @@
 void LoadEstimator::close(std::uint64_t interval)
 {
     this->current = std::max(this->current.value_or(interval), interval);
-    const auto allReports = this->shape.ranks * this->shape.layers;
+    const auto quorum = this->options.quorum * this->shape.ranks * this->shape.layers;
     while (!this->pending.empty()) {
         const auto& first = this->pending.front();
         const bool overdue = first.number + this->options.lateIntervals <= interval;
-        if (first.number > interval || (!overdue && first.reports < allReports))
+        if (first.number > interval || (!overdue && first.reports < quorum))
             break;
         this->fold(first);
         this->pending.erase(this->pending.begin());
@@ -136,74 +136,89 @@
     if (total <= 0)
         return;
     std::vector<bool> seen(this->shape.experts);
-    const auto& previous = layer.observations == 0 ? layer.estimate.load : layer.fast;
+    const auto& previous = layer.observations == 0 ? layer.estimate.load : layer.level;
     const auto observed = internal::normalised(sums.tokens, sums.shares, previous, seen);
-    this->observe(layer, observed, seen);
-    this->publish(layer, this->classify(layer));
+    if (layer.observations++ == 0)
+        this->start(layer, observed);
+    this->measureNoise(layer, observed);
+    bool surge = false;
+    for (std::uint32_t expert = 0; expert < observed.size(); ++expert) {
+        if (seen[expert])
+            surge = this->follow(layer, expert, observed[expert]) >= this->options.surgeGain || surge;
+        layer.estimate.deviation[expert] = std::sqrt(layer.variance[expert]);
+    }
+    this->publish(layer, surge);
 }
 
-// Successive differences measure noise without being raised by a slow trend.
-void LoadEstimator::observe(Layer& layer, const std::vector<double>& observed, const std::vector<bool>& seen) const
+void LoadEstimator::start(Layer& layer, const std::vector<double>& observed) const
 {
-    ++layer.age;
-    if (layer.observations++ == 0) {
-        layer.fast = layer.slow = layer.previous = observed;
-        layer.variance.assign(observed.size(), 0);
-        return;
-    }
-    const auto noiseWeight = std::max(this->options.noiseWeight, 1 / static_cast<double>(layer.observations - 1));
-    const auto slowWeight = std::max(this->options.slowWeight, 1 / static_cast<double>(layer.age));
-    for (std::size_t expert = 0; expert < observed.size(); ++expert) {
-        if (!seen[expert])
-            continue;
-        const auto step = observed[expert] - layer.previous[expert];
-        layer.variance[expert] += noiseWeight * (step * step / 2 - layer.variance[expert]);
-        layer.fast[expert] += this->options.fastWeight * (observed[expert] - layer.fast[expert]);
-        layer.slow[expert] += slowWeight * (observed[expert] - layer.slow[expert]);
-        layer.previous[expert] = observed[expert];
-    }
+    layer.level = observed;
+    layer.noise.assign(observed.size(), 0);
+    layer.variance.assign(observed.size(), 0);
+    layer.trend.assign(observed.size(), 0);
 }
 
-// The squared distance of the short from the long average, divided by its expectation under noise alone, has mean 1
-// and varies little because it is a mean over all experts of the layer.
-Drift LoadEstimator::classify(Layer& layer) const
+void LoadEstimator::measureNoise(Layer& layer, const std::vector<double>& observed) const
 {
-    constexpr std::uint64_t minAge = 4;
-    if (layer.observations < 2 * minAge || layer.age < minAge)
-        return Drift::None;
-    const auto factor = internal::averageFactor(this->options.fastWeight) * (1 - this->options.slowWeight);
-    double sum = 0;
-    double count = 0;
-    for (std::size_t expert = 0; expert < layer.fast.size(); ++expert) {
-        const auto distance = layer.fast[expert] - layer.slow[expert];
-        if (layer.variance[expert] <= 0)
-            continue;
-        sum += std::min(distance * distance / (layer.variance[expert] * factor), 100.0);
-        ++count;
+    constexpr double maxScore = 10; // One expert must not outweigh the layer.
+    const auto weight = std::max(this->options.noiseWeight, 1 / static_cast<double>(layer.observations));
+    double excess = 0;
+    double score = 0;
+    if (!layer.history.empty()) {
+        for (std::size_t expert = 0; expert < observed.size(); ++expert) {
+            const auto shortStep = observed[expert] - layer.history.back()[expert];
+            const auto longStep = observed[expert] - layer.history.front()[expert];
+            layer.noise[expert] += weight * (shortStep * shortStep / 2 - layer.noise[expert]);
+            const auto growth = longStep * longStep - shortStep * shortStep;
+            if (layer.level[expert] > 0)
+                excess += growth / (layer.level[expert] * layer.level[expert]);
+            if (layer.noise[expert] > 0)
+                score += std::clamp(growth / (2 * layer.noise[expert]), -maxScore, maxScore);
+        }
     }
-    const auto ratio = count > 0 ? sum / count : 0;
-    layer.driftRun = ratio > this->options.driftLimit ? layer.driftRun + 1 : 0;
-    if (ratio > this->options.surgeLimit)
-        return Drift::Surge;
-    return layer.driftRun >= this->options.driftIntervals ? Drift::Slow : Drift::None;
+    layer.history.push_back(observed);
+    if (layer.history.size() <= internal::longDifference)
+        return;
+    layer.history.erase(layer.history.begin());
+    excess /= static_cast<double>(observed.size() * (internal::longDifference - 1));
+    layer.drift += weight * (excess - layer.drift);
+    layer.score += weight * (score / static_cast<double>(observed.size()) - layer.score);
 }
 
-// After a change the long average restarts from the short one and averages over the new intervals only.
-void LoadEstimator::publish(Layer& layer, Drift drift) const
+/** Moves the level of an expert towards the observation; returns the gain. */
+double LoadEstimator::follow(Layer& layer, std::uint32_t expert, double observed) const
 {
-    constexpr std::uint64_t ageAfterDrift = 2;
-    if (drift != Drift::None) {
-        layer.slow = layer.fast;
-        layer.age = ageAfterDrift;
-        layer.driftRun = 0;
+    auto& level = layer.level[expert];
+    auto& variance = layer.variance[expert];
+    const auto noise = layer.noise[expert];
+    const auto innovation = observed - level;
+    if (layer.observations == 1)
+        return 0;
+    if (layer.observations == 2)
+        variance = noise;
+    variance += std::max(0.0, layer.drift) * level * level;
+    auto gain = noise > 0 ? variance / (variance + noise) : 1;
+    gain = std::max(gain, this->options.minGain);
+    if (noise > 0) {
+        auto& trend = layer.trend[expert];
+        trend += internal::trendWeight * (innovation / std::sqrt(variance + noise) - trend);
+        const auto spread = std::sqrt(internal::trendWeight / (2 - internal::trendWeight));
+        if (std::abs(trend) > this->options.surgeDeviations * spread)
+            gain = std::max(gain, this->options.surgeGain);
     }
-    layer.estimate.drift = drift;
+    level += gain * innovation;
+    variance = gain * noise;
+    return gain;
+}
+
+void LoadEstimator::publish(Layer& layer, bool surge) const
+{
+    const bool drifting = layer.score >= this->options.driftLimit;
+    layer.estimate.drift = !drifting ? Drift::None : surge ? Drift::Surge : Drift::Slow;
+    layer.estimate.driftScore = layer.score;
     layer.estimate.intervals = layer.observations;
-    layer.estimate.load = layer.slow;
+    layer.estimate.load = layer.level;
     internal::scaleToOne(layer.estimate.load);
-    const auto factor = std::max(internal::averageFactor(this->options.slowWeight), 1 / static_cast<double>(layer.age));
-    for (std::size_t expert = 0; expert < layer.variance.size(); ++expert)
-        layer.estimate.deviation[expert] = std::sqrt(layer.variance[expert] * factor);
 }
 
 } // namespace chivewinch::expert
--- a/src/expert/load_estimator.hpp
+++ b/src/expert/load_estimator.hpp
@@ -22,13 +22,13 @@
 enum class ReportResult : std::uint8_t { Accepted, Duplicate, TooLate, Malformed };
 
 struct EstimatorOptions {
-    double fastWeight = 0.5; ///< Weight of the newest interval in the short average.
-    double slowWeight = 0.06; ///< Weight of the newest interval in the long average.
-    double noiseWeight = 0.05; ///< Weight of the newest interval in the noise estimate.
-    double surgeLimit = 2.0; ///< Ratio of squared deviation to noise that shows a sudden change.
-    double driftLimit = 1.5; ///< The same for a trend that lasts driftIntervals.
-    std::uint32_t driftIntervals = 3;
-    std::uint32_t lateIntervals = 3; ///< Intervals for which late reports are awaited.
+    double noiseWeight = 0.05; ///< Weight of the newest interval in the estimates of noise and drift.
+    double minGain = 0.03; ///< Least weight of the newest interval in the popularity.
+    double surgeGain = 0.7; ///< Weight for an expert whose deviations have one sign.
+    double surgeDeviations = 3; ///< Standard deviations of the smoothed deviation that show a surge.
+    double driftLimit = 0.12; ///< Drift score from which a layer counts as drifting; noise alone has mean 0.
+    double quorum = 0.8; ///< Part of the reports that closes an interval at its end.
+    std::uint32_t lateIntervals = 3; ///< Intervals for which reports are awaited below the quorum.
 
     bool operator==(const EstimatorOptions&) const = default;
 };
@@ -40,15 +40,20 @@
     std::vector<double> load;
     std::vector<double> deviation; ///< Standard deviation of each load.
     Drift drift = Drift::None;
+    double driftScore = 0; ///< Mean over the experts of the growth of differences with their span, in units of noise.
     std::uint64_t intervals = 0; ///< Observed so far.
 
     bool operator==(const LayerEstimate&) const = default;
 };
 
 /**
- * Estimates the popularity of experts from reports that may be noisy, late, repeated or missing. An interval is closed
- * once all reports have arrived or lateIntervals have passed. The counts of an expert are scaled by the shares of the
- * replicas that reported, so a missing rank does not look like a loss of popularity.
+ * Estimates the popularity of experts from reports that may be noisy, late, repeated or missing. The counts of an
+ * expert are scaled by the shares of the replicas that reported, so a missing rank does not look like a loss of
+ * popularity.
+ *
+ * Each popularity is a random walk seen through noise. Differences over one and over several intervals tell the two
+ * apart: noise adds the same to both, drift adds more to the longer one. The drift is estimated over all experts of a
+ * layer and sets the gain of the filter. An expert whose deviations keep one sign is followed faster.
  */
 class LoadEstimator {
 public:
@@ -57,7 +62,7 @@
     /** The map is the one that the group used in the interval of the report. */
     [[nodiscard]] ReportResult add(const LoadReport& report, const ExpertMap& map);
 
-    /** Ends an interval; all reports up to and including interval - lateIntervals are folded in. */
+    /** Ends an interval: it is folded in with a quorum of its reports, otherwise after lateIntervals. */
     void close(std::uint64_t interval);
     /** Folds in all reports that have arrived. */
     void flush();
@@ -81,13 +86,14 @@
     };
 
     struct Layer {
-        std::vector<double> fast;
-        std::vector<double> slow;
-        std::vector<double> previous;
-        std::vector<double> variance; ///< Of one interval's observation.
+        std::vector<double> level;
+        std::vector<std::vector<double>> history; ///< Last observations, oldest first.
+        std::vector<double> noise; ///< Variance of one observation.
+        std::vector<double> variance; ///< Of the level.
+        std::vector<double> trend; ///< Smoothed deviation from the level in standard deviations.
+        double drift = 0; ///< Variance of the relative change in one interval.
+        double score = 0;
         std::uint64_t observations = 0;
-        std::uint64_t age = 0; ///< Intervals in the long average.
-        std::uint32_t driftRun = 0;
         LayerEstimate estimate;
     };
 
@@ -95,9 +101,10 @@
     [[nodiscard]] Sums emptySums() const;
     void fold(const Interval& interval);
     void foldLayer(Layer& layer, const Sums& sums) const;
-    void observe(Layer& layer, const std::vector<double>& observed, const std::vector<bool>& seen) const;
-    [[nodiscard]] Drift classify(Layer& layer) const;
-    void publish(Layer& layer, Drift drift) const;
+    void start(Layer& layer, const std::vector<double>& observed) const;
+    void measureNoise(Layer& layer, const std::vector<double>& observed) const;
+    [[nodiscard]] double follow(Layer& layer, std::uint32_t expert, double observed) const;
+    void publish(Layer& layer, bool surge) const;
 
     GroupShape shape;
     EstimatorOptions options;
--- a/src/expert/planner.cpp
+++ b/src/expert/planner.cpp
@@ -94,7 +94,8 @@
         ++decision.layersUnknown;
         return keep();
     }
-    if (skewNow <= this->options.tolerableSkew)
+    const bool drifting = estimate.drift != Drift::None;
+    if (skewNow <= (drifting ? this->options.driftTolerableSkew : this->options.tolerableSkew))
         return keep();
     if (!this->significant(draft.map, index, estimate)) {
         ++decision.layersWithinNoise;
@@ -135,10 +136,13 @@
         loads[replica.rank] += share * estimate.load[replica.expert];
         variances[replica.rank] += deviation * deviation;
     }
+    const bool drifting = estimate.drift != Drift::None;
+    const auto tolerable = drifting ? this->options.driftTolerableSkew : this->options.tolerableSkew;
+    const auto limit = drifting ? this->options.driftSignificance : this->options.significance;
     const auto mean = 1.0 / map.shape().ranks;
     for (std::size_t rank = 0; rank < loads.size(); ++rank) {
-        const auto excess = loads[rank] - mean * this->options.tolerableSkew;
-        if (excess > 0 && excess > this->options.significance * std::sqrt(variances[rank]))
+        const auto excess = loads[rank] - mean * tolerable;
+        if (excess > 0 && excess > limit * std::sqrt(variances[rank]))
             return true;
     }
     return false;
