--- a/bench/expert_bench.cpp
+++ b/bench/expert_bench.cpp
@@ -78,6 +78,12 @@
         for (std::uint32_t layer = 0; layer < options.shape.layers; ++layer)
             samples.push_back(bench::layerSkew(*map, layer, loads[layer]));
         reporter.report(map, loads, interval, estimator);
+        if (std::getenv("DBG2") && interval % 6 == 0) {
+            double m = 0;
+            for (std::size_t k = samples.size() - options.shape.layers; k < samples.size(); ++k)
+                m += samples[k] / options.shape.layers;
+            std::cerr << options.kind << interval << " skew " << m << "\n";
+        }
         if (std::getenv("DBG") && interval % 20 == 19) {
             double m = 0, x = 0, lo = 9;
             for (std::uint32_t l = 0; l < options.shape.layers; ++l) {
@@ -147,10 +153,12 @@
 void compare(const std::string& kind, const expert::GroupShape& shape)
 {
     const bench::TraceOptions options { .kind = kind, .shape = shape };
-    const auto fixed = simulate(options, staticMap());
-    print(kind + " static", fixed);
-    const auto full = simulate(options, resolveAlways());
-    print(kind + " resolve", full);
+    if (!std::getenv("FAST")) {
+        const auto fixed = simulate(options, staticMap());
+        print(kind + " static", fixed);
+        const auto full = simulate(options, resolveAlways());
+        print(kind + " resolve", full);
+    }
     const auto ours
         = simulate(options, planned(defaultSkewWeight, defaultCostWeight, std::make_shared<expert::WeightPacer>()));
     print(kind + " ours", ours);
--- a/src/expert/load_estimator.cpp
+++ b/src/expert/load_estimator.cpp
@@ -127,6 +127,7 @@
 {
     for (std::uint32_t index = 0; index < this->shape.layers; ++index)
         this->foldLayer(this->layers[index], interval.layers[index]);
+    this->poolDrift();
     this->closed = interval.number;
 }
 
@@ -141,13 +142,13 @@
     if (layer.observations++ == 0)
         this->start(layer, observed);
     this->measureNoise(layer, observed);
-    bool surge = false;
+    layer.surge = false;
     for (std::uint32_t expert = 0; expert < observed.size(); ++expert) {
-        if (seen[expert])
-            surge = this->follow(layer, expert, observed[expert]) >= this->options.surgeGain || surge;
+        if (seen[expert] && this->follow(layer, expert, observed[expert]) >= this->options.surgeGain)
+            layer.surge = true;
         layer.estimate.deviation[expert] = std::sqrt(layer.variance[expert]);
     }
-    this->publish(layer, surge);
+    this->publish(layer);
 }
 
 void LoadEstimator::start(Layer& layer, const std::vector<double>& observed) const
@@ -161,28 +162,32 @@
 void LoadEstimator::measureNoise(Layer& layer, const std::vector<double>& observed) const
 {
     constexpr double maxScore = 10; // One expert must not outweigh the layer.
-    const auto weight = std::max(this->options.noiseWeight, 1 / static_cast<double>(layer.observations));
+    const auto count = static_cast<double>(layer.observations);
+    const auto noiseWeight = std::max(this->options.noiseWeight, 1 / count);
+    const bool scored = layer.observations > this->options.warmUpIntervals;
     double excess = 0;
     double score = 0;
-    if (!layer.history.empty()) {
-        for (std::size_t expert = 0; expert < observed.size(); ++expert) {
-            const auto shortStep = observed[expert] - layer.history.back()[expert];
-            const auto longStep = observed[expert] - layer.history.front()[expert];
-            layer.noise[expert] += weight * (shortStep * shortStep / 2 - layer.noise[expert]);
-            const auto growth = longStep * longStep - shortStep * shortStep;
-            if (layer.level[expert] > 0)
-                excess += growth / (layer.level[expert] * layer.level[expert]);
-            if (layer.noise[expert] > 0)
-                score += std::clamp(growth / (2 * layer.noise[expert]), -maxScore, maxScore);
-        }
+    for (std::size_t expert = 0; expert < observed.size() && !layer.history.empty(); ++expert) {
+        const auto shortStep = observed[expert] - layer.history.back()[expert];
+        const auto longStep = observed[expert] - layer.history.front()[expert];
+        const auto growth = longStep * longStep - shortStep * shortStep;
+        if (layer.level[expert] > 0)
+            excess += growth / (layer.level[expert] * layer.level[expert]);
+        // The noise known before this interval: with the new difference included the score would be biased.
+        if (layer.noise[expert] > 0)
+            score += std::clamp(growth / (2 * layer.noise[expert]), -maxScore, maxScore);
+        layer.noise[expert] += noiseWeight * (shortStep * shortStep / 2 - layer.noise[expert]);
     }
     layer.history.push_back(observed);
     if (layer.history.size() <= internal::longDifference)
         return;
     layer.history.erase(layer.history.begin());
-    excess /= static_cast<double>(observed.size() * (internal::longDifference - 1));
-    layer.drift += weight * (excess - layer.drift);
-    layer.score += weight * (score / static_cast<double>(observed.size()) - layer.score);
+    if (!scored)
+        return;
+    const auto weight = std::max(this->options.noiseWeight, 1 / (count - this->options.warmUpIntervals));
+    const auto experts = static_cast<double>(observed.size());
+    layer.drift += weight * (excess / (experts * (internal::longDifference - 1)) - layer.drift);
+    layer.score += weight * (score / experts - layer.score);
 }
 
 /** Moves the level of an expert towards the observation; returns the gain. */
@@ -196,7 +201,8 @@
         return 0;
     if (layer.observations == 2)
         variance = noise;
-    variance += std::max(0.0, layer.drift) * level * level;
+    const bool ownDrift = layer.score >= this->options.layerDriftLimit;
+    variance += std::max(this->pooledDrift, ownDrift ? layer.drift : 0) * level * level;
     auto gain = noise > 0 ? variance / (variance + noise) : 1;
     gain = std::max(gain, this->options.minGain);
     if (noise > 0) {
@@ -211,14 +217,29 @@
     return gain;
 }
 
-void LoadEstimator::publish(Layer& layer, bool surge) const
+void LoadEstimator::publish(Layer& layer) const
 {
-    const bool drifting = layer.score >= this->options.driftLimit;
-    layer.estimate.drift = !drifting ? Drift::None : surge ? Drift::Surge : Drift::Slow;
     layer.estimate.driftScore = layer.score;
     layer.estimate.intervals = layer.observations;
     layer.estimate.load = layer.level;
     internal::scaleToOne(layer.estimate.load);
 }
 
+// Popularity drifts in all layers at once, and the mean over the layers varies less than the score of one.
+void LoadEstimator::poolDrift()
+{
+    double score = 0;
+    double drift = 0;
+    for (const auto& layer : this->layers) {
+        score += layer.score / this->shape.layers;
+        drift += layer.drift / this->shape.layers;
+    }
+    const bool groupDrifts = score >= this->options.driftLimit;
+    this->pooledDrift = groupDrifts ? std::max(0.0, drift) : 0;
+    for (auto& layer : this->layers) {
+        const bool drifts = groupDrifts || layer.score >= this->options.layerDriftLimit;
+        layer.estimate.drift = !drifts ? Drift::None : layer.surge ? Drift::Surge : Drift::Slow;
+    }
+}
+
 } // namespace chivewinch::expert
--- a/src/expert/load_estimator.hpp
+++ b/src/expert/load_estimator.hpp
@@ -26,7 +26,9 @@
     double minGain = 0.03; ///< Least weight of the newest interval in the popularity.
     double surgeGain = 0.7; ///< Weight for an expert whose deviations have one sign.
     double surgeDeviations = 3; ///< Standard deviations of the smoothed deviation that show a surge.
-    double driftLimit = 0.12; ///< Drift score from which a layer counts as drifting; noise alone has mean 0.
+    double driftLimit = 0.12; ///< Mean score of all layers from which the group drifts; noise alone has mean 0.
+    double layerDriftLimit = 0.3; ///< Score from which a single layer drifts.
+    std::uint32_t warmUpIntervals = 8; ///< Observations that measure noise before any drift is scored.
     double quorum = 0.8; ///< Part of the reports that closes an interval at its end.
     std::uint32_t lateIntervals = 3; ///< Intervals for which reports are awaited below the quorum.
 
@@ -93,6 +95,7 @@
         std::vector<double> trend; ///< Smoothed deviation from the level in standard deviations.
         double drift = 0; ///< Variance of the relative change in one interval.
         double score = 0;
+        bool surge = false;
         std::uint64_t observations = 0;
         LayerEstimate estimate;
     };
@@ -104,7 +107,8 @@
     void start(Layer& layer, const std::vector<double>& observed) const;
     void measureNoise(Layer& layer, const std::vector<double>& observed) const;
     [[nodiscard]] double follow(Layer& layer, std::uint32_t expert, double observed) const;
-    void publish(Layer& layer, bool surge) const;
+    void publish(Layer& layer) const;
+    void poolDrift();
 
     GroupShape shape;
     EstimatorOptions options;
@@ -113,6 +117,7 @@
     std::optional<std::uint64_t> current; ///< Newest ended interval.
     std::optional<std::uint64_t> closed; ///< Newest folded interval.
     std::uint64_t late = 0;
+    double pooledDrift = 0; ///< Mean of the layers' drift; 0 while the group does not drift.
 };
 
 } // namespace chivewinch::expert
