Choose slots by the overload that a displaced replica causes

The search stalled at a skew of 1.07 to 1.17 after a surge: it tried small replicas on hot ranks first and stopped evening shares as soon as the peak did not move. Slots are now ranked by the load of the rank and the overload of the displaced expert, and shares are evened until little load moves.

--- a/src/expert/layer_balance.cpp
+++ b/src/expert/layer_balance.cpp
@@ -61,19 +61,18 @@
 
 void LayerBalance::evenShares(std::uint32_t sweeps)
 {
+    // The largest load alone is no sign of convergence: load spreads through a large hot set before its peak falls.
     constexpr double converged = 1e-4;
-    double before = this->skew();
     for (std::uint32_t sweep = 0; sweep < sweeps; ++sweep) {
+        double changed = 0;
         for (std::uint32_t expert = 0; expert < this->experts.size(); ++expert)
-            this->fill(expert);
-        const auto after = this->skew();
-        if (std::abs(before - after) < converged)
+            changed += this->fill(expert);
+        if (changed < converged)
             return;
-        before = after;
     }
 }
 
-void LayerBalance::fill(std::uint32_t expert)
+double LayerBalance::fill(std::uint32_t expert)
 {
     auto& parts = this->experts[expert];
     if (parts.size() < 2) {
@@ -81,7 +80,7 @@
             this->ranks[parts[0].rank] += this->expertLoads[expert] - parts[0].load;
             parts[0].load = this->expertLoads[expert];
         }
-        return;
+        return 0;
     }
     this->levels.clear();
     for (auto& part : parts) {
@@ -95,10 +94,14 @@
         sum += this->levels[i];
         level = (sum + this->expertLoads[expert]) / static_cast<double>(i + 1);
     }
+    double changed = 0;
     for (auto& part : parts) {
-        part.load = std::max(0.0, level - this->ranks[part.rank]);
-        this->ranks[part.rank] += part.load;
+        const auto load = std::max(0.0, level - this->ranks[part.rank]);
+        changed += std::abs(load - part.load);
+        part.load = load;
+        this->ranks[part.rank] += load;
     }
+    return changed;
 }
 
 bool LayerBalance::holds(std::uint32_t expert, std::uint32_t rank) const
@@ -124,7 +127,7 @@
     this->ranks[rank] -= place->load;
     parts.erase(place);
     std::erase(this->held[rank], expert);
-    this->fill(expert);
+    (void)this->fill(expert);
 }
 
 LayerMap LayerBalance::toLayer() const
--- a/src/expert/layer_balance.hpp
+++ b/src/expert/layer_balance.hpp
@@ -46,7 +46,8 @@
     [[nodiscard]] double load(std::uint32_t expert) const { return this->expertLoads[expert]; }
 
 private:
-    void fill(std::uint32_t expert);
+    /** Returns the load that changed its rank. */
+    double fill(std::uint32_t expert);
 
     std::uint32_t slots;
     std::vector<double> expertLoads;
--- a/src/expert/layer_plan.cpp
+++ b/src/expert/layer_plan.cpp
@@ -74,7 +74,23 @@
     return std::ranges::find(balance.parts(expert), rank, &LayerBalance::Part::rank)->load;
 }
 
-/** The slots with the least load on the rank and the replica to be given up. */
+/** Overload of the least loaded other rank of the expert when it takes over the part of this rank. */
+double displacedOverload(const LayerBalance& balance, std::uint32_t expert, std::uint32_t rank)
+{
+    const auto& parts = balance.parts(expert);
+    auto lowest = std::numeric_limits<double>::infinity();
+    double part = 0;
+    for (const auto& other : parts) {
+        if (other.rank == rank)
+            part = other.load;
+        else
+            lowest = std::min(lowest, balance.rankLoads()[other.rank]);
+    }
+    const auto mean = 1.0 / static_cast<double>(balance.rankLoads().size());
+    return std::max(0.0, lowest + part / static_cast<double>(parts.size() - 1) - mean);
+}
+
+/** The slots with the least load on the rank and the least harm by the replica that is given up. */
 void collectSlots(const LayerBalance& balance, std::uint32_t wanted, std::vector<Move>& moves)
 {
     std::vector<Move> found;
@@ -88,7 +104,7 @@
         }
         for (const auto expert : balance.expertsOn(rank)) {
             if (balance.parts(expert).size() > 1)
-                found.push_back({ rankLoad + partOf(balance, expert, rank), wanted, rank, expert });
+                found.push_back({ rankLoad + displacedOverload(balance, expert, rank), wanted, rank, expert });
         }
     }
     const auto count = std::min(slotsTried, found.size());
@@ -177,10 +193,11 @@
     for (std::uint32_t moves = 1; moves <= options.maxMoves && sinceBest < options.patience; ++moves) {
         if (balance.skew() <= options.targetSkew)
             break;
-        auto next = internal::bestMove(balance, options.sweeps);
+        auto next = internal::bestMove(balance, options.trialSweeps);
         if (!next)
             break;
         balance = std::move(*next);
+        balance.evenShares(options.sweeps);
         ++sinceBest;
         const auto cost = balance.skew() + moves * options.minGainPerMove;
         if (cost < bestCost) {
