--- a/src/expert/load_estimator.cpp
+++ b/src/expert/load_estimator.cpp
@@ -141,7 +141,7 @@
     const auto observed = internal::normalised(sums.tokens, sums.shares, previous, seen);
     if (layer.observations++ == 0)
         this->start(layer, observed);
-    this->measureNoise(layer, observed);
+    this->measureNoise(layer, observed, seen);
     layer.surge = false;
     for (std::uint32_t expert = 0; expert < observed.size(); ++expert) {
         if (seen[expert] && this->follow(layer, expert, observed[expert]) >= this->options.surgeGain)
@@ -157,9 +157,10 @@
     layer.noise.assign(observed.size(), 0);
     layer.variance.assign(observed.size(), 0);
     layer.trend.assign(observed.size(), 0);
+    layer.slope.assign(observed.size(), 0);
 }
 
-void LoadEstimator::measureNoise(Layer& layer, const std::vector<double>& observed) const
+void LoadEstimator::measureNoise(Layer& layer, const std::vector<double>& observed, const std::vector<bool>& seen) const
 {
     constexpr double maxScore = 10; // One expert must not outweigh the layer.
     const auto count = static_cast<double>(layer.observations);
@@ -176,35 +177,52 @@
         // The noise known before this interval: with the new difference included the score would be biased.
         if (layer.noise[expert] > 0)
             score += std::clamp(growth / (2 * layer.noise[expert]), -maxScore, maxScore);
-        layer.noise[expert] += noiseWeight * (shortStep * shortStep / 2 - layer.noise[expert]);
+        // A value that was kept for lack of reports does not measure noise.
+        if (seen[expert] && layer.seen[expert])
+            layer.noise[expert] += noiseWeight * (shortStep * shortStep / 2 - layer.noise[expert]);
     }
+    layer.seen = seen;
     layer.history.push_back(observed);
     if (layer.history.size() <= internal::longDifference)
         return;
     layer.history.erase(layer.history.begin());
     if (!scored)
         return;
-    const auto weight = std::max(this->options.noiseWeight, 1 / (count - this->options.warmUpIntervals));
+    const auto weight = std::max(this->options.driftWeight, 1 / (count - this->options.warmUpIntervals));
     const auto experts = static_cast<double>(observed.size());
     layer.drift += weight * (excess / (experts * (internal::longDifference - 1)) - layer.drift);
     layer.score += weight * (score / experts - layer.score);
 }
 
+/** Slope reduced by its noise, so that experts without a trend are not extrapolated. */
+double LoadEstimator::credibleSlope(const Layer& layer, std::uint32_t expert, double gain) const
+{
+    const auto weight = this->options.slopeWeight;
+    const auto change = gain * gain * (layer.variance[expert] + layer.noise[expert]);
+    const auto variance = change * weight / (2 - weight);
+    const auto slope = layer.slope[expert];
+    const auto doubt = this->options.slopeDoubt * variance;
+    return slope * slope > doubt ? slope * (1 - doubt / (slope * slope)) : 0;
+}
+
 /** Moves the level of an expert towards the observation; returns the gain. */
 double LoadEstimator::follow(Layer& layer, std::uint32_t expert, double observed) const
 {
     auto& level = layer.level[expert];
     auto& variance = layer.variance[expert];
     const auto noise = layer.noise[expert];
-    const auto innovation = observed - level;
     if (layer.observations == 1)
         return 0;
     if (layer.observations == 2)
         variance = noise;
-    const bool ownDrift = layer.score >= this->options.layerDriftLimit;
-    variance += std::max(this->pooledDrift, ownDrift ? layer.drift : 0) * level * level;
+    const bool ownDrift = layer.score >= this->options.layerDriftLimit * this->limitFactor();
+    const auto drift = std::max(this->pooledDrift, ownDrift ? layer.drift : 0);
+    variance += drift * level * level;
     auto gain = noise > 0 ? variance / (variance + noise) : 1;
     gain = std::max(gain, this->options.minGain);
+    const auto before = level;
+    level = std::max(0.0, level + (drift > 0 ? this->credibleSlope(layer, expert, gain) : 0));
+    const auto innovation = observed - level;
     if (noise > 0) {
         auto& trend = layer.trend[expert];
         trend += internal::trendWeight * (innovation / std::sqrt(variance + noise) - trend);
@@ -214,6 +232,9 @@
     }
     level += gain * innovation;
     variance = gain * noise;
+    layer.slope[expert] += this->options.slopeWeight * (level - before - layer.slope[expert]);
+    const auto lead = drift > 0 ? this->options.leadIntervals * this->credibleSlope(layer, expert, gain) : 0;
+    layer.estimate.load[expert] = std::max(0.0, level + lead);
     return gain;
 }
 
@@ -221,10 +242,19 @@
 {
     layer.estimate.driftScore = layer.score;
     layer.estimate.intervals = layer.observations;
-    layer.estimate.load = layer.level;
+    if (layer.observations == 1)
+        layer.estimate.load = layer.level;
     internal::scaleToOne(layer.estimate.load);
 }
 
+// The first scores vary more than the mean of many.
+double LoadEstimator::limitFactor() const
+{
+    const auto count = this->layers.front().observations;
+    const auto scored = count > this->options.warmUpIntervals ? count - this->options.warmUpIntervals : 1;
+    return 1 + this->options.fewIntervals / static_cast<double>(scored);
+}
+
 // Popularity drifts in all layers at once, and the mean over the layers varies less than the score of one.
 void LoadEstimator::poolDrift()
 {
@@ -234,10 +264,10 @@
         score += layer.score / this->shape.layers;
         drift += layer.drift / this->shape.layers;
     }
-    const bool groupDrifts = score >= this->options.driftLimit;
+    const bool groupDrifts = score >= this->options.driftLimit * this->limitFactor();
     this->pooledDrift = groupDrifts ? std::max(0.0, drift) : 0;
     for (auto& layer : this->layers) {
-        const bool drifts = groupDrifts || layer.score >= this->options.layerDriftLimit;
+        const bool drifts = groupDrifts || layer.score >= this->options.layerDriftLimit * this->limitFactor();
         layer.estimate.drift = !drifts ? Drift::None : layer.surge ? Drift::Surge : Drift::Slow;
     }
 }
--- a/src/expert/load_estimator.hpp
+++ b/src/expert/load_estimator.hpp
@@ -22,13 +22,18 @@
 enum class ReportResult : std::uint8_t { Accepted, Duplicate, TooLate, Malformed };
 
 struct EstimatorOptions {
-    double noiseWeight = 0.05; ///< Weight of the newest interval in the estimates of noise and drift.
+    double noiseWeight = 0.03; ///< Weight of the newest interval in the estimate of noise.
+    double driftWeight = 0.05; ///< Weight of the newest interval in the estimate of drift.
     double minGain = 0.03; ///< Least weight of the newest interval in the popularity.
     double surgeGain = 0.7; ///< Weight for an expert whose deviations have one sign.
     double surgeDeviations = 3; ///< Standard deviations of the smoothed deviation that show a surge.
     double driftLimit = 0.12; ///< Mean score of all layers from which the group drifts; noise alone has mean 0.
     double layerDriftLimit = 0.3; ///< Score from which a single layer drifts.
     std::uint32_t warmUpIntervals = 8; ///< Observations that measure noise before any drift is scored.
+    double fewIntervals = 4; ///< The limits are multiplied by 1 + fewIntervals / scored intervals.
+    double slopeWeight = 0.3; ///< Weight of the newest change in the slope.
+    double slopeDoubt = 3; ///< Squared standard deviations of a slope below which it counts as zero.
+    double leadIntervals = 1; ///< The published load is extrapolated by the time until a new map can be used.
     double quorum = 0.8; ///< Part of the reports that closes an interval at its end.
     std::uint32_t lateIntervals = 3; ///< Intervals for which reports are awaited below the quorum.
 
@@ -90,8 +95,10 @@
     struct Layer {
         std::vector<double> level;
         std::vector<std::vector<double>> history; ///< Last observations, oldest first.
+        std::vector<bool> seen; ///< Experts of the last observation with a report.
         std::vector<double> noise; ///< Variance of one observation.
         std::vector<double> variance; ///< Of the level.
+        std::vector<double> slope; ///< Smoothed change of the level in one interval.
         std::vector<double> trend; ///< Smoothed deviation from the level in standard deviations.
         double drift = 0; ///< Variance of the relative change in one interval.
         double score = 0;
@@ -105,7 +112,9 @@
     void fold(const Interval& interval);
     void foldLayer(Layer& layer, const Sums& sums) const;
     void start(Layer& layer, const std::vector<double>& observed) const;
-    void measureNoise(Layer& layer, const std::vector<double>& observed) const;
+    void measureNoise(Layer& layer, const std::vector<double>& observed, const std::vector<bool>& seen) const;
+    [[nodiscard]] double limitFactor() const;
+    [[nodiscard]] double credibleSlope(const Layer& layer, std::uint32_t expert, double gain) const;
     [[nodiscard]] double follow(Layer& layer, std::uint32_t expert, double observed) const;
     void publish(Layer& layer) const;
     void poolDrift();
--- a/src/expert/planner.cpp
+++ b/src/expert/planner.cpp
@@ -138,7 +138,10 @@
     }
     const bool drifting = estimate.drift != Drift::None;
     const auto tolerable = drifting ? this->options.driftTolerableSkew : this->options.tolerableSkew;
-    const auto limit = drifting ? this->options.driftSignificance : this->options.significance;
+    // Noise measured over few intervals may be too small.
+    const auto fewIntervals
+        = 1 + static_cast<double>(this->options.minIntervals) / static_cast<double>(estimate.intervals);
+    const auto limit = drifting ? this->options.driftSignificance : this->options.significance * fewIntervals;
     const auto mean = 1.0 / map.shape().ranks;
     for (std::size_t rank = 0; rank < loads.size(); ++rank) {
         const auto excess = loads[rank] - mean * tolerable;
--- a/src/expert/planner.hpp
+++ b/src/expert/planner.hpp
@@ -18,7 +18,7 @@
     std::uint64_t bytesPerExpert = 44'000'000; ///< Weights of one expert in one layer.
     double horizonIntervals = 30; ///< Intervals for which a gain is expected to last.
     double changeCost = 0.0005; ///< Fixed cost of a change, as a part of loading all weights.
-    double significance = 4.5; ///< Standard deviations by which a rank must exceed the tolerable load.
+    double significance = 6; ///< Standard deviations by which a rank must exceed the tolerable load.
     double driftSignificance = 1; ///< The same in a layer that drifts.
     std::uint64_t minIntervals = 8; ///< A layer with fewer observed intervals is left as it is.
     double targetSkew = 1.01;
