--- /dev/null
+++ b/examples/expert_planner/main.cpp
@@ -0,0 +1,137 @@
+// Plans one change of a small group with a sudden favourite and brings it into use, without any network.
+
+#include "base/random.hpp"
+#include "expert/decider.hpp"
+#include "expert/layer_plan.hpp"
+#include "expert/planner.hpp"
+#include "expert/rank_agent.hpp"
+#include "expert/render.hpp"
+
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+using namespace chivewinch;
+
+const expert::GroupShape shape { .ranks = 16, .experts = 32, .layers = 4, .slotsPerRank = 4 };
+constexpr std::uint64_t quietIntervals = 30;
+constexpr std::uint64_t busyIntervals = 15;
+constexpr double tokensPerInterval = 1e6;
+constexpr double favouriteFactor = 6;
+
+std::vector<double> popularity(bool busy)
+{
+    std::vector<double> loads(shape.experts, 1.0);
+    loads[7] = busy ? favouriteFactor : 1;
+    double sum = 0;
+    for (const auto load : loads)
+        sum += load;
+    for (auto& load : loads)
+        load /= sum;
+    return loads;
+}
+
+expert::ExpertMap firstMap()
+{
+    std::vector<expert::LayerMap> layers(shape.layers, *expert::solveLayer(shape, popularity(false)));
+    expert::MapError error;
+    return *expert::ExpertMap::create(shape, std::move(layers), error);
+}
+
+/** Reports of all ranks for one interval, with 5% noise. */
+void report(
+    const expert::ExpertMap& map, std::uint64_t interval, base::RandomSource& random, expert::LoadEstimator& estimator)
+{
+    const auto loads = popularity(interval >= quietIntervals);
+    for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
+        std::vector<expert::LoadReport> reports(shape.ranks);
+        for (const auto& replica : map.layer(layer)) {
+            const auto noise = 0.95 + 0.1 * random.unit();
+            const auto tokens = tokensPerInterval * loads[replica.expert] * replica.share / expert::shareUnit * noise;
+            reports[replica.rank].tokens.push_back(static_cast<std::uint64_t>(tokens));
+        }
+        for (std::uint32_t rank = 0; rank < shape.ranks; ++rank) {
+            reports[rank].rank = rank;
+            reports[rank].layer = layer;
+            reports[rank].interval = interval;
+            (void)estimator.add(reports[rank], map);
+        }
+    }
+    estimator.close(interval);
+}
+
+/** Carries messages between the decider and the agents until none is left; every load succeeds at once. */
+void exchange(expert::Decider& decider, std::vector<expert::RankAgent>& agents, expert::DeciderActions pending)
+{
+    while (!pending.empty()) {
+        expert::DeciderActions next;
+        for (const auto& order : pending) {
+            auto& agent = agents[order.rank];
+            auto actions = agent.onMessage(order.message);
+            for (std::size_t i = 0; i < actions.size(); ++i) {
+                if (const auto* load = std::get_if<expert::LoadMap>(&actions[i])) {
+                    const auto loaded = agent.onLoaded(load->map, true);
+                    actions.insert(actions.end(), loaded.begin(), loaded.end());
+                } else if (const auto* answer = std::get_if<expert::AgentMessage>(&actions[i])) {
+                    const auto answers = decider.onMessage(*answer);
+                    next.insert(next.end(), answers.begin(), answers.end());
+                }
+            }
+        }
+        pending = std::move(next);
+    }
+}
+
+/** Runs one step of the group; in lock-step it ends for all ranks together. */
+void runStep(expert::Decider& decider, std::vector<expert::RankAgent>& agents)
+{
+    exchange(decider, agents, decider.nextStep());
+    const auto& engine = agents[0].engine();
+    decider.onStepFinished(engine.lastStep);
+    std::cout << "step " << engine.lastStep.number << " used map version " << engine.lastMap.version << "\n";
+}
+
+void activate(const expert::ExpertMap& before, const expert::ExpertMap& after)
+{
+    const expert::MapRef boot { .fencing = base::FencingNumber { 1 }, .version = 1, .digest = before.digest() };
+    expert::Decider decider { { .ranks = shape.ranks, .incarnation = base::Incarnation { 1 }, .bootMap = boot } };
+    std::vector<expert::RankAgent> agents;
+    for (std::uint32_t rank = 0; rank < shape.ranks; ++rank)
+        agents.emplace_back(expert::RankAgentOptions { .rank = rank }, expert::EngineStatus { .held = { boot } });
+    exchange(decider, agents, decider.start());
+    runStep(decider, agents);
+    expert::DeciderActions actions;
+    const expert::MapRef proposed { .fencing = base::FencingNumber { 1 }, .version = 2, .digest = after.digest() };
+    const auto status = decider.propose(proposed, base::SteadyTime {}, actions);
+    std::cout << "proposal: " << expert::toString(status) << "\n";
+    exchange(decider, agents, std::move(actions));
+    runStep(decider, agents);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto map = firstMap();
+    expert::LoadEstimator estimator { shape };
+    base::SeededRandom random { 1 };
+    for (std::uint64_t interval = 0; interval < quietIntervals + busyIntervals; ++interval)
+        report(map, interval, random, estimator);
+    const std::vector<expert::OwnerPolicy> owners {
+        { .owner = "kilat-lilin", .skewWeight = 4, .costWeight = 1, .usageTokens = 600 },
+        { .owner = "lepelgilde", .skewWeight = 1, .costWeight = 4, .usageTokens = 400 },
+    };
+    expert::WeightPacer pacer;
+    const auto decision = expert::Planner {}.decide(map, estimator, owners, pacer, base::SteadyTime {});
+    const auto loads = expert::rankLoads(map, estimator);
+    std::cout << expert::planReport(decision) << "\nload per rank before\n" << expert::renderBars(loads);
+    if (argc > 1)
+        std::ofstream { argv[1] } << expert::renderSvg(
+            loads, { .title = "Load per rank", .xLabel = "rank", .yLabel = "load / mean" });
+    if (!decision.map)
+        return 1;
+    std::cout << "\nload per rank after\n" << expert::renderBars(expert::rankLoads(*decision.map, estimator)) << "\n";
+    activate(map, *decision.map);
+    return 0;
+}
--- /dev/null
+++ b/src/expert/render_svg.cpp
@@ -0,0 +1,232 @@
+#include "expert/render.hpp"
+
+#include <cairo-svg.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <limits>
+
+namespace chivewinch::expert {
+
+namespace internal {
+
+constexpr double marginLeft = 64;
+constexpr double marginRight = 16;
+constexpr double marginTop = 36;
+constexpr double marginBottom = 48;
+constexpr double fontSize = 12;
+constexpr double markerRadius = 3;
+constexpr int ticks = 5;
+
+struct Colour {
+    double red = 0;
+    double green = 0;
+    double blue = 0;
+};
+
+constexpr std::array<Colour, 5> palette { { { 0.12, 0.37, 0.71 }, { 0.80, 0.30, 0.10 }, { 0.15, 0.55, 0.25 },
+    { 0.50, 0.25, 0.60 }, { 0.35, 0.35, 0.35 } } };
+
+struct Axis {
+    double low = std::numeric_limits<double>::infinity();
+    double high = -std::numeric_limits<double>::infinity();
+
+    void include(double value)
+    {
+        this->low = std::min(this->low, value);
+        this->high = std::max(this->high, value);
+    }
+
+    [[nodiscard]] double fraction(double value) const
+    {
+        return this->high > this->low ? (value - this->low) / (this->high - this->low) : 0.5;
+    }
+
+    [[nodiscard]] double at(double fraction) const { return this->low + fraction * (this->high - this->low); }
+};
+
+cairo_status_t appendBytes(void* closure, const unsigned char* data, unsigned int length)
+{
+    static_cast<std::string*>(closure)->append(reinterpret_cast<const char*>(data), length);
+    return CAIRO_STATUS_SUCCESS;
+}
+
+/** Runs the drawing on an SVG surface and returns its text. */
+std::string draw(const PlotOptions& options, const std::function<void(cairo_t*)>& drawing)
+{
+    std::string out;
+    auto* surface = cairo_svg_surface_create_for_stream(appendBytes, &out, options.width, options.height);
+    auto* context = cairo_create(surface);
+    cairo_select_font_face(context, "sans-serif", CAIRO_FONT_SLANT_NORMAL, CAIRO_FONT_WEIGHT_NORMAL);
+    cairo_set_font_size(context, fontSize);
+    cairo_set_source_rgb(context, 1, 1, 1);
+    cairo_paint(context);
+    drawing(context);
+    const bool failed = cairo_status(context) != CAIRO_STATUS_SUCCESS;
+    cairo_destroy(context);
+    cairo_surface_finish(surface);
+    const bool unfinished = cairo_surface_status(surface) != CAIRO_STATUS_SUCCESS;
+    cairo_surface_destroy(surface);
+    return failed || unfinished ? std::string {} : out;
+}
+
+void setColour(cairo_t* context, const Colour& colour)
+{
+    cairo_set_source_rgb(context, colour.red, colour.green, colour.blue);
+}
+
+/** Text whose anchor (0 left to 1 right) lies at x. */
+void text(cairo_t* context, double x, double y, double anchor, const std::string& value)
+{
+    cairo_text_extents_t extents;
+    cairo_text_extents(context, value.c_str(), &extents);
+    cairo_move_to(context, x - anchor * extents.x_advance, y);
+    cairo_show_text(context, value.c_str());
+}
+
+std::string number(double value)
+{
+    std::array<char, 32> buffer {};
+    std::snprintf(buffer.data(), buffer.size(), "%.4g", value);
+    return buffer.data();
+}
+
+class Plot {
+public:
+    Plot(cairo_t* context, const PlotOptions& options, Axis x, Axis y)
+        : context { context }
+        , options { options }
+        , x { x }
+        , y { y }
+    {
+    }
+
+    [[nodiscard]] double left(double value) const
+    {
+        return marginLeft + this->x.fraction(value) * (this->options.width - marginLeft - marginRight);
+    }
+
+    [[nodiscard]] double top(double value) const
+    {
+        return this->options.height - marginBottom
+            - this->y.fraction(value) * (this->options.height - marginTop - marginBottom);
+    }
+
+    void frame() const
+    {
+        setColour(this->context, { 0.2, 0.2, 0.2 });
+        text(this->context, this->options.width / 2, marginTop / 2, 0.5, this->options.title);
+        text(this->context, this->options.width / 2, this->options.height - fontSize, 0.5, this->options.xLabel);
+        text(this->context, fontSize, marginTop - fontSize / 2, 0, this->options.yLabel);
+        for (int tick = 0; tick <= ticks; ++tick) {
+            const auto fraction = static_cast<double>(tick) / ticks;
+            this->xTick(this->x.at(fraction));
+            this->yTick(this->y.at(fraction));
+        }
+    }
+
+    void line(const Series& series, const Colour& colour) const
+    {
+        setColour(this->context, colour);
+        cairo_set_line_width(this->context, 1.5);
+        for (std::size_t i = 0; i < series.x.size(); ++i)
+            cairo_line_to(this->context, this->left(series.x[i]), this->top(series.y[i]));
+        cairo_stroke(this->context);
+        for (std::size_t i = 0; i < series.x.size(); ++i) {
+            cairo_arc(this->context, this->left(series.x[i]), this->top(series.y[i]), markerRadius, 0, 2 * M_PI);
+            cairo_fill(this->context);
+        }
+    }
+
+private:
+    void xTick(double value) const
+    {
+        const auto shown = this->options.logarithmicX ? std::pow(10, value) : value;
+        text(
+            this->context, this->left(value), this->options.height - marginBottom + 1.5 * fontSize, 0.5, number(shown));
+    }
+
+    void yTick(double value) const
+    {
+        const auto height = this->top(value);
+        text(this->context, marginLeft - fontSize / 2, height + fontSize / 3, 1, number(value));
+        cairo_set_line_width(this->context, 0.3);
+        cairo_move_to(this->context, marginLeft, height);
+        cairo_line_to(this->context, this->options.width - marginRight, height);
+        cairo_stroke(this->context);
+    }
+
+    cairo_t* context;
+    const PlotOptions& options;
+    Axis x;
+    Axis y;
+};
+
+/** Replaces x by its decimal logarithm; values of 0 go a decade left of the smallest other one. */
+std::vector<Series> logarithmic(std::span<const Series> series)
+{
+    double smallest = 1;
+    for (const auto& each : series) {
+        for (const auto x : each.x)
+            smallest = x > 0 ? std::min(smallest, x) : smallest;
+    }
+    std::vector<Series> result { series.begin(), series.end() };
+    for (auto& each : result) {
+        for (auto& x : each.x)
+            x = std::log10(x > 0 ? x : smallest / 10);
+    }
+    return result;
+}
+
+} // namespace internal
+
+std::string renderSvg(std::span<const Series> series, const PlotOptions& options)
+{
+    const auto shown
+        = options.logarithmicX ? internal::logarithmic(series) : std::vector<Series> { series.begin(), series.end() };
+    internal::Axis x;
+    internal::Axis y;
+    for (const auto& each : shown) {
+        std::ranges::for_each(each.x, [&](double value) { x.include(value); });
+        std::ranges::for_each(each.y, [&](double value) { y.include(value); });
+    }
+    return internal::draw(options, [&](cairo_t* context) {
+        if (shown.empty() || x.high < x.low)
+            return;
+        const internal::Plot plot { context, options, x, y };
+        plot.frame();
+        for (std::size_t i = 0; i < shown.size(); ++i) {
+            const auto& colour = internal::palette[i % internal::palette.size()];
+            plot.line(shown[i], colour);
+            const auto height = internal::marginTop + internal::fontSize * (1.5 * static_cast<double>(i) + 1);
+            internal::text(context, options.width - internal::marginRight, height, 1, shown[i].label);
+        }
+    });
+}
+
+std::string renderSvg(std::span<const double> loads, const PlotOptions& options)
+{
+    internal::Axis x { 0, static_cast<double>(std::max<std::size_t>(loads.size(), 1)) };
+    internal::Axis y { 0, 1 };
+    std::ranges::for_each(loads, [&](double value) { y.include(value); });
+    return internal::draw(options, [&](cairo_t* context) {
+        const internal::Plot plot { context, options, x, y };
+        plot.frame();
+        internal::setColour(context, internal::palette[0]);
+        for (std::size_t rank = 0; rank < loads.size(); ++rank) {
+            const auto left = plot.left(static_cast<double>(rank));
+            const auto width = plot.left(static_cast<double>(rank + 1)) - left;
+            cairo_rectangle(context, left, plot.top(loads[rank]), 0.9 * width, plot.top(0) - plot.top(loads[rank]));
+        }
+        cairo_fill(context);
+        internal::setColour(context, internal::palette[1]);
+        cairo_move_to(context, plot.left(x.low), plot.top(1));
+        cairo_line_to(context, plot.left(x.high), plot.top(1));
+        cairo_stroke(context);
+    });
+}
+
+} // namespace chivewinch::expert
