--- a/src/expert/render_svg.cpp
+++ b/src/expert/render_svg.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <functional>
 #include <limits>
+#include <string_view>
 
 namespace chivewinch::expert {
 
@@ -54,6 +55,21 @@
     return CAIRO_STATUS_SUCCESS;
 }
 
+/** Cairo numbers the surfaces of a process; equal plots are to have equal text. */
+std::string withoutSurfaceNumbers(std::string_view svg)
+{
+    constexpr std::string_view name = "surface";
+    std::string out;
+    out.reserve(svg.size());
+    for (auto place = svg.find(name); place != std::string_view::npos; place = svg.find(name)) {
+        out += svg.substr(0, place + name.size());
+        svg.remove_prefix(place + name.size());
+        svg.remove_prefix(std::min(svg.find_first_not_of("0123456789"), svg.size()));
+    }
+    out += svg;
+    return out;
+}
+
 /** Runs the drawing on an SVG surface and returns its text. */
 std::string draw(const PlotOptions& options, const std::function<void(cairo_t*)>& drawing)
 {
@@ -70,7 +86,7 @@
     cairo_surface_finish(surface);
     const bool unfinished = cairo_surface_status(surface) != CAIRO_STATUS_SUCCESS;
     cairo_surface_destroy(surface);
-    return failed || unfinished ? std::string {} : out;
+    return failed || unfinished ? std::string {} : withoutSurfaceNumbers(out);
 }
 
 void setColour(cairo_t* context, const Colour& colour)
--- a/src/expert/render_text.cpp
+++ b/src/expert/render_text.cpp
@@ -2,6 +2,7 @@
 #include "expert/render.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <sstream>
 
@@ -32,7 +33,7 @@
             loads.begin() + static_cast<std::ptrdiff_t>(first), loads.begin() + static_cast<std::ptrdiff_t>(last));
         const auto label
             = first + 1 == last ? std::to_string(first) : std::to_string(first) + "-" + std::to_string(last - 1);
-        const auto length = largest > 0 ? static_cast<std::size_t>(load / largest * options.width + 0.5) : 0;
+        const auto length = largest > 0 ? static_cast<std::size_t>(std::lround(load / largest * options.width)) : 0;
         out << std::setw(9) << label << "  " << std::setw(7) << load << "  " << std::string(length, '#') << "\n";
     }
     return out.str();
--- a/tests/expert/activation_schedule_test.cpp
+++ b/tests/expert/activation_schedule_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <cstdlib>
 #include <iostream>
 
@@ -11,7 +12,7 @@
 namespace {
 
 constexpr std::uint64_t schedules = 50'000;
-constexpr std::uint32_t actionsPerSchedule = 120;
+constexpr std::uint32_t actionsPerSchedule = 300;
 constexpr std::size_t maxInFlight = 60;
 
 /** One random schedule: faults for a while, then a calm network in which the group has to make progress. */
@@ -19,7 +20,7 @@
 public:
     Schedule(std::uint64_t seed, ActivationChecks checks)
         : random { seed }
-        , crashes { this->random.below(3) != 0 }
+        , crashesPerThousand { std::array<std::uint64_t, 4> { 0, 2, 5, 20 }[this->random.below(4)] }
         , model { static_cast<std::uint32_t>(2 + this->random.below(3)), mapRef(0, 0), checks }
     {
     }
@@ -89,20 +90,20 @@
     {
         const auto choice = this->random.below(100);
         const auto rank = static_cast<std::uint32_t>(this->random.below(this->model.size()));
-        if (choice < 66)
+        if (this->random.below(1000) < this->crashesPerThousand)
+            this->crash();
+        else if (choice < 73)
             this->deliverOne();
-        else if (choice < 76)
+        else if (choice < 82)
             this->model.finishLoad(rank, this->random.below(20) != 0);
-        else if (choice < 90)
+        else if (choice < 96)
             this->advance();
-        else if (choice < 94)
+        else if (choice < 98)
             this->propose();
-        else if (choice < 98 || !this->crashes)
-            this->model.tick(std::chrono::milliseconds { 500 });
         else
-            this->crash();
+            this->model.tick(std::chrono::milliseconds { 500 });
         this->collect();
-        if (!this->crashes)
+        if (this->crashesPerThousand == 0)
             this->checkRefusals();
     }
 
@@ -156,7 +157,7 @@
     }
 
     base::SeededRandom random;
-    bool crashes;
+    std::uint64_t crashesPerThousand;
     bool changedUnderFaults = false;
     GroupModel model;
     std::vector<Packet> network;
