--- a/src/expert/planner.cpp
+++ b/src/expert/planner.cpp
@@ -14,6 +14,7 @@
 constexpr std::array<std::string_view, static_cast<std::size_t>(DecisionReason::Count)> decisionNames {
     "changed",
     "balanced_enough",
+    "too_few_reports",
     "within_noise",
     "gain_below_cost",
     "weight_store_busy",
@@ -89,7 +90,12 @@
     const auto skewNow = LayerBalance { shape, layer, estimate.load }.skew();
     decision.skewNow += draft.perLayer(skewNow);
     const auto keep = [&] { decision.skewProposed += draft.perLayer(skewNow); };
-    if (skewNow <= this->options.tolerableSkew)
+    if (estimate.intervals < this->options.minIntervals) {
+        ++decision.layersUnknown;
+        return keep();
+    }
+    const bool drifting = estimate.drift != Drift::None;
+    if (skewNow <= (drifting ? this->options.driftTolerableSkew : this->options.tolerableSkew))
         return keep();
     if (!this->significant(draft.map, index, estimate)) {
         ++decision.layersWithinNoise;
@@ -130,10 +136,16 @@
         loads[replica.rank] += share * estimate.load[replica.expert];
         variances[replica.rank] += deviation * deviation;
     }
+    const bool drifting = estimate.drift != Drift::None;
+    const auto tolerable = drifting ? this->options.driftTolerableSkew : this->options.tolerableSkew;
+    // Noise measured over few intervals may be too small.
+    const auto fewIntervals
+        = 1 + static_cast<double>(this->options.minIntervals) / static_cast<double>(estimate.intervals);
+    const auto limit = drifting ? this->options.driftSignificance : this->options.significance * fewIntervals;
     const auto mean = 1.0 / map.shape().ranks;
     for (std::size_t rank = 0; rank < loads.size(); ++rank) {
-        const auto excess = loads[rank] - mean * this->options.tolerableSkew;
-        if (excess > 0 && excess > this->options.significance * std::sqrt(variances[rank]))
+        const auto excess = loads[rank] - mean * tolerable;
+        if (excess > 0 && excess > limit * std::sqrt(variances[rank]))
             return true;
     }
     return false;
@@ -160,6 +172,8 @@
         decision.reason = draft.storeLimited ? DecisionReason::WeightStoreBusy : DecisionReason::GainBelowCost;
     else if (decision.layersWithinNoise > 0)
         decision.reason = DecisionReason::WithinNoise;
+    else if (decision.layersUnknown > 0)
+        decision.reason = DecisionReason::TooFewReports;
 }
 
 } // namespace chivewinch::expert
