Bound prefix affinity below capacity and let a prefix use three targets; add routing benchmark

Change: above 90% of its capacity a target gets affinity requests only up to the mean load, and a prefix tries its first three targets.

--- /dev/null
+++ b/bench/routing_bench.cpp
@@ -0,0 +1,240 @@
+#include "report.hpp"
+#include "routing_policies.hpp"
+
+#include <array>
+#include <chrono>
+#include <limits>
+#include <malloc.h>
+#include <numeric>
+
+namespace chivewinch::bench {
+
+namespace {
+
+constexpr std::uint64_t traceSeed = 1;
+
+struct Comparison {
+    ModelResult router;
+    ModelResult random;
+    ModelResult roundRobin;
+    ModelResult stale;
+};
+
+Comparison compare(const ModelOptions& options, const std::vector<Arrival>& trace)
+{
+    return { .router = runPolicy<RouterPolicy>(options, trace),
+        .random = runPolicy<RandomPolicy>(options, trace),
+        .roundRobin = runPolicy<RoundRobinPolicy>(options, trace),
+        .stale = runPolicy<StaleLeastLoadedPolicy>(options, trace) };
+}
+
+void reportQueueing(const std::string& name, const ModelOptions& options)
+{
+    const auto trace = makeTrace(options, traceSeed);
+    auto results = compare(options, trace);
+    const auto size = static_cast<std::uint64_t>(options.requestsPerSecond);
+    const auto delay = results.router.quantile(0.99);
+    const std::array baselines { std::pair { &results.roundRobin, "round robin" },
+        std::pair { &results.random, "random" }, std::pair { &results.stale, "least loaded, stale" } };
+    for (const auto& [result, baseline] : baselines)
+        report({ .name = name + ".queueing_delay_p99",
+            .value = delay,
+            .unit = "s",
+            .size = size,
+            .baseline = result->quantile(0.99),
+            .baselineName = baseline,
+            .goal = result == &results.roundRobin ? "<= half of round robin" : "" });
+    for (const auto& [result, baseline] : baselines)
+        report({ .name = name + ".prefix_cache_hit_rate",
+            .value = results.router.hitRate(),
+            .unit = "share",
+            .size = size,
+            .baseline = result->hitRate(),
+            .baselineName = baseline });
+}
+
+/** Goodput as a share of what the targets can serve at the hit rate of the run. */
+double goodputShare(const ModelOptions& options, const std::vector<Arrival>& trace, const ModelResult& result)
+{
+    const auto decode = std::accumulate(trace.begin(), trace.end(), 0.0, [](double sum, const Arrival& arrival) {
+        return sum + arrival.decode;
+    }) / static_cast<double>(trace.size());
+    const auto prefill = options.prefillHit * result.hitRate() + options.prefillMiss * (1 - result.hitRate());
+    const auto slots = static_cast<double>(options.targets * options.capacity);
+    const auto time = options.duration - options.warmUp;
+    return static_cast<double>(result.good) / time / (slots / (decode + prefill));
+}
+
+void reportOverload()
+{
+    const ModelOptions options { .requestsPerSecond = 324, .deadline = 1 };
+    const auto trace = makeTrace(options, traceSeed);
+    const auto router = runPolicy<RouterPolicy>(options, trace);
+    const auto unlimited = runPolicy<RoundRobinPolicy>(options, trace);
+    report({ .name = "routing.goodput_at_twice_capacity",
+        .value = goodputShare(options, trace, router),
+        .unit = "share of capacity",
+        .size = options.targets,
+        .baseline = goodputShare(options, trace, unlimited),
+        .baselineName = "round robin, no shedding",
+        .goal = ">= 0.95" });
+}
+
+double amplification(const ModelResult& result)
+{
+    return static_cast<double>(result.attempts) / static_cast<double>(result.requests);
+}
+
+void reportFailures()
+{
+    const ModelOptions options { .requestsPerSecond = 80, .failingTargets = 5, .maxAttempts = 4 };
+    const auto trace = makeTrace(options, traceSeed);
+    const auto results = compare(options, trace);
+    const std::array baselines { std::pair { &results.roundRobin, "round robin" },
+        std::pair { &results.random, "random" }, std::pair { &results.stale, "least loaded, stale" } };
+    for (const auto& [result, baseline] : baselines)
+        report({ .name = "routing.retry_amplification",
+            .value = amplification(results.router),
+            .unit = "attempts per request",
+            .size = options.failingTargets,
+            .baseline = amplification(*result),
+            .baselineName = baseline,
+            .goal = "<= 1.1" });
+    for (const auto& [result, baseline] : baselines)
+        report({ .name = "routing.success_with_third_failing",
+            .value = static_cast<double>(results.router.succeeded) / static_cast<double>(results.router.requests),
+            .unit = "share",
+            .size = options.failingTargets,
+            .baseline = static_cast<double>(result->succeeded) / static_cast<double>(result->requests),
+            .baselineName = baseline });
+}
+
+struct RouterSetup {
+    routing::PoolSpec pool { .name = "model-a", .targets = {} };
+    std::vector<membership::TargetView> views;
+};
+
+RouterSetup makeSetup(std::size_t targets)
+{
+    RouterSetup setup;
+    for (std::size_t i = 0; i < targets; ++i) {
+        setup.pool.targets.push_back("engine-" + std::to_string(i));
+        setup.views.push_back({ .target = setup.pool.targets.back(),
+            .zone = "z",
+            .address = "10.0.0.1:8000",
+            .incarnation = base::Incarnation { 1 },
+            .state = membership::TargetState::Live });
+    }
+    return setup;
+}
+
+constexpr std::size_t inFlightWindow = 64;
+
+/** Nanoseconds for choose, started and finished of one request; the least of several rounds. */
+double measureDecision(std::size_t targets, const routing::RouterOptions& options)
+{
+    base::SeededRandom random { 1 };
+    routing::Router router { options, random };
+    const auto setup = makeSetup(targets);
+    router.setPools({ &setup.pool, 1 });
+    router.setTargets(setup.views);
+    std::array<base::TargetId, inFlightWindow> window;
+    constexpr std::size_t decisions = 200'000;
+    auto best = std::numeric_limits<double>::infinity();
+    for (int round = 0; round < 7; ++round) {
+        const auto begin = std::chrono::steady_clock::now();
+        for (std::size_t i = 0; i < decisions; ++i) {
+            const auto now = steadyTime(static_cast<double>(i) * 1e-3);
+            auto& place = window[i % inFlightWindow];
+            if (!place.empty())
+                router.finished(place, routing::Result::Success,
+                    routing::LoadReport { .inFlight = 8, .queued = 0, .capacity = 80 }, now);
+            const routing::RouteRequest request { .pool = "model-a", .prefixHash = random.next() };
+            const auto choice = router.choose(request, now);
+            router.started(request, *choice, now);
+            place = choice->target;
+        }
+        const std::chrono::duration<double, std::nano> passed = std::chrono::steady_clock::now() - begin;
+        best = std::min(best, passed.count() / decisions);
+    }
+    return best;
+}
+
+void reportDecisions()
+{
+    const routing::RouterOptions options { .entry = "e", .zone = "z" };
+    auto allTargets = options;
+    allTargets.useSubset = false;
+    std::vector<double> times;
+    for (const std::size_t targets : { 10U, 100U, 2000U }) {
+        times.push_back(measureDecision(targets, options));
+        report({ .name = "routing.decision",
+            .value = times.back(),
+            .unit = "ns",
+            .size = targets,
+            .baseline = targets == 2000 ? std::optional<double> {} : measureDecision(targets, allTargets),
+            .baselineName = "no subset" });
+    }
+    report({ .name = "routing.decision_growth",
+        .value = std::ranges::max(times) / std::ranges::min(times),
+        .unit = "factor",
+        .size = 2000,
+        .goal = "<= 1.5" });
+}
+
+void reportMemory()
+{
+    for (const std::size_t targets : { 10U, 100U, 2000U }) {
+        const auto setup = makeSetup(targets);
+        base::SeededRandom random { 1 };
+        routing::Router router { { .entry = "e", .zone = "z" }, random };
+        const auto before = mallinfo2().uordblks;
+        router.setPools({ &setup.pool, 1 });
+        router.setTargets(setup.views);
+        report({ .name = "routing.memory_per_target",
+            .value = static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(targets),
+            .unit = "bytes",
+            .size = targets });
+    }
+}
+
+/** Largest number of entries whose subset contains one target, relative to the mean. */
+void reportCoverage()
+{
+    constexpr std::size_t targets = 37;
+    constexpr std::size_t entries = 58;
+    const auto setup = makeSetup(targets);
+    std::map<base::TargetId, std::size_t> uses;
+    for (std::size_t entry = 0; entry < entries; ++entry) {
+        base::SeededRandom random { 1 };
+        routing::Router router { { .entry = "entry-" + std::to_string(entry), .zone = "z" }, random };
+        router.setPools({ &setup.pool, 1 });
+        router.setTargets(setup.views);
+        for (const auto& target : router.subset("model-a"))
+            ++uses[target];
+    }
+    std::size_t most = 0;
+    for (const auto& [target, count] : uses)
+        most = std::max(most, count);
+    report({ .name = "routing.subset_coverage_max_to_mean",
+        .value = static_cast<double>(most) * targets / (16.0 * entries),
+        .unit = "factor",
+        .size = targets });
+}
+
+} // namespace
+
+} // namespace chivewinch::bench
+
+int main()
+{
+    using namespace chivewinch::bench;
+    reportQueueing("routing", { .requestsPerSecond = 135 });
+    reportQueueing("routing", { .requestsPerSecond = 144 });
+    reportQueueing("routing.small_targets", { .capacity = 8, .decodeMean = 0.8, .requestsPerSecond = 85 });
+    reportOverload();
+    reportFailures();
+    reportDecisions();
+    reportMemory();
+    reportCoverage();
+}
--- a/src/routing/options.hpp
+++ b/src/routing/options.hpp
@@ -47,8 +47,10 @@
     std::string entry; ///< Identity of this entry; decides its subset.
     base::ZoneId zone;
     std::size_t subsetSize = 16;
+    std::size_t affinityTargets = 3; ///< Targets that a prefix may use, in the order of their rendezvous hashes.
     double affinityBound = 1.25; ///< Load of the prefix's target relative to the mean.
     double affinityFloor = 0.5; ///< Below this share of its capacity, a target is never too loaded for affinity.
+    double affinityCeiling = 0.9; ///< Above this share of its capacity, a target needs at most the mean load.
     std::uint32_t assumedCapacity = 8; ///< For comparisons, until a target states its capacity.
     double fullAt = 1.0; ///< Load as a share of the capacity from which on a target gets nothing more.
     std::chrono::nanoseconds failureMemory { std::chrono::seconds { 10 } };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -150,24 +150,36 @@
     return anyOpen;
 }
 
-Router::Slot* Router::pickByPrefix(std::uint64_t prefixHash) const
+Router::Slot* Router::pickByPrefix(std::uint64_t prefixHash)
 {
+    if (this->candidates.empty())
+        return nullptr;
     double sum = 0;
-    std::uint64_t bestScore = 0;
-    const Candidate* best = nullptr;
-    for (const auto& candidate : this->candidates) {
+    for (auto& candidate : this->candidates) {
         sum += candidate.load;
-        const auto score = base::combineHash(prefixHash, candidate.slot->hash);
-        if (best == nullptr || score > bestScore) {
-            bestScore = score;
-            best = &candidate;
-        }
+        candidate.score = base::combineHash(prefixHash, candidate.slot->hash);
     }
-    if (best == nullptr)
-        return nullptr;
-    const auto mean = sum / static_cast<double>(this->candidates.size());
-    const auto bound = std::max(this->options.affinityBound * mean, this->options.affinityFloor);
-    return !this->options.useAffinityBound || best->load <= bound ? best->slot : nullptr;
+    const auto bound = this->affinityBoundFor(sum / static_cast<double>(this->candidates.size()));
+    auto limit = std::numeric_limits<std::uint64_t>::max();
+    for (std::size_t rank = 0; rank < this->options.affinityTargets; ++rank) {
+        const Candidate* best = nullptr;
+        for (const auto& candidate : this->candidates)
+            if (candidate.score < limit && (best == nullptr || candidate.score > best->score))
+                best = &candidate;
+        if (best == nullptr)
+            break;
+        if (!this->options.useAffinityBound || best->load <= bound)
+            return best->slot;
+        limit = best->score;
+    }
+    return nullptr;
+}
+
+double Router::affinityBoundFor(double meanLoad) const noexcept
+{
+    // Loads are stale, so affinity leaves room for requests of other entries that are not reported yet.
+    const auto ceiling = std::max(this->options.affinityCeiling, meanLoad);
+    return std::max(std::min(this->options.affinityBound * meanLoad, ceiling), this->options.affinityFloor);
 }
 
 Router::Slot* Router::pickOfTwo()
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -86,6 +86,7 @@
     struct Candidate {
         Slot* slot = nullptr;
         double load = 0; ///< As a share of the capacity.
+        std::uint64_t score = 0; ///< Rendezvous hash for the prefix.
     };
 
     struct StringHash {
@@ -112,7 +113,8 @@
     [[nodiscard]] bool isOpen(const Slot& slot, const RouteRequest& request, base::SteadyTime now) const;
     [[nodiscard]] bool gather(
         std::span<Slot* const> members, const RouteRequest& request, double limit, base::SteadyTime now);
-    [[nodiscard]] Slot* pickByPrefix(std::uint64_t prefixHash) const;
+    [[nodiscard]] Slot* pickByPrefix(std::uint64_t prefixHash);
+    [[nodiscard]] double affinityBoundFor(double meanLoad) const noexcept;
     [[nodiscard]] Slot* pickOfTwo();
     [[nodiscard]] std::optional<Choice> chooseLocal(const RouteRequest& request);
     [[nodiscard]] std::optional<Choice> chooseRemote(Pool& pool, const RouteRequest& request, base::SteadyTime now);
