--- a/bench/routing_model.hpp
+++ b/bench/routing_model.hpp
@@ -112,6 +112,16 @@
         return this->delays[index];
     }
 
+    void add(const ModelResult& other)
+    {
+        this->delays.insert(this->delays.end(), other.delays.begin(), other.delays.end());
+        this->hits += other.hits;
+        this->requests += other.requests;
+        this->attempts += other.attempts;
+        this->good += other.good;
+        this->succeeded += other.succeeded;
+    }
+
     [[nodiscard]] double hitRate() const
     {
         return static_cast<double>(this->hits) / static_cast<double>(std::max<std::size_t>(this->delays.size(), 1));
--- a/bench/routing_policies.hpp
+++ b/bench/routing_policies.hpp
@@ -167,9 +167,9 @@
         this->queue.served(steadyTime(now));
     }
 
-    void heartbeat(std::size_t target, const routing::LoadReport& load, Seconds) override
+    void heartbeat(std::size_t target, const routing::LoadReport& load, Seconds now) override
     {
-        this->router.reported(std::to_string(target), load);
+        this->router.reported(std::to_string(target), load, steadyTime(now));
     }
 
     bool mayRetry(Seconds now) override { return this->router.allowRetry("m", steadyTime(now)); }
--- a/src/routing/options.hpp
+++ b/src/routing/options.hpp
@@ -52,6 +52,8 @@
     double affinityFloor = 0.5; ///< Below this share of its capacity, a target is never too loaded for affinity.
     double affinityCeiling = 0.9; ///< Above this share of its capacity, a target needs at most the mean load.
     std::uint32_t assumedCapacity = 8; ///< For comparisons, until a target states its capacity.
+    /** Age at which a report counts half, and the usual load of the target the other half. */
+    std::chrono::nanoseconds reportMemory { std::chrono::milliseconds { 300 } };
     double fullAt = 1.0; ///< Load as a share of the capacity from which on a target gets nothing more.
     std::chrono::nanoseconds failureMemory { std::chrono::seconds { 10 } };
 
@@ -60,6 +62,7 @@
     bool useAffinityBound = true;
     bool useTwoChoices = true; ///< Off: a random target.
     bool useOwnInFlight = true;
+    bool useReportAge = true; ///< Off: an old report counts like a new one.
     bool useCapacity = true; ///< Off: full targets still get work.
     bool useFailurePenalty = true;
     EjectionOptions ejection;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -109,6 +109,11 @@
 {
     const auto capacity = static_cast<double>(slot.capacity == 0 ? this->options.assumedCapacity : slot.capacity);
     double load = slot.othersLoad;
+    if (this->options.useReportAge) {
+        // The older a report is, the more the target's usual load says about the present one.
+        const std::chrono::duration<double> age = now - slot.reportedAt;
+        load = slot.usualOthersLoad + (load - slot.usualOthersLoad) / (1 + age / this->options.reportMemory);
+    }
     if (this->options.useOwnInFlight)
         load += slot.ownInFlight;
     load /= capacity;
@@ -260,7 +265,7 @@
     auto& slot = found->second;
     slot.ownInFlight -= std::min(slot.ownInFlight, std::uint32_t { 1 });
     if (load)
-        slot.report(*load);
+        slot.report(*load, now);
     if (!slot.outlier.note(result, this->options.ejection, now) || !this->mayEject(slot, now))
         return;
     slot.outlier.eject(this->options.ejection, now);
@@ -283,10 +288,10 @@
     return true;
 }
 
-void Router::reported(const base::TargetId& target, const LoadReport& load)
+void Router::reported(const base::TargetId& target, const LoadReport& load, base::SteadyTime now)
 {
     if (const auto found = this->slots.find(target); found != this->slots.end())
-        found->second.report(load);
+        found->second.report(load, now);
 }
 
 bool Router::allowRetry(std::string_view pool, base::SteadyTime now)
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -52,7 +52,7 @@
         const base::TargetId& target, Result result, const std::optional<LoadReport>& load, base::SteadyTime now);
 
     /** Load from a heartbeat. */
-    void reported(const base::TargetId& target, const LoadReport& load);
+    void reported(const base::TargetId& target, const LoadReport& load, base::SteadyTime now);
 
     /** Takes one retry from the pool's budget; false when it is spent. */
     [[nodiscard]] bool allowRetry(std::string_view pool, base::SteadyTime now);
--- a/src/routing/target_slot.hpp
+++ b/src/routing/target_slot.hpp
@@ -11,6 +11,8 @@
 
 namespace chivewinch::routing::internal {
 
+constexpr double usualLoadGain = 0.1; ///< Weight of the latest report in the usual load.
+
 /** What the router knows about one target. */
 struct TargetSlot {
     base::TargetId target;
@@ -22,13 +24,17 @@
     std::uint32_t ownInFlight = 0; ///< Attempts of this entry.
     std::uint32_t othersLoad = 0; ///< Attempts of other entries at the time of the last report.
     std::uint32_t capacity = 0;
+    double usualOthersLoad = 0; ///< Moving average of othersLoad.
+    base::SteadyTime reportedAt {};
     Outlier outlier;
 
-    void report(const LoadReport& load) noexcept
+    void report(const LoadReport& load, base::SteadyTime now) noexcept
     {
+        this->reportedAt = now;
         const auto total = load.inFlight + load.queued;
         this->othersLoad = total - std::min(total, this->ownInFlight);
         this->capacity = load.capacity;
+        this->usualOthersLoad += usualLoadGain * (this->othersLoad - this->usualOthersLoad);
     }
 };
 
