Even subsets over the entries of a zone; eject after three failures

Subsets: plain rendezvous at design scale (58 entries, 37 targets) loaded one target with 1.48 times the mean number of entries.

--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -1,11 +1,16 @@
+#include "base/hash.hpp"
 #include "report.hpp"
+#include "routing/subset.hpp"
 #include "routing_policies.hpp"
 
 #include <array>
 #include <chrono>
 #include <limits>
 #include <malloc.h>
+#include <map>
 #include <numeric>
+#include <ranges>
+#include <set>
 
 namespace chivewinch::bench {
 
@@ -202,28 +207,76 @@
     }
 }
 
-/** Largest number of entries whose subset contains one target, relative to the mean. */
-void reportCoverage()
+std::vector<std::uint64_t> makeHashes(const std::string& prefix, std::size_t count)
 {
-    constexpr std::size_t targets = 37;
-    constexpr std::size_t entries = 58;
-    const auto setup = makeSetup(targets);
-    std::map<base::TargetId, std::size_t> uses;
-    for (std::size_t entry = 0; entry < entries; ++entry) {
-        base::SeededRandom random { 1 };
-        routing::Router router { { .entry = "entry-" + std::to_string(entry), .zone = "z" }, random };
-        router.setPools({ &setup.pool, 1 });
-        router.setTargets(setup.views);
-        for (const auto& target : router.subset("model-a"))
+    std::vector<std::uint64_t> hashes;
+    for (std::size_t i = 0; i < count; ++i)
+        hashes.push_back(base::hash64(prefix + std::to_string(i)));
+    std::ranges::sort(hashes);
+    return hashes;
+}
+
+using Subsets = std::vector<std::set<std::uint64_t>>; ///< Hashes of the chosen targets of each entry.
+
+Subsets makeSubsets(std::span<const std::uint64_t> entries, std::span<const std::uint64_t> targets, bool isEven)
+{
+    constexpr std::size_t size = 16;
+    Subsets subsets;
+    for (const auto& entry : entries) {
+        const auto chosen = isEven ? routing::chooseEvenSubset(entry, entries, targets, size, 1.1)
+                                   : routing::chooseSubset(entry, targets, size);
+        subsets.emplace_back();
+        for (const auto index : chosen)
+            subsets.back().insert(targets[index]);
+    }
+    return subsets;
+}
+
+double maxToMean(const Subsets& subsets, std::size_t targets)
+{
+    std::map<std::uint64_t, std::size_t> uses;
+    std::size_t sum = 0;
+    for (const auto& subset : subsets) {
+        sum += subset.size();
+        for (const auto target : subset)
             ++uses[target];
     }
-    std::size_t most = 0;
-    for (const auto& [target, count] : uses)
-        most = std::max(most, count);
+    const auto most = std::ranges::max(uses | std::views::values);
+    return static_cast<double>(most * targets) / static_cast<double>(sum);
+}
+
+/** Assignments that are new after the first target has gone, relative to those that it had. */
+double movesPerLoss(std::span<const std::uint64_t> entries, std::span<const std::uint64_t> targets, bool isEven)
+{
+    const auto before = makeSubsets(entries, targets, isEven);
+    const auto after = makeSubsets(entries, targets.subspan(1), isEven);
+    std::size_t lost = 0;
+    std::size_t added = 0;
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        lost += before[i].contains(targets[0]) ? 1 : 0;
+        for (const auto target : after[i])
+            added += before[i].contains(target) ? 0 : 1;
+    }
+    return static_cast<double>(added) / static_cast<double>(lost);
+}
+
+/** Design scale: 350 daemons in 6 zones; 2,000 engines of 9 models in 6 zones. */
+void reportSubsets()
+{
+    const auto entries = makeHashes("entry-", 58);
+    const auto targets = makeHashes("engine-", 37);
     report({ .name = "routing.subset_coverage_max_to_mean",
-        .value = static_cast<double>(most) * targets / (16.0 * entries),
+        .value = maxToMean(makeSubsets(entries, targets, true), targets.size()),
+        .unit = "factor",
+        .size = targets.size(),
+        .baseline = maxToMean(makeSubsets(entries, targets, false), targets.size()),
+        .baselineName = "plain rendezvous" });
+    report({ .name = "routing.subset_moves_per_lost_assignment",
+        .value = movesPerLoss(entries, targets, true),
         .unit = "factor",
-        .size = targets });
+        .size = targets.size(),
+        .baseline = movesPerLoss(entries, targets, false),
+        .baselineName = "plain rendezvous" });
 }
 
 } // namespace
@@ -240,5 +293,5 @@
     reportFailures();
     reportDecisions();
     reportMemory();
-    reportCoverage();
+    reportSubsets();
 }
--- a/src/routing/options.hpp
+++ b/src/routing/options.hpp
@@ -14,7 +14,7 @@
 struct EjectionOptions {
     bool enabled = true;
     bool limitShare = true; ///< Off: any number of targets may be ejected at once.
-    std::uint32_t consecutiveFailures = 5;
+    std::uint32_t consecutiveFailures = 3;
     double errorRate = 0.5; ///< Moving average that ejects a target after minResults.
     std::uint32_t minResults = 20;
     double maxShare = 1.0 / 3; ///< Of the subset, at once.
@@ -47,6 +47,8 @@
     std::string entry; ///< Identity of this entry; decides its subset.
     base::ZoneId zone;
     std::size_t subsetSize = 16;
+    /** Entries per target relative to the mean. Less slack moves more assignments when a target comes or goes. */
+    double subsetSlack = 1.1;
     std::size_t affinityTargets = 3; ///< Targets that a prefix may use, in the order of their rendezvous hashes.
     double affinityBound = 1.25; ///< Load of the prefix's target relative to the mean.
     double affinityFloor = 0.5; ///< Below this share of its capacity, a target is never too loaded for affinity.
@@ -58,6 +60,7 @@
     std::chrono::nanoseconds failureMemory { std::chrono::seconds { 10 } };
 
     bool useSubset = true;
+    bool useEvenSubsets = true; ///< Off: the subset does not depend on the other entries.
     bool useAffinity = true;
     bool useAffinityBound = true;
     bool useTwoChoices = true; ///< Off: a random target.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -33,6 +33,7 @@
     : options { std::move(options) }
     , random { random }
     , entryHash { base::hash64(this->options.entry) }
+    , entryHashes { this->entryHash }
 {
 }
 
@@ -50,6 +51,20 @@
     this->pools = std::move(next);
 }
 
+void Router::setPeers(std::span<const std::string> entries)
+{
+    std::vector<std::uint64_t> hashes { this->entryHash };
+    for (const auto& entry : entries)
+        hashes.push_back(base::hash64(entry));
+    std::ranges::sort(hashes);
+    hashes.erase(std::ranges::unique(hashes).begin(), hashes.end());
+    if (hashes == this->entryHashes)
+        return;
+    this->entryHashes = std::move(hashes);
+    for (auto& [name, pool] : this->pools)
+        this->rebuild(*pool);
+}
+
 void Router::setTargets(std::span<const membership::TargetView> views)
 {
     for (auto& [target, slot] : this->slots)
@@ -87,11 +102,12 @@
         else if (slot.state == TargetState::Suspect && isLocal)
             pool.suspect.push_back(&slot);
     }
-    for (auto* members : { &pool.local, &pool.remote, &pool.suspect })
-        this->limitToSubset(*members);
+    this->limitToSubset(pool.local, this->entryHashes);
+    this->limitToSubset(pool.suspect, this->entryHashes);
+    this->limitToSubset(pool.remote, { &this->entryHash, 1 });
 }
 
-void Router::limitToSubset(std::vector<Slot*>& members) const
+void Router::limitToSubset(std::vector<Slot*>& members, std::span<const std::uint64_t> entries) const
 {
     if (!this->options.useSubset || members.size() <= this->options.subsetSize)
         return;
@@ -99,8 +115,11 @@
     hashes.reserve(members.size());
     for (const auto* slot : members)
         hashes.push_back(slot->hash);
+    if (!this->options.useEvenSubsets)
+        entries = { &this->entryHash, 1 };
+    const auto size = this->options.subsetSize;
     std::vector<Slot*> chosen;
-    for (const auto index : chooseSubset(this->entryHash, hashes, this->options.subsetSize))
+    for (const auto index : chooseEvenSubset(this->entryHash, entries, hashes, size, this->options.subsetSlack))
         chosen.push_back(members[index]);
     members = std::move(chosen);
 }
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -32,6 +32,9 @@
     /** Replaces the pools by those of a bundle. Budgets of pools that stay are kept. */
     void setPools(std::span<const PoolSpec> specs);
 
+    /** Identities of the live entries of this zone, for an even use of the targets; this entry may be left out. */
+    void setPeers(std::span<const std::string> entries);
+
     /** Takes over liveness and addresses; to be called when TargetTable::version changes. */
     void setTargets(std::span<const membership::TargetView> views);
 
@@ -99,6 +102,7 @@
     RouterOptions options;
     base::RandomSource& random;
     std::uint64_t entryHash;
+    std::vector<std::uint64_t> entryHashes; ///< Of all entries of the zone, in ascending order.
     Table<Slot> slots;
     Table<std::unique_ptr<Pool>> pools;
     std::vector<Candidate> candidates;
@@ -107,7 +111,7 @@
     base::RefusalReason reason = base::RefusalReason::None;
 
     void rebuild(Pool& pool);
-    void limitToSubset(std::vector<Slot*>& members) const;
+    void limitToSubset(std::vector<Slot*>& members, std::span<const std::uint64_t> entries) const;
     [[nodiscard]] double loadOf(const Slot& slot, base::SteadyTime now) const;
     [[nodiscard]] bool isFull(const Slot& slot, double limit) const;
     [[nodiscard]] bool isOpen(const Slot& slot, const RouteRequest& request, base::SteadyTime now) const;
--- a/src/routing/subset.cpp
+++ b/src/routing/subset.cpp
@@ -3,29 +3,73 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <utility>
 
 namespace chivewinch::routing {
 
-std::vector<std::size_t> chooseSubset(std::uint64_t key, std::span<const std::uint64_t> candidates, std::size_t size)
+namespace internal {
+
+/** Candidates in descending order of their rendezvous hash for the key, the full ones last. */
+std::vector<std::size_t> rankCandidates(std::uint64_t key, std::span<const std::uint64_t> candidates,
+    std::span<const std::size_t> uses, std::size_t maxUses, std::size_t size)
 {
-    if (candidates.size() <= size) {
-        std::vector<std::size_t> all(candidates.size());
-        std::iota(all.begin(), all.end(), std::size_t { 0 });
-        return all;
-    }
-    std::vector<std::pair<std::uint64_t, std::size_t>> scores;
-    scores.reserve(candidates.size());
+    struct Rank {
+        bool isFree = false;
+        std::uint64_t score = 0;
+        std::size_t index = 0;
+
+        auto operator<=>(const Rank&) const = default;
+    };
+
+    std::vector<Rank> ranks;
+    ranks.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i)
-        scores.emplace_back(base::combineHash(key, candidates[i]), i);
-    std::ranges::nth_element(scores, scores.begin() + static_cast<std::ptrdiff_t>(size), std::greater {});
+        ranks.push_back({ .isFree = uses[i] < maxUses, .score = base::combineHash(key, candidates[i]), .index = i });
+    std::ranges::nth_element(ranks, ranks.begin() + static_cast<std::ptrdiff_t>(size), std::greater {});
     std::vector<std::size_t> chosen;
     chosen.reserve(size);
     for (std::size_t i = 0; i < size; ++i)
-        chosen.push_back(scores[i].second);
+        chosen.push_back(ranks[i].index);
     std::ranges::sort(chosen);
     return chosen;
 }
 
+std::vector<std::size_t> allIndices(std::size_t count)
+{
+    std::vector<std::size_t> all(count);
+    std::iota(all.begin(), all.end(), std::size_t { 0 });
+    return all;
+}
+
+} // namespace internal
+
+std::vector<std::size_t> chooseSubset(std::uint64_t key, std::span<const std::uint64_t> candidates, std::size_t size)
+{
+    if (candidates.size() <= size)
+        return internal::allIndices(candidates.size());
+    const std::vector<std::size_t> uses(candidates.size());
+    return internal::rankCandidates(key, candidates, uses, 1, size);
+}
+
+std::vector<std::size_t> chooseEvenSubset(std::uint64_t key, std::span<const std::uint64_t> entries,
+    std::span<const std::uint64_t> candidates, std::size_t size, double slack)
+{
+    if (candidates.size() <= size)
+        return internal::allIndices(candidates.size());
+    const auto mean = static_cast<double>(entries.size() * size) / static_cast<double>(candidates.size());
+    const auto maxUses = static_cast<std::size_t>(std::ceil(slack * mean));
+    std::vector<std::size_t> uses(candidates.size());
+    // An entry depends only on the entries before it, so each one finds the same assignment without any message.
+    for (const auto entry : entries) {
+        auto chosen = internal::rankCandidates(entry, candidates, uses, maxUses, size);
+        if (entry == key)
+            return chosen;
+        for (const auto index : chosen)
+            ++uses[index];
+    }
+    return chooseSubset(key, candidates, size);
+}
+
 } // namespace chivewinch::routing
