Use ejected targets as a last resort

Cause: when other targets leave the subset, all that remain can be ejected, and every request was refused as NoTarget. Change: ejected live targets, then suspect ones, are used when nothing else is open. The schedules check it: with ejected targets left out of the last resort, RulesHoldUnderRandom- Schedules fails with "refused although a last resort was left".

--- a/src/routing/request.hpp
+++ b/src/routing/request.hpp
@@ -40,7 +40,7 @@
     Affinity, ///< The prefix's own target.
     LeastLoaded, ///< The better one of two random targets.
     Spilled, ///< A target in another availability zone.
-    LastResort, ///< A suspect target, because no other one is left.
+    LastResort, ///< An ejected or suspect target, because no other one is left.
     Count
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -13,8 +13,6 @@
 
 namespace internal {
 
-constexpr double unlimited = std::numeric_limits<double>::infinity();
-
 Choice choiceOf(const TargetSlot& slot, ChoiceKind kind)
 {
     return { .target = slot.target, .incarnation = slot.incarnation, .kind = kind };
@@ -157,7 +155,12 @@
         if (slot.outlier.probing() && slot.ownInFlight > 0)
             return false;
     }
-    return request.excluded.empty() || std::ranges::find(request.excluded, slot.target) == request.excluded.end();
+    return !isExcluded(slot, request);
+}
+
+bool Router::isExcluded(const Slot& slot, const RouteRequest& request)
+{
+    return std::ranges::find(request.excluded, slot.target) != request.excluded.end();
 }
 
 bool Router::gather(std::span<Slot* const> members, const RouteRequest& request, double limit, base::SteadyTime now)
@@ -254,12 +257,26 @@
     this->reason = base::RefusalReason::TargetBusy;
     if (anyLocal)
         return std::nullopt;
-    if (this->gather(pool.suspect, request, internal::unlimited, now))
-        return internal::choiceOf(*this->pickOfTwo(), ChoiceKind::LastResort);
+    if (auto choice = this->chooseLastResort(pool, request, now))
+        return choice;
     this->reason = base::RefusalReason::NoTarget;
     return std::nullopt;
 }
 
+std::optional<Choice> Router::chooseLastResort(const Pool& pool, const RouteRequest& request, base::SteadyTime now)
+{
+    // The share of ejected targets can grow to all of them when others leave the subset.
+    for (const auto* members : { &pool.local, &pool.suspect }) {
+        this->candidates.clear();
+        for (auto* slot : *members)
+            if (!isExcluded(*slot, request))
+                this->candidates.push_back({ .slot = slot, .load = this->loadOf(*slot, now) });
+        if (const auto* slot = this->pickOfTwo())
+            return internal::choiceOf(*slot, ChoiceKind::LastResort);
+    }
+    return std::nullopt;
+}
+
 void Router::started(const RouteRequest& request, const Choice& choice, base::SteadyTime now)
 {
     ++this->starts[static_cast<std::size_t>(choice.kind)];
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -115,6 +115,7 @@
     [[nodiscard]] double loadOf(const Slot& slot, base::SteadyTime now) const;
     [[nodiscard]] bool isFull(const Slot& slot, double limit) const;
     [[nodiscard]] bool isOpen(const Slot& slot, const RouteRequest& request, base::SteadyTime now) const;
+    [[nodiscard]] static bool isExcluded(const Slot& slot, const RouteRequest& request);
     [[nodiscard]] bool gather(
         std::span<Slot* const> members, const RouteRequest& request, double limit, base::SteadyTime now);
     [[nodiscard]] Slot* pickByPrefix(std::uint64_t prefixHash);
@@ -122,6 +123,8 @@
     [[nodiscard]] Slot* pickOfTwo();
     [[nodiscard]] std::optional<Choice> chooseLocal(const RouteRequest& request);
     [[nodiscard]] std::optional<Choice> chooseRemote(Pool& pool, const RouteRequest& request, base::SteadyTime now);
+    [[nodiscard]] std::optional<Choice> chooseLastResort(
+        const Pool& pool, const RouteRequest& request, base::SteadyTime now);
     [[nodiscard]] bool mayEject(const Slot& slot, base::SteadyTime now) const;
 };
 
--- a/tests/routing/router_schedule.hpp
+++ b/tests/routing/router_schedule.hpp
@@ -218,13 +218,21 @@
             localFree = localFree || (open && !isFull(this->targetOf(name)));
         }
         this->require(choice || !localFree, "refused with a free target in the zone");
+        const bool anyLeft = std::ranges::any_of(this->targets, [&](const auto& target) {
+            const auto name = nameOf(static_cast<std::size_t>(&target - this->targets.data()));
+            const bool isKnown = target.state == TargetState::Live || target.state == TargetState::Suspect;
+            return isKnown && !target.held && !target.remote && std::ranges::find(excluded, name) == excluded.end();
+        });
+        const bool mayRefuse = localOpen || !anyLeft || this->targets.size() > 16;
+        this->require(choice || mayRefuse, "refused although a last resort was left");
         if (!choice)
             return;
         const auto& target = this->targetOf(choice->target);
         this->require(choice->incarnation == base::Incarnation { target.incarnation }, "wrong incarnation");
         this->require(std::ranges::find(excluded, choice->target) == excluded.end(), "excluded target chosen");
         if (choice->kind == ChoiceKind::LastResort) {
-            this->require(target.state == TargetState::Suspect && !target.held && !localOpen, "wrong last resort");
+            const bool isKnown = target.state == TargetState::Live || target.state == TargetState::Suspect;
+            this->require(isKnown && !target.held && !target.remote && !localOpen, "wrong last resort");
             return;
         }
         this->require(isLive(target), "target chosen that is not live");
