--- a/src/routing/options.hpp
+++ b/src/routing/options.hpp
@@ -14,7 +14,7 @@
 struct EjectionOptions {
     bool enabled = true;
     bool limitShare = true; ///< Off: any number of targets may be ejected at once.
-    std::uint32_t consecutiveFailures = 5;
+    std::uint32_t consecutiveFailures = 3;
     double errorRate = 0.5; ///< Moving average that ejects a target after minResults.
     std::uint32_t minResults = 20;
     double maxShare = 1.0 / 3; ///< Of the subset, at once.
@@ -47,17 +47,25 @@
     std::string entry; ///< Identity of this entry; decides its subset.
     base::ZoneId zone;
     std::size_t subsetSize = 16;
+    /** Entries per target relative to the mean. Less slack moves more assignments when a target comes or goes. */
+    double subsetSlack = 1.1;
+    std::size_t affinityTargets = 3; ///< Targets that a prefix may use, in the order of their rendezvous hashes.
     double affinityBound = 1.25; ///< Load of the prefix's target relative to the mean.
     double affinityFloor = 0.5; ///< Below this share of its capacity, a target is never too loaded for affinity.
+    double affinityCeiling = 0.9; ///< Above this share of its capacity, a target needs at most the mean load.
     std::uint32_t assumedCapacity = 8; ///< For comparisons, until a target states its capacity.
+    /** Age at which a report counts half, and the usual load of the target the other half. */
+    std::chrono::nanoseconds reportMemory { std::chrono::milliseconds { 300 } };
     double fullAt = 1.0; ///< Load as a share of the capacity from which on a target gets nothing more.
     std::chrono::nanoseconds failureMemory { std::chrono::seconds { 10 } };
 
     bool useSubset = true;
+    bool useEvenSubsets = true; ///< Off: the subset does not depend on the other entries.
     bool useAffinity = true;
     bool useAffinityBound = true;
     bool useTwoChoices = true; ///< Off: a random target.
     bool useOwnInFlight = true;
+    bool useReportAge = true; ///< Off: an old report counts like a new one.
     bool useCapacity = true; ///< Off: full targets still get work.
     bool useFailurePenalty = true;
     EjectionOptions ejection;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -13,8 +13,6 @@
 
 namespace internal {
 
-constexpr double unlimited = std::numeric_limits<double>::infinity();
-
 Choice choiceOf(const TargetSlot& slot, ChoiceKind kind)
 {
     return { .target = slot.target, .incarnation = slot.incarnation, .kind = kind };
@@ -33,6 +31,7 @@
     : options { std::move(options) }
     , random { random }
     , entryHash { base::hash64(this->options.entry) }
+    , entryHashes { this->entryHash }
 {
 }
 
@@ -51,6 +50,20 @@
     this->pools = std::move(next);
 }
 
+void Router::setPeers(std::span<const std::string> entries)
+{
+    std::vector<std::uint64_t> hashes { this->entryHash };
+    for (const auto& entry : entries)
+        hashes.push_back(base::hash64(entry));
+    std::ranges::sort(hashes);
+    hashes.erase(std::ranges::unique(hashes).begin(), hashes.end());
+    if (hashes == this->entryHashes)
+        return;
+    this->entryHashes = std::move(hashes);
+    for (auto& [name, pool] : this->pools)
+        this->rebuild(*pool);
+}
+
 void Router::setTargets(std::span<const membership::TargetView> views)
 {
     for (auto& [target, slot] : this->slots)
@@ -88,11 +101,12 @@
         else if (slot.state == TargetState::Suspect && isLocal)
             pool.suspect.push_back(&slot);
     }
-    for (auto* members : { &pool.local, &pool.remote, &pool.suspect })
-        this->limitToSubset(*members);
+    this->limitToSubset(pool.local, this->entryHashes);
+    this->limitToSubset(pool.suspect, this->entryHashes);
+    this->limitToSubset(pool.remote, { &this->entryHash, 1 });
 }
 
-void Router::limitToSubset(std::vector<Slot*>& members) const
+void Router::limitToSubset(std::vector<Slot*>& members, std::span<const std::uint64_t> entries) const
 {
     if (!this->options.useSubset || members.size() <= this->options.subsetSize)
         return;
@@ -100,8 +114,11 @@
     hashes.reserve(members.size());
     for (const auto* slot : members)
         hashes.push_back(slot->hash);
+    if (!this->options.useEvenSubsets)
+        entries = { &this->entryHash, 1 };
+    const auto size = this->options.subsetSize;
     std::vector<Slot*> chosen;
-    for (const auto index : chooseSubset(this->entryHash, hashes, this->options.subsetSize))
+    for (const auto index : chooseEvenSubset(this->entryHash, entries, hashes, size, this->options.subsetSlack))
         chosen.push_back(members[index]);
     members = std::move(chosen);
 }
@@ -110,6 +127,11 @@
 {
     const auto capacity = static_cast<double>(slot.capacity == 0 ? this->options.assumedCapacity : slot.capacity);
     double load = slot.othersLoad;
+    if (this->options.useReportAge) {
+        // The older a report is, the more the target's usual load says about the present one.
+        const std::chrono::duration<double> age = now - slot.reportedAt;
+        load = slot.usualOthersLoad + (load - slot.usualOthersLoad) / (1 + age / this->options.reportMemory);
+    }
     if (this->options.useOwnInFlight)
         load += slot.ownInFlight;
     load /= capacity;
@@ -134,7 +156,12 @@
         if (slot.outlier.probing() && slot.ownInFlight > 0)
             return false;
     }
-    return request.excluded.empty() || std::ranges::find(request.excluded, slot.target) == request.excluded.end();
+    return !isExcluded(slot, request);
+}
+
+bool Router::isExcluded(const Slot& slot, const RouteRequest& request)
+{
+    return std::ranges::find(request.excluded, slot.target) != request.excluded.end();
 }
 
 bool Router::gather(std::span<Slot* const> members, const RouteRequest& request, double limit, base::SteadyTime now)
@@ -151,24 +178,36 @@
     return anyOpen;
 }
 
-Router::Slot* Router::pickByPrefix(std::uint64_t prefixHash) const
+Router::Slot* Router::pickByPrefix(std::uint64_t prefixHash)
 {
+    if (this->candidates.empty())
+        return nullptr;
     double sum = 0;
-    std::uint64_t bestScore = 0;
-    const Candidate* best = nullptr;
-    for (const auto& candidate : this->candidates) {
+    for (auto& candidate : this->candidates) {
         sum += candidate.load;
-        const auto score = base::combineHash(prefixHash, candidate.slot->hash);
-        if (best == nullptr || score > bestScore) {
-            bestScore = score;
-            best = &candidate;
-        }
+        candidate.score = base::combineHash(prefixHash, candidate.slot->hash);
     }
-    if (best == nullptr)
-        return nullptr;
-    const auto mean = sum / static_cast<double>(this->candidates.size());
-    const auto bound = std::max(this->options.affinityBound * mean, this->options.affinityFloor);
-    return !this->options.useAffinityBound || best->load <= bound ? best->slot : nullptr;
+    const auto bound = this->affinityBoundFor(sum / static_cast<double>(this->candidates.size()));
+    auto limit = std::numeric_limits<std::uint64_t>::max();
+    for (std::size_t rank = 0; rank < this->options.affinityTargets; ++rank) {
+        const Candidate* best = nullptr;
+        for (const auto& candidate : this->candidates)
+            if (candidate.score < limit && (best == nullptr || candidate.score > best->score))
+                best = &candidate;
+        if (best == nullptr)
+            break;
+        if (!this->options.useAffinityBound || best->load <= bound)
+            return best->slot;
+        limit = best->score;
+    }
+    return nullptr;
+}
+
+double Router::affinityBoundFor(double meanLoad) const noexcept
+{
+    // Loads are stale, so affinity leaves room for requests of other entries that are not reported yet.
+    const auto ceiling = std::max(this->options.affinityCeiling, meanLoad);
+    return std::max(std::min(this->options.affinityBound * meanLoad, ceiling), this->options.affinityFloor);
 }
 
 Router::Slot* Router::pickOfTwo()
@@ -220,12 +259,26 @@
     this->reason = base::RefusalReason::TargetBusy;
     if (anyLocal)
         return std::nullopt;
-    if (this->gather(pool.suspect, request, internal::unlimited, now))
-        return internal::choiceOf(*this->pickOfTwo(), ChoiceKind::LastResort);
+    if (auto choice = this->chooseLastResort(pool, request, now))
+        return choice;
     this->reason = base::RefusalReason::NoTarget;
     return std::nullopt;
 }
 
+std::optional<Choice> Router::chooseLastResort(const Pool& pool, const RouteRequest& request, base::SteadyTime now)
+{
+    // The share of ejected targets can grow to all of them when others leave the subset.
+    for (const auto* members : { &pool.local, &pool.suspect }) {
+        this->candidates.clear();
+        for (auto* slot : *members)
+            if (!isExcluded(*slot, request))
+                this->candidates.push_back({ .slot = slot, .load = this->loadOf(*slot, now) });
+        if (const auto* slot = this->pickOfTwo())
+            return internal::choiceOf(*slot, ChoiceKind::LastResort);
+    }
+    return std::nullopt;
+}
+
 void Router::started(const RouteRequest& request, const Choice& choice, base::SteadyTime now)
 {
     ++this->starts[static_cast<std::size_t>(choice.kind)];
@@ -250,7 +303,7 @@
     auto& slot = found->second;
     slot.ownInFlight -= std::min(slot.ownInFlight, std::uint32_t { 1 });
     if (load)
-        slot.report(*load);
+        slot.report(*load, now);
     if (!slot.outlier.note(result, this->options.ejection, now) || !this->mayEject(slot, now))
         return;
     slot.outlier.eject(this->options.ejection, now);
@@ -273,10 +326,10 @@
     return true;
 }
 
-void Router::reported(const base::TargetId& target, const LoadReport& load)
+void Router::reported(const base::TargetId& target, const LoadReport& load, base::SteadyTime now)
 {
     if (const auto found = this->slots.find(target); found != this->slots.end())
-        found->second.report(load);
+        found->second.report(load, now);
 }
 
 bool Router::allowRetry(std::string_view pool, base::SteadyTime now)
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -32,6 +32,9 @@
     /** Replaces the pools by those of a bundle. Budgets of pools that stay are kept. */
     void setPools(std::span<const PoolSpec> specs);
 
+    /** Identities of the live entries of this zone, for an even use of the targets; this entry may be left out. */
+    void setPeers(std::span<const std::string> entries);
+
     /** Takes over liveness and addresses; to be called when TargetTable::version changes. */
     void setTargets(std::span<const membership::TargetView> views);
 
@@ -52,7 +55,7 @@
         const base::TargetId& target, Result result, const std::optional<LoadReport>& load, base::SteadyTime now);
 
     /** Load from a heartbeat. */
-    void reported(const base::TargetId& target, const LoadReport& load);
+    void reported(const base::TargetId& target, const LoadReport& load, base::SteadyTime now);
 
     /** Takes one retry from the pool's budget; false when it is spent. */
     [[nodiscard]] bool allowRetry(std::string_view pool, base::SteadyTime now);
@@ -87,6 +90,7 @@
     struct Candidate {
         Slot* slot = nullptr;
         double load = 0; ///< As a share of the capacity.
+        std::uint64_t score = 0; ///< Rendezvous hash for the prefix.
     };
 
     struct StringHash {
@@ -99,6 +103,7 @@
     RouterOptions options;
     base::RandomSource& random;
     std::uint64_t entryHash;
+    std::vector<std::uint64_t> entryHashes; ///< Of all entries of the zone, in ascending order.
     Table<Slot> slots;
     Table<std::unique_ptr<Pool>> pools;
     std::vector<Candidate> candidates;
@@ -107,16 +112,20 @@
     base::RefusalReason reason = base::RefusalReason::None;
 
     void rebuild(Pool& pool);
-    void limitToSubset(std::vector<Slot*>& members) const;
+    void limitToSubset(std::vector<Slot*>& members, std::span<const std::uint64_t> entries) const;
     [[nodiscard]] double loadOf(const Slot& slot, base::SteadyTime now) const;
     [[nodiscard]] bool isFull(const Slot& slot, double limit) const;
     [[nodiscard]] bool isOpen(const Slot& slot, const RouteRequest& request, base::SteadyTime now) const;
+    [[nodiscard]] static bool isExcluded(const Slot& slot, const RouteRequest& request);
     [[nodiscard]] bool gather(
         std::span<Slot* const> members, const RouteRequest& request, double limit, base::SteadyTime now);
-    [[nodiscard]] Slot* pickByPrefix(std::uint64_t prefixHash) const;
+    [[nodiscard]] Slot* pickByPrefix(std::uint64_t prefixHash);
+    [[nodiscard]] double affinityBoundFor(double meanLoad) const noexcept;
     [[nodiscard]] Slot* pickOfTwo();
     [[nodiscard]] std::optional<Choice> chooseLocal(const RouteRequest& request);
     [[nodiscard]] std::optional<Choice> chooseRemote(Pool& pool, const RouteRequest& request, base::SteadyTime now);
+    [[nodiscard]] std::optional<Choice> chooseLastResort(
+        const Pool& pool, const RouteRequest& request, base::SteadyTime now);
     [[nodiscard]] bool mayEject(const Slot& slot, base::SteadyTime now) const;
 };
 
