--- a/src/usage/ledger.cpp
+++ b/src/usage/ledger.cpp
@@ -107,10 +107,19 @@
 
 void Ledger::witness(const ProcessId& process, Side side)
 {
-    if (this->knownWitnesses.insert(process).second)
+    if (process != this->options.process && this->knownWitnesses.insert(process).second)
         this->newWitnesses.push_back({ .process = process, .side = side });
 }
 
+std::vector<Witness> Ledger::unstoredWitnesses() const
+{
+    auto result = this->newWitnesses;
+    result.insert(result.end(), this->writingWitnesses.begin(), this->writingWitnesses.end());
+    if (!this->started)
+        result.push_back({ .process = this->options.process, .side = this->options.side });
+    return result;
+}
+
 void Ledger::close(std::function<void()> done)
 {
     this->closing = true;
@@ -145,7 +154,8 @@
 {
     Segment segment { .header = this->next };
     this->buffer.take(this->options.maxSegmentRecords, segment);
-    segment.witnessed = std::exchange(this->newWitnesses, {});
+    this->writingWitnesses = std::exchange(this->newWitnesses, {});
+    segment.witnessed = this->writingWitnesses;
     const bool complete = this->buffer.empty();
     const auto until
         = complete || segment.records.empty() ? toMillis(this->clock.wallNow()) : segment.records.back().finished;
@@ -157,6 +167,7 @@
 void Ledger::onWritten(bool stored, std::size_t records, std::size_t bytes, base::SteadyTime coveredUntil)
 {
     this->writingRecords = 0;
+    this->writingWitnesses.clear();
     if (!stored) {
         this->totals.conflict = true;
         return;
--- a/src/usage/ledger.hpp
+++ b/src/usage/ledger.hpp
@@ -78,6 +78,12 @@
     /** Notes that another process was met, so that its chain is missed if it never appears. */
     void witness(const ProcessId& process, Side side);
 
+    /**
+     * Processes that no stored segment names yet, this one included until its marker is stored. Send the list to
+     * every process met, which passes it to witness(): a life that begins and ends during an outage stays visible.
+     */
+    [[nodiscard]] std::vector<Witness> unstoredWitnesses() const;
+
     /** Writes everything, then a closing segment, then calls back. Nothing may be added afterwards. */
     void close(std::function<void()> done);
 
@@ -94,6 +100,7 @@
     internal::RecordBuffer buffer;
     internal::SegmentWriter writer;
     std::vector<Witness> newWitnesses;
+    std::vector<Witness> writingWitnesses; ///< Named by the segment that is being written.
     std::set<ProcessId> knownWitnesses;
     SegmentHeader next;
     base::SteadyTime storedUntil; ///< Everything counted before this time is stored.
