Compare the re-encoded segment with its stored form; add usage benchmark

With 20000 cases the codec property found a payload with an unknown field in a list item that the size check accepted, so that one segment had two stored forms. decode() now encodes again and compares.

--- /dev/null
+++ b/bench/usage_bench.cpp
@@ -0,0 +1,317 @@
+#include "base/clock.hpp"
+#include "base/random.hpp"
+#include "report.hpp"
+#include "store/memory_store.hpp"
+#include "usage/ledger.hpp"
+#include "usage/verifier.hpp"
+
+#include <ctime>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace {
+
+using namespace chivewinch;
+using namespace std::chrono_literals;
+
+constexpr double requestsPerSecond = 18000;
+constexpr std::size_t entryCount = 350;
+constexpr std::size_t agentCount = 2000;
+constexpr std::size_t teamCount = 12000;
+constexpr std::size_t modelCount = 9;
+constexpr double secondsPerDay = 86400;
+
+double cpuSeconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + 1e-9 * static_cast<double>(time.tv_nsec);
+}
+
+/** Runs timers when the benchmark says so; there is at most one per ledger. */
+class OneTimer final : public store::Scheduler {
+public:
+    store::TimerId after(std::chrono::nanoseconds, std::function<void()> callback) override
+    {
+        this->callback = std::move(callback);
+        return {};
+    }
+    void cancel(store::TimerId) override { this->callback = nullptr; }
+    void fire() { std::exchange(this->callback, nullptr)(); }
+
+private:
+    std::function<void()> callback;
+};
+
+usage::SigningKey keyOf(const std::string& instance) { return usage::SigningKey::fromSeed(usage::sha256(instance)); }
+
+struct Node {
+    usage::ProcessId process;
+    OneTimer timer;
+    std::unique_ptr<usage::Ledger> ledger;
+};
+
+/** Ledgers of a part of the installation, and the records that pass through them. */
+class Load {
+public:
+    Load(std::size_t entries, std::size_t agents)
+        : entries(entries)
+        , agents(agents)
+    {
+        for (std::size_t i = 0; i < entries; ++i)
+            this->start(this->entries[i], usage::Side::Entry, "entry-" + std::to_string(i));
+        for (std::size_t i = 0; i < agents; ++i)
+            this->start(this->agents[i], usage::Side::Agent, "agent-" + std::to_string(i));
+    }
+
+    /** Records of both sides of the given number of requests, generated before the measurement. */
+    void prepare(std::size_t count)
+    {
+        this->requests.clear();
+        this->requests.reserve(count);
+        const auto now = usage::toMillis(this->clock.wallNow());
+        for (std::size_t i = 0; i < count; ++i) {
+            usage::Record record;
+            record.id = { .request = base::randomRequestId(this->random), .number = 1 };
+            const auto team = this->random.below(teamCount);
+            record.owner = team % 2 == 0 ? "kilat-lilin" : "lepelgilde";
+            record.team = "team-" + std::to_string(team);
+            record.model = "model-" + std::to_string(team % modelCount);
+            record.issued = now + std::chrono::milliseconds { i * 30000 / count };
+            record.finished = record.issued + std::chrono::milliseconds { 500 + this->random.below(5000) };
+            record.counts = { .promptTokens = static_cast<std::uint32_t>(this->random.below(3000)),
+                .cachedTokens = static_cast<std::uint32_t>(this->random.below(1000)),
+                .generatedTokens = static_cast<std::uint32_t>(this->random.below(420)) };
+            this->requests.push_back(record);
+        }
+    }
+
+    /** Counts the prepared requests on both sides; returns CPU seconds of the agents' and the entries' part. */
+    std::pair<double, double> count()
+    {
+        auto agentRecords = this->requests;
+        for (std::size_t i = 0; i < this->requests.size(); ++i) {
+            const auto& entry = this->entries[i % this->entries.size()].process;
+            const auto& agent = this->agents[i % this->agents.size()].process;
+            agentRecords[i].peerInstance = entry.instance;
+            agentRecords[i].peerIncarnation = entry.incarnation;
+            this->requests[i].peerInstance = agent.instance;
+            this->requests[i].peerIncarnation = agent.incarnation;
+        }
+        const auto begin = cpuSeconds();
+        for (std::size_t i = 0; i < agentRecords.size(); ++i)
+            this->agents[i % this->agents.size()].ledger->add(agentRecords[i]);
+        const auto middle = cpuSeconds();
+        for (std::size_t i = 0; i < this->requests.size(); ++i)
+            this->entries[i % this->entries.size()].ledger->add(this->requests[i]);
+        return { middle - begin, cpuSeconds() - middle };
+    }
+
+    /** Writes one segment per ledger of the side; returns CPU seconds. */
+    double write(bool entrySide)
+    {
+        const auto begin = cpuSeconds();
+        for (auto& node : entrySide ? this->entries : this->agents)
+            node.timer.fire();
+        return cpuSeconds() - begin;
+    }
+
+    void advance(std::chrono::seconds time) { this->clock.advance(time); }
+
+    void close()
+    {
+        for (auto* side : { &this->entries, &this->agents }) {
+            for (auto& node : *side)
+                node.ledger->close([] {});
+        }
+    }
+
+    [[nodiscard]] std::uint64_t storedBytes(bool entrySide) const
+    {
+        std::uint64_t bytes = 0;
+        for (const auto& node : entrySide ? this->entries : this->agents)
+            bytes += node.ledger->status().storedBytes;
+        return bytes;
+    }
+
+    [[nodiscard]] usage::KeyList keys() const
+    {
+        usage::KeyList list;
+        for (const auto& node : this->entries)
+            list.add(node.process.instance, usage::Side::Entry, keyOf(node.process.instance).publicKey());
+        for (const auto& node : this->agents)
+            list.add(node.process.instance, usage::Side::Agent, keyOf(node.process.instance).publicKey());
+        return list;
+    }
+
+    store::MemoryObjectStore objects;
+
+private:
+    base::ManualClock clock;
+    base::SeededRandom random { 1 };
+    std::vector<Node> entries;
+    std::vector<Node> agents;
+    std::vector<usage::Record> requests;
+
+    void start(Node& node, usage::Side side, const std::string& instance)
+    {
+        const auto start = this->clock.wallNow().time_since_epoch();
+        const auto nanos = std::chrono::duration_cast<std::chrono::nanoseconds>(start).count();
+        node.process = { .instance = instance, .incarnation = static_cast<base::Incarnation>(nanos) };
+        node.ledger = std::make_unique<usage::Ledger>(usage::LedgerOptions { .side = side, .process = node.process },
+            keyOf(instance), this->objects, node.timer, this->clock, this->random);
+        node.ledger->start();
+    }
+};
+
+/** One store write per request: a signed object with a single record. */
+double cpuOfWritePerRequest()
+{
+    constexpr std::size_t count = 5000;
+    store::MemoryObjectStore objects;
+    const auto key = keyOf("entry-0");
+    usage::Segment segment { .header = { .process = { .instance = "entry-0" } },
+        .subjects = { { "kilat-lilin", "team-1", "model-1" } },
+        .peers = { { "agent-1", base::Incarnation { 1 } } },
+        .records = { {} } };
+    const auto begin = cpuSeconds();
+    for (std::size_t i = 0; i < count; ++i) {
+        segment.header.number = i;
+        segment.records[0].id.request.low = i;
+        auto sealed = usage::seal(segment, key);
+        objects.putIfAbsent(std::move(sealed.name), std::move(sealed.bytes), [](auto, const auto&) {});
+    }
+    return (cpuSeconds() - begin) * 1e9 / count;
+}
+
+struct Slopes {
+    double entryNanos = 0;
+    double agentNanos = 0;
+    double entryBytes = 0;
+    double agentBytes = 0;
+};
+
+/** Runs a share of the installation for five minutes of load; each size keeps the design load per process. */
+Slopes measureSize(std::size_t entries, std::size_t agents)
+{
+    Load load { entries, agents };
+    const auto share = static_cast<double>(entries) / entryCount;
+    const auto perInterval = static_cast<std::size_t>(requestsPerSecond * share * 30);
+    constexpr int intervals = 10; // Ten segments of an entry for one segment of an agent.
+    double entryCpu = 0;
+    double agentCpu = 0;
+    const auto entryBase = static_cast<double>(load.storedBytes(true));
+    const auto agentBase = static_cast<double>(load.storedBytes(false));
+    for (int i = 0; i < intervals; ++i) {
+        load.prepare(perInterval);
+        const auto [agentPart, entryPart] = load.count();
+        agentCpu += agentPart;
+        entryCpu += entryPart + load.write(true);
+        load.advance(30s);
+    }
+    agentCpu += load.write(false);
+    const auto count = static_cast<double>(perInterval) * intervals;
+    return { .entryNanos = entryCpu * 1e9 / count,
+        .agentNanos = agentCpu * 1e9 / count,
+        .entryBytes = (static_cast<double>(load.storedBytes(true)) - entryBase) / count,
+        .agentBytes = (static_cast<double>(load.storedBytes(false)) - agentBase) / count };
+}
+
+void reportHotPath()
+{
+    const auto baseline = cpuOfWritePerRequest();
+    Slopes slopes;
+    for (const std::size_t entries : { 7U, 14U, 28U }) {
+        const auto agents = entries * agentCount / entryCount;
+        slopes = measureSize(entries, agents);
+        bench::report({ .name = "usage_cpu_per_request_entry",
+            .value = slopes.entryNanos,
+            .unit = "ns",
+            .size = entries,
+            .baseline = baseline,
+            .baselineName = "one store write per request",
+            .goal = "< 1000" });
+        bench::report({ .name = "usage_cpu_per_request_agent",
+            .value = slopes.agentNanos,
+            .unit = "ns",
+            .size = agents,
+            .baseline = baseline,
+            .baselineName = "one store write per request",
+            .goal = "< 1000" });
+        bench::report(
+            { .name = "usage_bytes_per_request_entry", .value = slopes.entryBytes, .unit = "bytes", .size = entries });
+        bench::report(
+            { .name = "usage_bytes_per_request_agent", .value = slopes.agentBytes, .unit = "bytes", .size = agents });
+    }
+    const auto interval = [](std::chrono::milliseconds time) { return static_cast<double>(time.count()) / 1000; };
+    const auto writes
+        = entryCount / interval(usage::entrySegmentInterval) + agentCount / interval(usage::agentSegmentInterval);
+    bench::report({ .name = "usage_store_writes_at_design_scale",
+        .value = writes,
+        .unit = "1/s",
+        .size = entryCount + agentCount,
+        .baseline = 2 * requestsPerSecond,
+        .baselineName = "one store write per request",
+        .goal = "<= 60" });
+    bench::report({ .name = "usage_store_bytes_at_design_scale",
+        .value = requestsPerSecond * (slopes.entryBytes + slopes.agentBytes),
+        .unit = "bytes/s",
+        .size = entryCount + agentCount });
+    bench::report({ .name = "usage_entry_network_at_design_scale",
+        .value = requestsPerSecond / entryCount * slopes.entryBytes,
+        .unit = "bytes/s",
+        .size = entryCount,
+        .goal = "<= 5000 for all control traffic" });
+    bench::report({ .name = "usage_agent_network_at_design_scale",
+        .value = requestsPerSecond / agentCount * slopes.agentBytes,
+        .unit = "bytes/s",
+        .size = agentCount,
+        .goal = "<= 5000 for all control traffic" });
+}
+
+void reportVerification()
+{
+    for (const std::size_t entries : { 7U, 14U, 28U }) {
+        Load load { entries, entries * agentCount / entryCount };
+        const auto share = static_cast<double>(entries) / entryCount;
+        for (int i = 0; i < 10; ++i) {
+            load.prepare(static_cast<std::size_t>(requestsPerSecond * share * 30));
+            (void)load.count();
+            (void)load.write(true);
+            load.advance(30s);
+        }
+        load.close();
+        const auto keys = load.keys();
+        const auto begin = cpuSeconds();
+        usage::Verifier verifier { {}, keys };
+        for (const auto& [name, bytes] : load.objects.all())
+            verifier.add(name, bytes);
+        const auto added = cpuSeconds();
+        const auto report = verifier.finish();
+        const auto seconds = cpuSeconds() - begin;
+        const auto records = static_cast<double>(report.records);
+        bench::report({ .name = "usage_verify_read_part",
+            .value = (added - begin) * 1e9 / records,
+            .unit = "ns/record",
+            .size = report.records });
+        bench::report(
+            { .name = "usage_verify_speed", .value = records / seconds, .unit = "records/s", .size = report.records });
+        bench::report({ .name = "usage_verify_day_at_peak",
+            .value = 2 * requestsPerSecond * secondsPerDay * seconds / records / 60,
+            .unit = "min",
+            .size = report.records,
+            .goal = "< 10" });
+        if (!report.clean())
+            std::cerr << "unexpected finding: " << toString(report.findings.front()) << '\n';
+    }
+}
+
+} // namespace
+
+int main()
+{
+    reportHotPath();
+    reportVerification();
+}
--- a/src/usage/segment_codec.cpp
+++ b/src/usage/segment_codec.cpp
@@ -50,13 +50,10 @@
         return true;
     if (static_cast<std::size_t>(field.size()) != records.size())
         return false;
-    bool allZero = true;
     const auto* values = field.data();
-    for (std::size_t i = 0; i < records.size(); ++i) {
+    for (std::size_t i = 0; i < records.size(); ++i)
         records[i].counts.*column.member = values[i];
-        allZero = allZero && values[i] == 0;
-    }
-    return !allZero;
+    return true;
 }
 
 void assign(stored::Process& out, const ProcessId& process)
@@ -215,11 +212,8 @@
         reason = { .code = ErrorCode::Malformed, .detail = detail };
         return std::nullopt;
     };
-    if (!in.ParseFromArray(payload.data(), static_cast<int>(payload.size()))
-        || !in.GetReflection()->GetUnknownFields(in).empty())
+    if (!in.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
         return fail("the payload is not a segment");
-    if (in.ByteSizeLong() != payload.size())
-        return fail("the payload is not in the canonical form");
     if (!internal::decodeHeader(in, segment.header))
         return fail("the segment header is invalid");
     internal::decodeLists(in, segment);
@@ -232,6 +226,10 @@
         valid = internal::decodeColumn(column, in, segment.records) && valid;
     if (!valid)
         return fail("a count column is invalid");
+    // Protobuf parsers accept unknown fields, any order of fields and long varints, which would give one segment
+    // several hashes.
+    if (encode(segment) != payload)
+        return fail("the payload is not in the canonical form");
     return segment;
 }
 
--- a/tests/usage/codec_test.cpp
+++ b/tests/usage/codec_test.cpp
@@ -1,3 +1,4 @@
+#include "usage/segment.pb.h"
 #include "usage/support.hpp"
 
 #include <gtest/gtest.h>
@@ -90,6 +91,21 @@
         RC_ASSERT(reason.code == ErrorCode::Malformed);
 }
 
+// Guards against an unknown field inside a list item, which keeps the size that protobuf computes for the message.
+TEST(CodecTest, RejectsUnknownFields)
+{
+    World world { 1 };
+    const auto bytes = encode(segmentOf({ sampleRecord(world.random, world.now()) }));
+    stored::Segment message;
+    ASSERT_TRUE(message.ParseFromString(bytes));
+    EXPECT_EQ(message.SerializeAsString(), bytes);
+    auto* subject = message.mutable_subjects(0);
+    subject->GetReflection()->MutableUnknownFields(subject)->AddVarint(9, 1);
+    Error reason;
+    EXPECT_FALSE(decode(message.SerializeAsString(), reason));
+    EXPECT_EQ(reason.code, ErrorCode::Malformed);
+}
+
 // Guards against a dictionary that points to the wrong subject after a part of the buffer was taken.
 RC_GTEST_PROP(CodecTest, BufferSplitsWithoutChange, ())
 {
