Store each name of a segment once

Owner and model were repeated for each team, and each new team cost several allocations on the hot path. Names are now a list that subjects point to, and the dictionaries use open addressing.

--- a/bench/usage_bench.cpp
+++ b/bench/usage_bench.cpp
@@ -173,7 +173,8 @@
     store::MemoryObjectStore objects;
     const auto key = keyOf("entry-0");
     usage::Segment segment { .header = { .process = { .instance = "entry-0" } },
-        .subjects = { { "kilat-lilin", "team-1", "model-1" } },
+        .names = { "kilat-lilin", "team-1", "model-1" },
+        .subjects = { { .owner = 0, .team = 1, .model = 2 } },
         .peers = { { "agent-1", base::Incarnation { 1 } } },
         .records = { {} } };
     const auto begin = cpuSeconds();
--- a/src/usage/join.cpp
+++ b/src/usage/join.cpp
@@ -45,7 +45,7 @@
         this->settlePartition(partition, findings);
     for (const auto& [key, totals] : this->totals) {
         const std::chrono::hours hour { key >> 32 };
-        split[{ .hour = WallMillis { hour }, .subject = this->subjects.at(static_cast<std::uint32_t>(key)) }] += totals;
+        split[{ .hour = WallMillis { hour }, .subject = this->subjectAt(static_cast<std::uint32_t>(key)) }] += totals;
     }
 }
 
@@ -152,6 +152,14 @@
     this->totalsFor(first.record).rebalancingCost += first.record.counts.rebalancingCost;
 }
 
+Subject Joiner::subjectAt(std::uint32_t index) const
+{
+    const auto& subject = this->subjects.at(index);
+    return { .owner = this->names.at(subject.owner),
+        .team = this->names.at(subject.team),
+        .model = this->names.at(subject.model) };
+}
+
 bool Joiner::inWindow(WallMillis issued) const noexcept
 {
     const auto& window = this->options.window;
--- a/src/usage/join.hpp
+++ b/src/usage/join.hpp
@@ -29,7 +29,8 @@
 public:
     Joiner(const VerifierOptions& options, const ChainSet& chains) noexcept;
 
-    Dictionary<SubjectTraits> subjects;
+    Dictionary<NameTraits> names;
+    Dictionary<SubjectNamesTraits> subjects;
     Dictionary<PeerTraits> processes;
 
     void add(const JoinItem& item);
@@ -52,6 +53,7 @@
         const std::vector<AttemptPair>& attempts, const RequestVerdict& verdict, std::vector<Finding>& findings) const;
     void compareSingle(const AttemptPair& attempt, std::vector<Finding>& findings) const;
     void settleCharge(std::span<const JoinItem> items, std::vector<Finding>& findings);
+    [[nodiscard]] Subject subjectAt(std::uint32_t index) const;
     [[nodiscard]] bool inWindow(WallMillis issued) const noexcept;
     [[nodiscard]] Totals& totalsFor(const PackedRecord& record);
 };
--- a/src/usage/record_buffer.cpp
+++ b/src/usage/record_buffer.cpp
@@ -9,17 +9,16 @@
 
 namespace {
 
-// Vector element, hash node, bucket and the text beyond the small-string size of one dictionary value.
+// Vector element, hash, up to four slots and the text beyond the small-string size of one dictionary value.
 constexpr std::size_t dictionaryBytesPerValue = 224;
 constexpr auto unassigned = std::numeric_limits<std::uint32_t>::max();
 
-/** Copies the used values of a dictionary in the order of their first use. */
-template <typename Traits> class Remap {
+/** Gives the used indexes of a dictionary new numbers in the order of their first use. */
+template <typename Add> class Remap {
 public:
-    Remap(const Dictionary<Traits>& from, std::vector<typename Traits::Value>& to)
-        : from { from }
-        , to { to }
-        , indexes(from.size(), unassigned)
+    Remap(std::size_t size, Add add)
+        : add { std::move(add) }
+        , indexes(size, unassigned)
     {
     }
 
@@ -27,16 +26,16 @@
     {
         auto& mapped = this->indexes[index];
         if (mapped == unassigned) {
-            mapped = static_cast<std::uint32_t>(this->to.size());
-            this->to.push_back(this->from.at(index));
+            mapped = this->used++;
+            this->add(index);
         }
         return mapped;
     }
 
 private:
-    const Dictionary<Traits>& from;
-    std::vector<typename Traits::Value>& to;
+    Add add;
     std::vector<std::uint32_t> indexes;
+    std::uint32_t used = 0;
 };
 
 } // namespace
@@ -58,6 +57,14 @@
     };
 }
 
+std::uint64_t NameTraits::hash(const View& view) noexcept { return base::hash64(view); }
+
+std::uint64_t SubjectNamesTraits::hash(const View& view) noexcept
+{
+    const auto ownerAndModel = (std::uint64_t { view.owner } << 32) | view.model;
+    return base::combineHash(ownerAndModel, view.team);
+}
+
 std::uint64_t PeerTraits::hash(const View& view) noexcept
 {
     return base::hash64(view.instance, static_cast<std::uint64_t>(view.incarnation));
@@ -90,13 +97,21 @@
 void RecordBuffer::take(std::size_t limit, Segment& segment)
 {
     const auto count = std::min(limit, this->records.size());
-    Remap<SubjectTraits> subjectIndex { this->subjects, segment.subjects };
-    Remap<PeerTraits> peerIndex { this->peers, segment.peers };
+    Dictionary<NameTraits> names;
+    Remap subjectIndex { this->subjects.size(), [&](std::uint32_t index) {
+                            const auto& subject = this->subjects.at(index);
+                            segment.subjects.push_back({ .owner = names.indexOf(subject.owner),
+                                .team = names.indexOf(subject.team),
+                                .model = names.indexOf(subject.model) });
+                        } };
+    Remap peerIndex { this->peers.size(),
+        [&](std::uint32_t index) { segment.peers.push_back(this->peers.at(index)); } };
     segment.records.assign(this->records.begin(), this->records.begin() + static_cast<std::ptrdiff_t>(count));
     for (auto& record : segment.records) {
         record.subject = subjectIndex(record.subject);
         record.peer = peerIndex(record.peer);
     }
+    segment.names = names.release();
     this->records.erase(this->records.begin(), this->records.begin() + static_cast<std::ptrdiff_t>(count));
     if (this->records.empty()) {
         this->subjects.clear();
--- a/src/usage/record_buffer.hpp
+++ b/src/usage/record_buffer.hpp
@@ -2,11 +2,13 @@
 
 #include "usage/segment.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <string>
 #include <string_view>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chivewinch::usage::internal {
@@ -38,21 +40,41 @@
     static Value make(const View& view);
 };
 
+struct NameTraits {
+    using Value = std::string;
+    using View = std::string_view;
+    static std::uint64_t hash(const View& view) noexcept;
+    static bool equal(const Value& value, const View& view) noexcept { return value == view; }
+    static Value make(const View& view) { return std::string { view }; }
+};
+
+struct SubjectNamesTraits {
+    using Value = SubjectNames;
+    using View = SubjectNames;
+    static std::uint64_t hash(const View& view) noexcept;
+    static bool equal(const Value& value, const View& view) noexcept { return value == view; }
+    static Value make(const View& view) { return view; }
+};
+
 /** Numbers distinct values from 0 in the order of their first use. */
 template <typename Traits> class Dictionary {
 public:
     std::uint32_t indexOf(const typename Traits::View& view)
     {
+        if (2 * this->values.size() >= this->slots.size())
+            this->grow();
         const auto hash = Traits::hash(view);
-        const auto [first, last] = this->indexes.equal_range(hash);
-        for (auto it = first; it != last; ++it) {
-            if (Traits::equal(this->values[it->second], view))
-                return it->second;
+        auto slot = this->firstSlot(hash);
+        while (this->slots[slot] != 0) {
+            const auto index = this->slots[slot] - 1;
+            if (this->hashes[index] == hash && Traits::equal(this->values[index], view))
+                return index;
+            slot = (slot + 1) & (this->slots.size() - 1);
         }
-        const auto index = static_cast<std::uint32_t>(this->values.size());
         this->values.push_back(Traits::make(view));
-        this->indexes.emplace(hash, index);
-        return index;
+        this->hashes.push_back(hash);
+        this->slots[slot] = static_cast<std::uint32_t>(this->values.size());
+        return this->slots[slot] - 1;
     }
 
     [[nodiscard]] const typename Traits::Value& at(std::uint32_t index) const { return this->values[index]; }
@@ -61,12 +83,38 @@
     void clear()
     {
         this->values.clear();
-        this->indexes.clear();
+        this->hashes.clear();
+        std::fill(this->slots.begin(), this->slots.end(), 0U);
+    }
+
+    [[nodiscard]] std::vector<typename Traits::Value> release()
+    {
+        auto result = std::move(this->values);
+        this->values = {};
+        this->clear();
+        return result;
     }
 
 private:
+    static constexpr std::size_t minSlots = 16;
+
     std::vector<typename Traits::Value> values;
-    std::unordered_multimap<std::uint64_t, std::uint32_t> indexes;
+    std::vector<std::uint64_t> hashes;
+    // Open addressing without deletion: a slot holds an index plus 1, or 0 when it is free.
+    std::vector<std::uint32_t> slots;
+
+    [[nodiscard]] std::size_t firstSlot(std::uint64_t hash) const noexcept { return hash & (this->slots.size() - 1); }
+
+    void grow()
+    {
+        this->slots.assign(std::max(minSlots, 2 * this->slots.size()), 0U);
+        for (std::size_t i = 0; i < this->hashes.size(); ++i) {
+            auto slot = this->firstSlot(this->hashes[i]);
+            while (this->slots[slot] != 0)
+                slot = (slot + 1) & (this->slots.size() - 1);
+            this->slots[slot] = static_cast<std::uint32_t>(i + 1);
+        }
+    }
 };
 
 /** Records that are not yet part of a segment, in the order in which they were counted. */
--- a/src/usage/segment.cpp
+++ b/src/usage/segment.cpp
@@ -9,10 +9,18 @@
 
 namespace chivewinch::usage {
 
+Subject Segment::subject(std::size_t index) const
+{
+    const auto& subject = this->subjects[index];
+    return {
+        .owner = this->names[subject.owner], .team = this->names[subject.team], .model = this->names[subject.model]
+    };
+}
+
 Record Segment::record(std::size_t index) const
 {
     const auto& packed = this->records[index];
-    const auto& subject = this->subjects[packed.subject];
+    const auto subject = this->subject(packed.subject);
     const auto& peer = this->peers[packed.peer];
     return { .kind = packed.kind,
         .result = packed.result,
--- a/src/usage/segment.hpp
+++ b/src/usage/segment.hpp
@@ -20,6 +20,15 @@
     auto operator<=>(const Subject&) const = default;
 };
 
+/** Subject as indexes into a list of names. */
+struct SubjectNames {
+    std::uint32_t owner = 0;
+    std::uint32_t team = 0;
+    std::uint32_t model = 0;
+
+    auto operator<=>(const SubjectNames&) const = default;
+};
+
 /** Record of a segment; subject and peer are indexes into the segment's lists. */
 struct PackedRecord {
     base::AttemptId id;
@@ -58,13 +67,15 @@
 
 struct Segment {
     SegmentHeader header;
-    std::vector<Subject> subjects;
+    std::vector<std::string> names;
+    std::vector<SubjectNames> subjects;
     std::vector<ProcessId> peers;
     std::vector<Witness> witnessed; ///< Other processes met since the previous segment.
     std::vector<PackedRecord> records;
 
     bool operator==(const Segment&) const = default;
 
+    [[nodiscard]] Subject subject(std::size_t index) const;
     [[nodiscard]] Record record(std::size_t index) const;
 };
 
--- a/src/usage/segment_codec.cpp
+++ b/src/usage/segment_codec.cpp
@@ -161,10 +161,21 @@
     return valid;
 }
 
-void decodeLists(const stored::Segment& in, Segment& segment)
+bool decodeSubjects(const stored::Segment& in, Segment& segment)
+{
+    segment.names.assign(in.names().begin(), in.names().end());
+    if (in.subjects_size() % 3 != 0)
+        return false;
+    segment.subjects.reserve(static_cast<std::size_t>(in.subjects_size() / 3));
+    for (int i = 0; i < in.subjects_size(); i += 3)
+        segment.subjects.push_back(
+            { .owner = in.subjects(i), .team = in.subjects(i + 1), .model = in.subjects(i + 2) });
+    return std::all_of(in.subjects().begin(), in.subjects().end(),
+        [&segment](std::uint32_t name) { return name < segment.names.size(); });
+}
+
+void decodeProcesses(const stored::Segment& in, Segment& segment)
 {
-    for (const auto& subject : in.subjects())
-        segment.subjects.push_back({ .owner = subject.owner(), .team = subject.team(), .model = subject.model() });
     for (const auto& peer : in.peers())
         segment.peers.push_back(toProcess(peer));
     for (const auto& witness : in.witnessed())
@@ -184,11 +195,14 @@
 {
     stored::Segment out;
     internal::encodeHeader(segment.header, out);
+    out.mutable_names()->Reserve(static_cast<int>(segment.names.size()));
+    for (const auto& name : segment.names)
+        out.add_names(name);
+    out.mutable_subjects()->Reserve(static_cast<int>(3 * segment.subjects.size()));
     for (const auto& subject : segment.subjects) {
-        auto& added = *out.add_subjects();
-        added.set_owner(subject.owner);
-        added.set_team(subject.team);
-        added.set_model(subject.model);
+        out.add_subjects(subject.owner);
+        out.add_subjects(subject.team);
+        out.add_subjects(subject.model);
     }
     for (const auto& peer : segment.peers)
         internal::assign(*out.add_peers(), peer);
@@ -216,7 +230,9 @@
         return fail("the payload is not a segment");
     if (!internal::decodeHeader(in, segment.header))
         return fail("the segment header is invalid");
-    internal::decodeLists(in, segment);
+    if (!internal::decodeSubjects(in, segment))
+        return fail("a subject is invalid");
+    internal::decodeProcesses(in, segment);
     if (!internal::validWitnesses(segment.witnessed))
         return fail("a witnessed process is invalid");
     if (!internal::decodeIdentities(in, segment))
--- a/src/usage/verifier.cpp
+++ b/src/usage/verifier.cpp
@@ -79,9 +79,13 @@
     const auto otherSide = segment.header.side == Side::Entry ? Side::Agent : Side::Entry;
     std::vector<std::uint32_t> subjects;
     subjects.reserve(segment.subjects.size());
+    std::vector<std::uint32_t> names;
+    names.reserve(segment.names.size());
+    for (const auto& text : segment.names)
+        names.push_back(this->joiner.names.indexOf(text));
     for (const auto& subject : segment.subjects)
-        subjects.push_back(
-            this->joiner.subjects.indexOf({ .owner = subject.owner, .team = subject.team, .model = subject.model }));
+        subjects.push_back(this->joiner.subjects.indexOf(
+            { .owner = names[subject.owner], .team = names[subject.team], .model = names[subject.model] }));
     std::vector<std::uint32_t> peers;
     peers.reserve(segment.peers.size());
     for (const auto& peer : segment.peers) {
--- a/tests/usage/codec_test.cpp
+++ b/tests/usage/codec_test.cpp
@@ -99,8 +99,8 @@
     stored::Segment message;
     ASSERT_TRUE(message.ParseFromString(bytes));
     EXPECT_EQ(message.SerializeAsString(), bytes);
-    auto* subject = message.mutable_subjects(0);
-    subject->GetReflection()->MutableUnknownFields(subject)->AddVarint(9, 1);
+    auto* peer = message.mutable_peers(0);
+    peer->GetReflection()->MutableUnknownFields(peer)->AddVarint(9, 1);
     Error reason;
     EXPECT_FALSE(decode(message.SerializeAsString(), reason));
     EXPECT_EQ(reason.code, ErrorCode::Malformed);
--- a/tests/usage/tamper_test.cpp
+++ b/tests/usage/tamper_test.cpp
@@ -28,10 +28,11 @@
     };
 }
 
-std::uint32_t newSubject(Segment& segment, const PackedRecord& record, std::string Subject::*field)
+std::uint32_t newSubject(Segment& segment, const PackedRecord& record, std::uint32_t SubjectNames::*field)
 {
     auto subject = segment.subjects[record.subject];
-    subject.*field += "x";
+    segment.names.push_back(segment.names[subject.*field] + "x");
+    subject.*field = static_cast<std::uint32_t>(segment.names.size() - 1);
     segment.subjects.push_back(subject);
     return static_cast<std::uint32_t>(segment.subjects.size() - 1);
 }
@@ -45,7 +46,7 @@
 std::vector<FieldChange> identityChanges(RecordKind kind)
 {
     const auto other = kind == RecordKind::Attempt ? RecordKind::Charge : RecordKind::Attempt;
-    const auto subject = [kind](std::string Subject::*field) {
+    const auto subject = [kind](std::uint32_t SubjectNames::*field) {
         return inRecord(
             kind, [field](auto& record, auto& segment) { record.subject = newSubject(segment, record, field); });
     };
@@ -57,9 +58,9 @@
         { "request.high", inRecord(kind, [](auto& record, auto&) { ++record.id.request.high; }), attempt },
         { "request.low", inRecord(kind, [](auto& record, auto&) { ++record.id.request.low; }), attempt },
         { "attempt", inRecord(kind, [](auto& record, auto&) { ++record.id.number; }), attempt },
-        { "owner", subject(&Subject::owner) },
-        { "team", subject(&Subject::team) },
-        { "model", subject(&Subject::model) },
+        { "owner", subject(&SubjectNames::owner) },
+        { "team", subject(&SubjectNames::team) },
+        { "model", subject(&SubjectNames::model) },
         { "peer.instance",
             inRecord(kind,
                 [](auto& record, auto& segment) {
