Join records by hash in cache-sized partitions

A record in the join shrinks from 136 to 64 bytes and groups are linked by a hash table instead of sorted.

--- a/src/usage/request_rule.cpp
+++ b/src/usage/request_rule.cpp
@@ -7,21 +7,21 @@
 namespace {
 
 /** Last attempt whose entry record has the result. */
-const JoinItem* lastOnEntry(const std::vector<AttemptPair>& attempts, Result result) noexcept
+const AttemptSide* lastOnEntry(const std::vector<AttemptPair>& attempts, Result result) noexcept
 {
     for (auto it = attempts.rbegin(); it != attempts.rend(); ++it) {
-        if (it->entry != nullptr && it->entry->record.result == result)
-            return it->entry;
+        if (it->entry && it->entry.item->result == result)
+            return &it->entry;
     }
     return nullptr;
 }
 
 /** Last attempt that only the agent recorded and that it completed. */
-const JoinItem* lastCompletedOnAgent(const std::vector<AttemptPair>& attempts) noexcept
+const AttemptSide* lastCompletedOnAgent(const std::vector<AttemptPair>& attempts) noexcept
 {
     for (auto it = attempts.rbegin(); it != attempts.rend(); ++it) {
-        if (it->entry == nullptr && it->agent->record.result == Result::Done)
-            return it->agent;
+        if (!it->entry && it->agent.item->result == Result::Done)
+            return &it->agent;
     }
     return nullptr;
 }
@@ -47,15 +47,15 @@
 RequestVerdict judge(const std::vector<AttemptPair>& attempts, bool completeFromAgent) noexcept
 {
     for (const auto result : { Result::Done, Result::Cancelled, Result::Unknown }) {
-        if (const auto* item = lastOnEntry(attempts, result))
-            return { .result = result, .final = item };
+        if (const auto* side = lastOnEntry(attempts, result))
+            return { .result = result, .final = side };
     }
-    if (const auto* item = completeFromAgent ? lastCompletedOnAgent(attempts) : nullptr)
-        return { .result = Result::Done, .final = item, .fromAgent = true };
+    if (const auto* side = completeFromAgent ? lastCompletedOnAgent(attempts) : nullptr)
+        return { .result = Result::Done, .final = side, .fromAgent = true };
     const auto ran = std::find_if(attempts.rbegin(), attempts.rend(),
-        [](const AttemptPair& attempt) { return attempt.ran().record.result != Result::Refused; });
+        [](const AttemptPair& attempt) { return attempt.ran().item->result != Result::Refused; });
     if (ran != attempts.rend())
-        return { .result = Result::Unknown, .final = &ran->ran(), .fromAgent = ran->entry == nullptr };
+        return { .result = Result::Unknown, .final = &ran->ran(), .fromAgent = !ran->entry };
     return { .result = Result::Refused, .final = &attempts.back().ran() };
 }
 
@@ -63,7 +63,7 @@
 {
     Totals totals;
     if (verdict.result == Result::Done || verdict.result == Result::Cancelled)
-        bill(totals, verdict.final->record.counts);
+        bill(totals, verdict.final->counts);
     totals.requests = verdict.result == Result::Done ? 1 : 0;
     totals.cancelled = verdict.result == Result::Cancelled ? 1 : 0;
     totals.unknown = verdict.result == Result::Unknown ? 1 : 0;
@@ -73,13 +73,13 @@
     std::uint64_t generated = 0;
     std::uint64_t calls = 0;
     for (const auto& attempt : attempts) {
-        const auto& record = attempt.ran().record;
-        if (record.result == Result::Refused)
+        const auto& side = attempt.ran();
+        if (side.item->result == Result::Refused)
             continue;
-        prompt += record.counts.promptTokens;
-        generated += record.counts.generatedTokens;
-        calls += record.counts.serviceCalls;
-        totals.spillOvers += record.counts.spillOvers;
+        prompt += side.counts.promptTokens;
+        generated += side.counts.generatedTokens;
+        calls += side.counts.serviceCalls;
+        totals.spillOvers += side.counts.spillOvers;
     }
     totals.unbilledPromptTokens = excess(prompt, totals.promptTokens);
     totals.unbilledGeneratedTokens = excess(generated, totals.generatedTokens);
@@ -89,25 +89,25 @@
 
 const char* difference(const AttemptPair& attempt) noexcept
 {
-    const auto& entry = attempt.entry->record;
-    const auto& agent = attempt.agent->record;
-    if (entry.kind != agent.kind)
-        return "the kind differs";
+    const auto& entry = *attempt.entry.item;
+    const auto& agent = *attempt.agent.item;
+    const auto& entryCounts = attempt.entry.counts;
+    const auto& agentCounts = attempt.agent.counts;
     if (entry.subject != agent.subject)
         return "owner, team or model differs";
     if (entry.issued != agent.issued)
         return "the time of issue differs";
-    if (attempt.entry->record.peer != attempt.agent->process || attempt.agent->record.peer != attempt.entry->process)
+    if (entry.peer != attempt.agent.process || agent.peer != attempt.entry.process)
         return "the processes differ";
     if (entry.result == Result::Refused && agent.result != Result::Refused)
         return "the entry refused an attempt that the agent ran";
     if (entry.result == Result::Done && agent.result != Result::Done)
         return "the agent did not complete an answer that the entry delivered";
-    if (entry.counts.resumedTokens != agent.counts.resumedTokens || entry.counts.spillOvers != agent.counts.spillOvers)
+    if (entryCounts.resumedTokens != agentCounts.resumedTokens || entryCounts.spillOvers != agentCounts.spillOvers)
         return "resumption or spill-over differs";
-    if (entry.result == Result::Done && entry.counts != agent.counts)
+    if (entry.result == Result::Done && entryCounts != agentCounts)
         return "the counts of a complete answer differ";
-    return within(entry.counts, agent.counts) ? nullptr : "the entry counts more than the agent";
+    return within(entryCounts, agentCounts) ? nullptr : "the entry counts more than the agent";
 }
 
 } // namespace chivewinch::usage::internal
--- a/src/usage/verifier.cpp
+++ b/src/usage/verifier.cpp
@@ -55,7 +55,8 @@
     ++this->report.segments;
     this->report.records += segment->records.size();
     this->report.bytes += bytes.size();
-    this->addRecords(*segment, index);
+    this->joiner.add(*segment, index);
+    this->addMentions(*segment, name);
 }
 
 void Verifier::addMarker(const std::string& name, std::string_view bytes)
@@ -72,39 +73,15 @@
     this->chains.mention(process, side, internal::startOf(*incarnation), name);
 }
 
-void Verifier::addRecords(const Segment& segment, std::uint32_t index)
+void Verifier::addMentions(const Segment& segment, const std::string& name)
 {
-    const auto& process = segment.header.process;
-    const auto& name = this->chains.segment(index).name;
     const auto otherSide = segment.header.side == Side::Entry ? Side::Agent : Side::Entry;
-    std::vector<std::uint32_t> subjects;
-    subjects.reserve(segment.subjects.size());
-    std::vector<std::uint32_t> names;
-    names.reserve(segment.names.size());
-    for (const auto& text : segment.names)
-        names.push_back(this->joiner.names.indexOf(text));
-    for (const auto& subject : segment.subjects)
-        subjects.push_back(this->joiner.subjects.indexOf(
-            { .owner = names[subject.owner], .team = names[subject.team], .model = names[subject.model] }));
-    std::vector<std::uint32_t> peers;
-    peers.reserve(segment.peers.size());
     for (const auto& peer : segment.peers) {
-        peers.push_back(this->joiner.processes.indexOf({ .instance = peer.instance, .incarnation = peer.incarnation }));
         if (!peer.instance.empty())
             this->chains.mention(peer, otherSide, segment.header.coversUntil, name);
     }
     for (const auto& witness : segment.witnessed)
         this->chains.mention(witness.process, witness.side, segment.header.coversUntil, name);
-    internal::JoinItem item { .segment = index,
-        .process = this->joiner.processes.indexOf({ .instance = process.instance, .incarnation = process.incarnation }),
-        .side = segment.header.side };
-    for (const auto& record : segment.records) {
-        item.record = record;
-        item.record.subject = subjects[record.subject];
-        item.record.peer = peers[record.peer];
-        this->joiner.add(item);
-        ++item.index;
-    }
 }
 
 void Verifier::reportPossibleLosses()
--- a/src/usage/verifier.hpp
+++ b/src/usage/verifier.hpp
@@ -51,7 +51,7 @@
     Report report;
 
     void addMarker(const std::string& name, std::string_view bytes);
-    void addRecords(const Segment& segment, std::uint32_t index);
+    void addMentions(const Segment& segment, const std::string& name);
     void reportPossibleLosses();
 };
 
