Reuse the decoder's memory between segments

The canonical check now serializes the parsed message instead of building a second one, and message and records keep their memory.

--- a/src/usage/segment.hpp
+++ b/src/usage/segment.hpp
@@ -4,6 +4,7 @@
 #include "usage/record.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -107,6 +108,22 @@
 /** Inverse of encode; nullopt with ErrorCode::Malformed for anything that encode does not produce. */
 [[nodiscard]] std::optional<Segment> decode(std::string_view payload, Error& reason);
 
+/** Decodes many segments and keeps its memory between them. */
+class SegmentDecoder {
+public:
+    SegmentDecoder();
+    SegmentDecoder(const SegmentDecoder&) = delete;
+    SegmentDecoder& operator=(const SegmentDecoder&) = delete;
+    ~SegmentDecoder();
+
+    /** Overwrites the segment; false with ErrorCode::Malformed for anything that encode does not produce. */
+    [[nodiscard]] bool decode(std::string_view payload, Segment& segment, Error& reason);
+
+private:
+    struct State;
+    std::unique_ptr<State> state;
+};
+
 [[nodiscard]] SealedSegment seal(const Segment& segment, const SigningKey& key);
 
 [[nodiscard]] std::string wrap(std::string payload, const Signature& signature);
--- a/src/usage/segment_codec.cpp
+++ b/src/usage/segment_codec.cpp
@@ -46,14 +46,20 @@
 bool decodeColumn(const CountColumn<Value>& column, const stored::Segment& in, std::vector<PackedRecord>& records)
 {
     const auto& field = (in.*column.field)();
-    if (field.empty())
+    if (field.empty()) {
+        for (auto& record : records)
+            record.counts.*column.member = 0;
         return true;
+    }
     if (static_cast<std::size_t>(field.size()) != records.size())
         return false;
     const auto* values = field.data();
-    for (std::size_t i = 0; i < records.size(); ++i)
+    Value any = 0;
+    for (std::size_t i = 0; i < records.size(); ++i) {
         records[i].counts.*column.member = values[i];
-    return true;
+        any |= values[i];
+    }
+    return any != 0;
 }
 
 void assign(stored::Process& out, const ProcessId& process)
@@ -161,11 +167,27 @@
     return valid;
 }
 
+template <typename Message> bool hasUnknown(const Message& message)
+{
+    return !message.GetReflection()->GetUnknownFields(message).empty();
+}
+
+bool hasUnknownFields(const stored::Segment& in)
+{
+    const auto unknownProcess = [](const stored::Process& process) { return hasUnknown(process); };
+    const auto unknownWitness
+        = [](const stored::Witness& witness) { return hasUnknown(witness) || hasUnknown(witness.process()); };
+    return hasUnknown(in) || hasUnknown(in.process())
+        || std::any_of(in.peers().begin(), in.peers().end(), unknownProcess)
+        || std::any_of(in.witnessed().begin(), in.witnessed().end(), unknownWitness);
+}
+
 bool decodeSubjects(const stored::Segment& in, Segment& segment)
 {
     segment.names.assign(in.names().begin(), in.names().end());
     if (in.subjects_size() % 3 != 0)
         return false;
+    segment.subjects.clear();
     segment.subjects.reserve(static_cast<std::size_t>(in.subjects_size() / 3));
     for (int i = 0; i < in.subjects_size(); i += 3)
         segment.subjects.push_back(
@@ -176,6 +198,8 @@
 
 void decodeProcesses(const stored::Segment& in, Segment& segment)
 {
+    segment.peers.clear();
+    segment.witnessed.clear();
     for (const auto& peer : in.peers())
         segment.peers.push_back(toProcess(peer));
     for (const auto& witness : in.witnessed())
@@ -218,16 +242,32 @@
     return out.SerializeAsString();
 }
 
-std::optional<Segment> decode(std::string_view payload, Error& reason)
+struct SegmentDecoder::State {
+    stored::Segment message;
+    std::string canonical;
+};
+
+SegmentDecoder::SegmentDecoder()
+    : state { std::make_unique<State>() }
 {
-    stored::Segment in;
-    Segment segment;
+}
+
+SegmentDecoder::~SegmentDecoder() = default;
+
+bool SegmentDecoder::decode(std::string_view payload, Segment& segment, Error& reason)
+{
+    auto& in = this->state->message;
     const auto fail = [&reason](const char* detail) {
         reason = { .code = ErrorCode::Malformed, .detail = detail };
-        return std::nullopt;
+        return false;
     };
     if (!in.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
         return fail("the payload is not a segment");
+    // Protobuf parsers accept unknown fields, any order of fields and long varints, which would give one segment
+    // several hashes.
+    if (internal::hasUnknownFields(in) || !in.SerializeToString(&this->state->canonical)
+        || this->state->canonical != payload)
+        return fail("the payload is not in the canonical form");
     if (!internal::decodeHeader(in, segment.header))
         return fail("the segment header is invalid");
     if (!internal::decodeSubjects(in, segment))
@@ -240,12 +280,15 @@
     bool valid = internal::decodeColumn(internal::costColumn, in, segment.records);
     for (const auto& column : internal::countColumns)
         valid = internal::decodeColumn(column, in, segment.records) && valid;
-    if (!valid)
-        return fail("a count column is invalid");
-    // Protobuf parsers accept unknown fields, any order of fields and long varints, which would give one segment
-    // several hashes.
-    if (encode(segment) != payload)
-        return fail("the payload is not in the canonical form");
+    return valid || fail("a count column is invalid");
+}
+
+std::optional<Segment> decode(std::string_view payload, Error& reason)
+{
+    SegmentDecoder decoder;
+    Segment segment;
+    if (!decoder.decode(payload, segment, reason))
+        return std::nullopt;
     return segment;
 }
 
--- a/src/usage/verifier.cpp
+++ b/src/usage/verifier.cpp
@@ -35,28 +35,27 @@
     }
     Error reason;
     const auto envelope = unwrap(bytes, reason);
-    const auto segment = envelope ? decode(envelope->payload, reason) : std::nullopt;
-    if (!segment) {
+    if (!envelope || !this->decoder.decode(envelope->payload, this->segment, reason)) {
         this->report.findings.push_back(
             { .kind = FindingKind::Malformed, .place = { .segment = name }, .detail = reason.detail });
         return;
     }
-    const auto expected = segmentName(segment->header);
+    const auto expected = segmentName(this->segment.header);
     if (name != expected)
         this->report.findings.push_back({ .kind = FindingKind::WrongName,
             .place = { .segment = name },
             .other = { .segment = expected },
             .detail = "the header belongs to another object" });
     const auto index = this->chains.add({ .name = name,
-        .header = segment->header,
+        .header = this->segment.header,
         .digest = envelope->digest,
         .signature = envelope->signature,
         .link = linkOf(envelope->digest, envelope->signature) });
     ++this->report.segments;
-    this->report.records += segment->records.size();
+    this->report.records += this->segment.records.size();
     this->report.bytes += bytes.size();
-    this->joiner.add(*segment, index);
-    this->addMentions(*segment, name);
+    this->joiner.add(this->segment, index);
+    this->addMentions(this->segment, name);
 }
 
 void Verifier::addMarker(const std::string& name, std::string_view bytes)
--- a/src/usage/verifier.hpp
+++ b/src/usage/verifier.hpp
@@ -48,6 +48,8 @@
     KeyList keys;
     internal::ChainSet chains;
     internal::Joiner joiner;
+    SegmentDecoder decoder;
+    Segment segment; ///< Reused for every object.
     Report report;
 
     void addMarker(const std::string& name, std::string_view bytes);
