Add hourly summaries, compactor and report rendering

A summary holds the totals of one hour and the chain heads that fix its segments; the verifier recomputes both. Reports are rendered as table, JSON and CSV.

--- a/src/usage/chain_set.cpp
+++ b/src/usage/chain_set.cpp
@@ -259,6 +259,18 @@
         [&](const Period& period) { return period.from <= last && first <= period.until; });
 }
 
+bool ChainSet::contains(const ChainHead& head) const
+{
+    const auto found = this->chains.find(head.process);
+    if (found == this->chains.end())
+        return false;
+    const auto& indexes = found->second.segments;
+    const auto place = std::lower_bound(indexes.begin(), indexes.end(), head.number,
+        [this](std::uint32_t index, std::uint64_t number) { return this->segments[index].header.number < number; });
+    return place != indexes.end() && this->segments[*place].header.number == head.number
+        && this->segments[*place].link == head.link;
+}
+
 std::vector<ChainHead> ChainSet::heads() const
 {
     std::vector<ChainHead> heads;
--- a/src/usage/chain_set.hpp
+++ b/src/usage/chain_set.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "usage/chain_head.hpp"
 #include "usage/finding.hpp"
 #include "usage/key.hpp"
 #include "usage/segment.hpp"
@@ -12,18 +13,6 @@
 
 namespace chivewinch::usage {
 
-/** Newest segment of a chain; its link fixes every segment before it. */
-struct ChainHead {
-    ProcessId process;
-    Side side = Side::Entry;
-    std::uint64_t number = 0;
-    Digest link {};
-    WallMillis coversUntil;
-    bool closes = false;
-
-    auto operator<=>(const ChainHead&) const = default;
-};
-
 namespace internal {
 
 /** What the chain check needs of a segment. */
@@ -69,6 +58,8 @@
 
     [[nodiscard]] const std::vector<UncoveredPeriod>& uncovered() const noexcept { return this->uncoveredPeriods; }
     [[nodiscard]] std::vector<ChainHead> heads() const;
+    /** Whether the chain contains this segment, as its newest or an earlier one. */
+    [[nodiscard]] bool contains(const ChainHead& head) const;
 
 private:
     struct Chain {
--- a/src/usage/verifier.cpp
+++ b/src/usage/verifier.cpp
@@ -5,20 +5,6 @@
 
 namespace chivewinch::usage {
 
-bool Report::clean() const noexcept
-{
-    return std::none_of(
-        this->findings.begin(), this->findings.end(), [](const Finding& finding) { return isDefect(finding.kind); });
-}
-
-std::map<std::string, Totals> Report::perOwner() const
-{
-    std::map<std::string, Totals> owners;
-    for (const auto& [key, totals] : this->split)
-        owners[key.subject.owner] += totals;
-    return owners;
-}
-
 Verifier::Verifier(VerifierOptions options, KeyList keys)
     : options { options }
     , keys { std::move(keys) }
@@ -31,8 +17,31 @@
 {
     if (name.starts_with("usage/open/")) {
         this->addMarker(name, bytes);
+    } else if (name.starts_with("usage/summary/")) {
+        this->addSummary(name, bytes);
+    } else {
+        this->addSegment(name, bytes);
+    }
+}
+
+void Verifier::addSummary(const std::string& name, std::string_view bytes)
+{
+    Error reason;
+    auto summary = readSummary(bytes, this->keys, reason);
+    const auto kind = reason.code == ErrorCode::BadSignature ? FindingKind::BadSignature : FindingKind::Malformed;
+    if (!summary) {
+        this->report.findings.push_back({ .kind = kind, .place = { .segment = name }, .detail = reason.detail });
         return;
     }
+    if (name != summaryName(summary->hour))
+        this->report.findings.push_back({ .kind = FindingKind::WrongName, .place = { .segment = name } });
+    const auto& window = this->options.window;
+    if (!window || (summary->hour >= window->from && summary->hour < window->until))
+        this->summaries.push_back({ .name = name, .summary = std::move(*summary) });
+}
+
+void Verifier::addSegment(const std::string& name, std::string_view bytes)
+{
     Error reason;
     const auto envelope = unwrap(bytes, reason);
     if (!envelope || !this->decoder.decode(envelope->payload, this->segment, reason)) {
@@ -103,12 +112,31 @@
     }
 }
 
+void Verifier::compareSummaries()
+{
+    for (const auto& [name, summary] : this->summaries) {
+        const auto mismatch = [&, &summaryName = name](FindingPlace other, std::string detail) {
+            this->report.findings.push_back({ .kind = FindingKind::SummaryMismatch,
+                .place = { .segment = summaryName },
+                .other = std::move(other),
+                .detail = std::move(detail) });
+        };
+        if (hourOfSplit(this->report.split, summary.hour) != summary.split)
+            mismatch({}, "the totals differ from those of the segments");
+        for (const auto& head : summary.heads) {
+            if (!this->chains.contains(head))
+                mismatch({ .segment = toString(head.process) }, "the chain head differs or is missing");
+        }
+    }
+}
+
 Report Verifier::finish()
 {
     this->chains.check(this->report.findings);
     if (this->options.reportPossibleLoss)
         this->reportPossibleLosses();
     this->joiner.settle(this->report.findings, this->report.split);
+    this->compareSummaries();
     this->report.heads = this->chains.heads();
     std::sort(this->report.findings.begin(), this->report.findings.end());
     return std::exchange(this->report, {});
--- a/src/usage/verifier.hpp
+++ b/src/usage/verifier.hpp
@@ -4,6 +4,8 @@
 #include "usage/finding.hpp"
 #include "usage/join.hpp"
 #include "usage/key.hpp"
+#include "usage/report.hpp"
+#include "usage/summary.hpp"
 #include "usage/totals.hpp"
 #include "usage/verifier_options.hpp"
 
@@ -14,23 +16,6 @@
 
 namespace chivewinch::usage {
 
-/** What the segments give: the split and everything that calls it into question. */
-struct Report {
-    Split split;
-    std::vector<Finding> findings;
-    std::vector<ChainHead> heads;
-    std::uint64_t segments = 0;
-    std::uint64_t records = 0;
-    std::uint64_t bytes = 0;
-
-    bool operator==(const Report&) const = default;
-
-    /** Whether no finding calls the totals into question. */
-    [[nodiscard]] bool clean() const noexcept;
-    /** Totals per owner over all teams, models and hours. */
-    [[nodiscard]] std::map<std::string, Totals> perOwner() const;
-};
-
 /** Recomputes the split from stored objects and public keys alone. Use it once; not thread-safe. */
 class Verifier {
 public:
@@ -38,12 +23,17 @@
     Verifier(const Verifier&) = delete;
     Verifier& operator=(const Verifier&) = delete;
 
-    /** Takes a segment or marker, in any order. */
+    /** Takes a segment, marker or summary, in any order. */
     void add(const std::string& name, std::string_view bytes);
 
     [[nodiscard]] Report finish();
 
 private:
+    struct NamedSummary {
+        std::string name;
+        Summary summary;
+    };
+
     VerifierOptions options;
     KeyList keys;
     internal::ChainSet chains;
@@ -51,10 +41,14 @@
     SegmentDecoder decoder;
     Segment segment; ///< Reused for every object.
     Report report;
+    std::vector<NamedSummary> summaries;
 
+    void addSegment(const std::string& name, std::string_view bytes);
+    void addSummary(const std::string& name, std::string_view bytes);
     void addMarker(const std::string& name, std::string_view bytes);
     void addMentions(const Segment& segment, const std::string& name);
     void reportPossibleLosses();
+    void compareSummaries();
 };
 
 } // namespace chivewinch::usage
--- /dev/null
+++ b/tests/usage/compactor_test.cpp
@@ -0,0 +1,137 @@
+#include "usage/compactor.hpp"
+#include "usage/installation.hpp"
+#include "usage/summary.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace chivewinch::usage::test {
+
+using namespace std::chrono_literals;
+
+class CompactorTest : public testing::Test {
+protected:
+    Installation installation;
+    WallMillis hour = hourOf(this->installation.world->now());
+
+    Report compact()
+    {
+        // The time after the hour in which its last records are written.
+        this->installation.world->scheduler.runFor(3h);
+        Compactor compactor { {}, this->installation.keys(), keyOf("entry-1"), this->installation.entry,
+            this->installation.world->memory };
+        std::optional<Report> result;
+        compactor.run(this->hour, base::FencingNumber { 1 }, [&result](auto report, const Error& error) {
+            EXPECT_EQ(error.code, ErrorCode::None) << error.detail;
+            result = std::move(report);
+        });
+        this->installation.objects = this->installation.world->memory.all();
+        return result.value_or(Report {});
+    }
+
+    std::optional<Summary> stored()
+    {
+        Error reason;
+        return readSummary(this->installation.objects.at(summaryName(this->hour)), this->installation.keys(), reason);
+    }
+
+    static bool hasMismatch(const Report& report)
+    {
+        return std::any_of(report.findings.begin(), report.findings.end(),
+            [](const Finding& finding) { return finding.kind == FindingKind::SummaryMismatch; });
+    }
+};
+
+// Guards against a summary whose totals differ from those of the segments.
+TEST_F(CompactorTest, SummaryHasTheTotalsOfItsSegments)
+{
+    const auto report = this->compact();
+    EXPECT_TRUE(report.clean());
+    const auto summary = this->stored();
+    ASSERT_TRUE(summary);
+    // The first record was issued in the hour before.
+    EXPECT_TRUE(summary->split == hourOfSplit(this->installation.verify().split, this->hour));
+    EXPECT_GT(summary->split.size(), 1U);
+    EXPECT_EQ(summary->heads.size(), 2U);
+    EXPECT_TRUE(this->installation.verify().clean());
+}
+
+// Guards against a summary that stays valid although its segments were changed, and the other way round.
+TEST_F(CompactorTest, SummaryIsComparedWithSegments)
+{
+    (void)this->compact();
+    auto altered = this->installation;
+    auto summary = *this->stored();
+    summary.split.begin()->second.promptTokens += 1;
+    altered.objects[summaryName(this->hour)] = sealSummary(summary, keyOf("entry-1"));
+    EXPECT_TRUE(hasMismatch(altered.verify()));
+    altered = this->installation;
+    altered.alter(
+        altered.chain("agent-1").back(), [](Segment& segment) { ++segment.records[0].finished; }, true);
+    EXPECT_TRUE(hasMismatch(altered.verify()));
+}
+
+// Guards against a changed byte anywhere in a summary that its reader accepts.
+TEST_F(CompactorTest, ReaderRejectsEveryFlippedByte)
+{
+    (void)this->compact();
+    const auto bytes = this->installation.objects.at(summaryName(this->hour));
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        auto altered = bytes;
+        altered[i] = static_cast<char>(altered[i] ^ (1 << (i % 8)));
+        Error reason;
+        EXPECT_FALSE(readSummary(altered, this->installation.keys(), reason)) << "byte " << i;
+    }
+}
+
+// Guards against a second writer that replaces a summary, or that does not notice that an existing one is wrong.
+TEST_F(CompactorTest, SecondRunComparesWithStoredSummary)
+{
+    (void)this->compact();
+    EXPECT_FALSE(hasMismatch(this->compact()));
+    auto summary = *this->stored();
+    summary.split.clear();
+    this->installation.world->memory.overwrite(summaryName(this->hour), sealSummary(summary, keyOf("entry-1")));
+    EXPECT_TRUE(hasMismatch(this->compact()));
+}
+
+// Guards against a partial summary after a failed read.
+TEST_F(CompactorTest, StoreFailureWritesNothing)
+{
+    auto& world = *this->installation.world;
+    world.objects.faults().down = true;
+    Compactor compactor { {}, this->installation.keys(), keyOf("entry-1"), this->installation.entry, world.objects };
+    std::optional<ErrorCode> code;
+    compactor.run(
+        this->hour, base::FencingNumber { 1 }, [&code](const auto&, const Error& error) { code = error.code; });
+    world.scheduler.runFor(10s);
+    EXPECT_EQ(code, ErrorCode::StoreUnavailable);
+    EXPECT_FALSE(world.memory.all().contains(summaryName(this->hour)));
+}
+
+// Guards against output that an operator's tools cannot read, for names with special characters.
+TEST(ReportTest, RendersTableJsonAndCsv)
+{
+    Report report;
+    const TotalsKey key { .hour = WallMillis { 3600s },
+        .subject = { .owner = "a,\"b\"\xff", .team = "t", .model = "m" } };
+    report.split[key] = { .requests = 2, .promptTokens = 10 };
+    report.split[{ .hour = key.hour, .subject = { .owner = "z", .team = "t", .model = "m" } }] = { .requests = 1 };
+    report.findings.push_back({ .kind = FindingKind::Mismatch, .place = { .segment = "s", .record = 3 } });
+    const auto json = nlohmann::json::parse(renderJson(report, { .hour = true }));
+    EXPECT_EQ(json["totals"][0]["requests"], 2);
+    EXPECT_EQ(json["totals"][0]["hour"], "1970-01-01T01");
+    EXPECT_EQ(json["findings"][0]["place"]["record"], 3);
+    EXPECT_EQ(json["clean"], false);
+    const auto csv = renderCsv(report, {});
+    EXPECT_TRUE(csv.starts_with("owner,requests,cancelled,"));
+    EXPECT_NE(csv.find("\"a,\"\"b\"\"\xff\",2,0,"), std::string::npos);
+    const auto table = renderTable(report, {});
+    EXPECT_NE(table.find("requests  prompt_tokens\n"), std::string::npos);
+    EXPECT_NE(table.find("mismatch s#3"), std::string::npos);
+    EXPECT_EQ(report.perOwner().at("z").requests, 1U);
+}
+
+} // namespace chivewinch::usage::test
--- a/tests/usage/tamper_test.cpp
+++ b/tests/usage/tamper_test.cpp
@@ -235,14 +235,14 @@
     const auto name = original.chain("agent-1").back();
     copied.objects[name + "x"] = copied.objects[name];
     EXPECT_TRUE(has(copied.verify(), FindingKind::Fork));
-    EXPECT_EQ(copied.verify().split, original.verify().split);
+    EXPECT_TRUE(copied.verify().split == original.verify().split);
     auto doubled = original;
     doubled.alter(
         original.chain("entry-1").back(), [](Segment& segment) { segment.records.push_back(segment.records.front()); },
         true);
     EXPECT_TRUE(has(doubled.verify(), FindingKind::DoubleCount));
-    EXPECT_EQ(doubled.verify().split, original.verify().split);
-    EXPECT_NE(doubled.verify({ .dropDuplicates = false }).split, original.verify().split);
+    EXPECT_TRUE(doubled.verify().split == original.verify().split);
+    EXPECT_FALSE(doubled.verify({ .dropDuplicates = false }).split == original.verify().split);
 }
 
 // The tests below show that the checks notice nothing when their mechanism is off.
