--- a/src/usage/segment.hpp
+++ b/src/usage/segment.hpp
@@ -4,6 +4,7 @@
 #include "usage/record.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,15 @@
     auto operator<=>(const Subject&) const = default;
 };
 
+/** Subject as indexes into a list of names. */
+struct SubjectNames {
+    std::uint32_t owner = 0;
+    std::uint32_t team = 0;
+    std::uint32_t model = 0;
+
+    auto operator<=>(const SubjectNames&) const = default;
+};
+
 /** Record of a segment; subject and peer are indexes into the segment's lists. */
 struct PackedRecord {
     base::AttemptId id;
@@ -58,13 +68,15 @@
 
 struct Segment {
     SegmentHeader header;
-    std::vector<Subject> subjects;
+    std::vector<std::string> names;
+    std::vector<SubjectNames> subjects;
     std::vector<ProcessId> peers;
     std::vector<Witness> witnessed; ///< Other processes met since the previous segment.
     std::vector<PackedRecord> records;
 
     bool operator==(const Segment&) const = default;
 
+    [[nodiscard]] Subject subject(std::size_t index) const;
     [[nodiscard]] Record record(std::size_t index) const;
 };
 
@@ -96,6 +108,22 @@
 /** Inverse of encode; nullopt with ErrorCode::Malformed for anything that encode does not produce. */
 [[nodiscard]] std::optional<Segment> decode(std::string_view payload, Error& reason);
 
+/** Decodes many segments and keeps its memory between them. */
+class SegmentDecoder {
+public:
+    SegmentDecoder();
+    SegmentDecoder(const SegmentDecoder&) = delete;
+    SegmentDecoder& operator=(const SegmentDecoder&) = delete;
+    ~SegmentDecoder();
+
+    /** Overwrites the segment; false with ErrorCode::Malformed for anything that encode does not produce. */
+    [[nodiscard]] bool decode(std::string_view payload, Segment& segment, Error& reason);
+
+private:
+    struct State;
+    std::unique_ptr<State> state;
+};
+
 [[nodiscard]] SealedSegment seal(const Segment& segment, const SigningKey& key);
 
 [[nodiscard]] std::string wrap(std::string payload, const Signature& signature);
--- a/src/usage/segment_codec.cpp
+++ b/src/usage/segment_codec.cpp
@@ -46,17 +46,20 @@
 bool decodeColumn(const CountColumn<Value>& column, const stored::Segment& in, std::vector<PackedRecord>& records)
 {
     const auto& field = (in.*column.field)();
-    if (field.empty())
+    if (field.empty()) {
+        for (auto& record : records)
+            record.counts.*column.member = 0;
         return true;
+    }
     if (static_cast<std::size_t>(field.size()) != records.size())
         return false;
-    bool allZero = true;
     const auto* values = field.data();
+    Value any = 0;
     for (std::size_t i = 0; i < records.size(); ++i) {
         records[i].counts.*column.member = values[i];
-        allZero = allZero && values[i] == 0;
+        any |= values[i];
     }
-    return !allZero;
+    return any != 0;
 }
 
 void assign(stored::Process& out, const ProcessId& process)
@@ -164,10 +167,39 @@
     return valid;
 }
 
-void decodeLists(const stored::Segment& in, Segment& segment)
+template <typename Message> bool hasUnknown(const Message& message)
+{
+    return !message.GetReflection()->GetUnknownFields(message).empty();
+}
+
+bool hasUnknownFields(const stored::Segment& in)
+{
+    const auto unknownProcess = [](const stored::Process& process) { return hasUnknown(process); };
+    const auto unknownWitness
+        = [](const stored::Witness& witness) { return hasUnknown(witness) || hasUnknown(witness.process()); };
+    return hasUnknown(in) || hasUnknown(in.process())
+        || std::any_of(in.peers().begin(), in.peers().end(), unknownProcess)
+        || std::any_of(in.witnessed().begin(), in.witnessed().end(), unknownWitness);
+}
+
+bool decodeSubjects(const stored::Segment& in, Segment& segment)
 {
-    for (const auto& subject : in.subjects())
-        segment.subjects.push_back({ .owner = subject.owner(), .team = subject.team(), .model = subject.model() });
+    segment.names.assign(in.names().begin(), in.names().end());
+    if (in.subjects_size() % 3 != 0)
+        return false;
+    segment.subjects.clear();
+    segment.subjects.reserve(static_cast<std::size_t>(in.subjects_size() / 3));
+    for (int i = 0; i < in.subjects_size(); i += 3)
+        segment.subjects.push_back(
+            { .owner = in.subjects(i), .team = in.subjects(i + 1), .model = in.subjects(i + 2) });
+    return std::all_of(in.subjects().begin(), in.subjects().end(),
+        [&segment](std::uint32_t name) { return name < segment.names.size(); });
+}
+
+void decodeProcesses(const stored::Segment& in, Segment& segment)
+{
+    segment.peers.clear();
+    segment.witnessed.clear();
     for (const auto& peer : in.peers())
         segment.peers.push_back(toProcess(peer));
     for (const auto& witness : in.witnessed())
@@ -187,11 +219,14 @@
 {
     stored::Segment out;
     internal::encodeHeader(segment.header, out);
+    out.mutable_names()->Reserve(static_cast<int>(segment.names.size()));
+    for (const auto& name : segment.names)
+        out.add_names(name);
+    out.mutable_subjects()->Reserve(static_cast<int>(3 * segment.subjects.size()));
     for (const auto& subject : segment.subjects) {
-        auto& added = *out.add_subjects();
-        added.set_owner(subject.owner);
-        added.set_team(subject.team);
-        added.set_model(subject.model);
+        out.add_subjects(subject.owner);
+        out.add_subjects(subject.team);
+        out.add_subjects(subject.model);
     }
     for (const auto& peer : segment.peers)
         internal::assign(*out.add_peers(), peer);
@@ -207,22 +242,37 @@
     return out.SerializeAsString();
 }
 
-std::optional<Segment> decode(std::string_view payload, Error& reason)
+struct SegmentDecoder::State {
+    stored::Segment message;
+    std::string canonical;
+};
+
+SegmentDecoder::SegmentDecoder()
+    : state { std::make_unique<State>() }
 {
-    stored::Segment in;
-    Segment segment;
+}
+
+SegmentDecoder::~SegmentDecoder() = default;
+
+bool SegmentDecoder::decode(std::string_view payload, Segment& segment, Error& reason)
+{
+    auto& in = this->state->message;
     const auto fail = [&reason](const char* detail) {
         reason = { .code = ErrorCode::Malformed, .detail = detail };
-        return std::nullopt;
+        return false;
     };
-    if (!in.ParseFromArray(payload.data(), static_cast<int>(payload.size()))
-        || !in.GetReflection()->GetUnknownFields(in).empty())
+    if (!in.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
         return fail("the payload is not a segment");
-    if (in.ByteSizeLong() != payload.size())
+    // Protobuf parsers accept unknown fields, any order of fields and long varints, which would give one segment
+    // several hashes.
+    if (internal::hasUnknownFields(in) || !in.SerializeToString(&this->state->canonical)
+        || this->state->canonical != payload)
         return fail("the payload is not in the canonical form");
     if (!internal::decodeHeader(in, segment.header))
         return fail("the segment header is invalid");
-    internal::decodeLists(in, segment);
+    if (!internal::decodeSubjects(in, segment))
+        return fail("a subject is invalid");
+    internal::decodeProcesses(in, segment);
     if (!internal::validWitnesses(segment.witnessed))
         return fail("a witnessed process is invalid");
     if (!internal::decodeIdentities(in, segment))
@@ -230,8 +280,15 @@
     bool valid = internal::decodeColumn(internal::costColumn, in, segment.records);
     for (const auto& column : internal::countColumns)
         valid = internal::decodeColumn(column, in, segment.records) && valid;
-    if (!valid)
-        return fail("a count column is invalid");
+    return valid || fail("a count column is invalid");
+}
+
+std::optional<Segment> decode(std::string_view payload, Error& reason)
+{
+    SegmentDecoder decoder;
+    Segment segment;
+    if (!decoder.decode(payload, segment, reason))
+        return std::nullopt;
     return segment;
 }
 
--- a/src/usage/verifier.cpp
+++ b/src/usage/verifier.cpp
@@ -5,20 +5,6 @@
 
 namespace chivewinch::usage {
 
-bool Report::clean() const noexcept
-{
-    return std::none_of(
-        this->findings.begin(), this->findings.end(), [](const Finding& finding) { return isDefect(finding.kind); });
-}
-
-std::map<std::string, Totals> Report::perOwner() const
-{
-    std::map<std::string, Totals> owners;
-    for (const auto& [key, totals] : this->split)
-        owners[key.subject.owner] += totals;
-    return owners;
-}
-
 Verifier::Verifier(VerifierOptions options, KeyList keys)
     : options { options }
     , keys { std::move(keys) }
@@ -31,31 +17,54 @@
 {
     if (name.starts_with("usage/open/")) {
         this->addMarker(name, bytes);
+    } else if (name.starts_with("usage/summary/")) {
+        this->addSummary(name, bytes);
+    } else {
+        this->addSegment(name, bytes);
+    }
+}
+
+void Verifier::addSummary(const std::string& name, std::string_view bytes)
+{
+    Error reason;
+    auto summary = readSummary(bytes, this->keys, reason);
+    const auto kind = reason.code == ErrorCode::BadSignature ? FindingKind::BadSignature : FindingKind::Malformed;
+    if (!summary) {
+        this->report.findings.push_back({ .kind = kind, .place = { .segment = name }, .detail = reason.detail });
         return;
     }
+    if (name != summaryName(summary->hour))
+        this->report.findings.push_back({ .kind = FindingKind::WrongName, .place = { .segment = name } });
+    const auto& window = this->options.window;
+    if (!window || (summary->hour >= window->from && summary->hour < window->until))
+        this->summaries.push_back({ .name = name, .summary = std::move(*summary) });
+}
+
+void Verifier::addSegment(const std::string& name, std::string_view bytes)
+{
     Error reason;
     const auto envelope = unwrap(bytes, reason);
-    const auto segment = envelope ? decode(envelope->payload, reason) : std::nullopt;
-    if (!segment) {
+    if (!envelope || !this->decoder.decode(envelope->payload, this->segment, reason)) {
         this->report.findings.push_back(
             { .kind = FindingKind::Malformed, .place = { .segment = name }, .detail = reason.detail });
         return;
     }
-    const auto expected = segmentName(segment->header);
+    const auto expected = segmentName(this->segment.header);
     if (name != expected)
         this->report.findings.push_back({ .kind = FindingKind::WrongName,
             .place = { .segment = name },
             .other = { .segment = expected },
             .detail = "the header belongs to another object" });
     const auto index = this->chains.add({ .name = name,
-        .header = segment->header,
+        .header = this->segment.header,
         .digest = envelope->digest,
         .signature = envelope->signature,
         .link = linkOf(envelope->digest, envelope->signature) });
     ++this->report.segments;
-    this->report.records += segment->records.size();
+    this->report.records += this->segment.records.size();
     this->report.bytes += bytes.size();
-    this->addRecords(*segment, index);
+    this->joiner.add(this->segment, index);
+    this->addMentions(this->segment, name);
 }
 
 void Verifier::addMarker(const std::string& name, std::string_view bytes)
@@ -72,35 +81,15 @@
     this->chains.mention(process, side, internal::startOf(*incarnation), name);
 }
 
-void Verifier::addRecords(const Segment& segment, std::uint32_t index)
+void Verifier::addMentions(const Segment& segment, const std::string& name)
 {
-    const auto& process = segment.header.process;
-    const auto& name = this->chains.segment(index).name;
     const auto otherSide = segment.header.side == Side::Entry ? Side::Agent : Side::Entry;
-    std::vector<std::uint32_t> subjects;
-    subjects.reserve(segment.subjects.size());
-    for (const auto& subject : segment.subjects)
-        subjects.push_back(
-            this->joiner.subjects.indexOf({ .owner = subject.owner, .team = subject.team, .model = subject.model }));
-    std::vector<std::uint32_t> peers;
-    peers.reserve(segment.peers.size());
     for (const auto& peer : segment.peers) {
-        peers.push_back(this->joiner.processes.indexOf({ .instance = peer.instance, .incarnation = peer.incarnation }));
         if (!peer.instance.empty())
             this->chains.mention(peer, otherSide, segment.header.coversUntil, name);
     }
     for (const auto& witness : segment.witnessed)
         this->chains.mention(witness.process, witness.side, segment.header.coversUntil, name);
-    internal::JoinItem item { .segment = index,
-        .process = this->joiner.processes.indexOf({ .instance = process.instance, .incarnation = process.incarnation }),
-        .side = segment.header.side };
-    for (const auto& record : segment.records) {
-        item.record = record;
-        item.record.subject = subjects[record.subject];
-        item.record.peer = peers[record.peer];
-        this->joiner.add(item);
-        ++item.index;
-    }
 }
 
 void Verifier::reportPossibleLosses()
@@ -123,12 +112,31 @@
     }
 }
 
+void Verifier::compareSummaries()
+{
+    for (const auto& [name, summary] : this->summaries) {
+        const auto mismatch = [&, &summaryName = name](FindingPlace other, std::string detail) {
+            this->report.findings.push_back({ .kind = FindingKind::SummaryMismatch,
+                .place = { .segment = summaryName },
+                .other = std::move(other),
+                .detail = std::move(detail) });
+        };
+        if (hourOfSplit(this->report.split, summary.hour) != summary.split)
+            mismatch({}, "the totals differ from those of the segments");
+        for (const auto& head : summary.heads) {
+            if (!this->chains.contains(head))
+                mismatch({ .segment = toString(head.process) }, "the chain head differs or is missing");
+        }
+    }
+}
+
 Report Verifier::finish()
 {
     this->chains.check(this->report.findings);
     if (this->options.reportPossibleLoss)
         this->reportPossibleLosses();
     this->joiner.settle(this->report.findings, this->report.split);
+    this->compareSummaries();
     this->report.heads = this->chains.heads();
     std::sort(this->report.findings.begin(), this->report.findings.end());
     return std::exchange(this->report, {});
