Distribute bundles: entries take proven versions from the store and from peers

The entry links to other entries, counts the live ones for its limit shares, and keeps its bundle through the distributor. A rolled bundle needs both owners' signatures; the development setting that bypassed them is gone.

--- a/app/agent/agent.cpp
+++ b/app/agent/agent.cpp
@@ -159,15 +159,15 @@
         return std::make_shared<AttemptRun>(*this, session, stream);
     if (path != protocol::controlPath)
         return nullptr;
-    auto control = std::make_shared<ControlStream>(
+    auto control = std::make_shared<protocol::ControlStream>(
         session, stream,
-        [this](ControlStream& from, const wire::Control& message) { this->handleControl(from, message); },
-        [this](const std::shared_ptr<ControlStream>& closed) { this->controls.erase(closed); });
+        [this](protocol::ControlStream& from, const wire::Control& message) { this->handleControl(from, message); },
+        [this](const std::shared_ptr<protocol::ControlStream>& closed) { this->controls.erase(closed); });
     this->controls.insert(control);
     return control;
 }
 
-void Agent::handleControl(ControlStream& control, const wire::Control& message)
+void Agent::handleControl(protocol::ControlStream& control, const wire::Control& message)
 {
     if (message.has_hello()) {
         control.setPeer(message.hello());
--- a/app/agent/agent.hpp
+++ b/app/agent/agent.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "agent/attempt_run.hpp"
-#include "agent/control_stream.hpp"
 #include "agent/options.hpp"
 #include "agent/target_monitor.hpp"
 #include "base/clock.hpp"
@@ -10,6 +9,7 @@
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "metrics/registry.hpp"
+#include "protocol/control_stream.hpp"
 #include "store_http/asio_scheduler.hpp"
 #include "store_http/http_services.hpp"
 #include "suspect/strike_table.hpp"
@@ -75,7 +75,7 @@
     boost::asio::steady_timer heartbeatTimer;
     boost::asio::steady_timer drainTimer;
     std::map<base::AttemptId, std::weak_ptr<AttemptRun>> runs;
-    std::set<std::shared_ptr<ControlStream>> controls;
+    std::set<std::shared_ptr<protocol::ControlStream>> controls;
     std::set<std::shared_ptr<transport::Session>> sessions;
     std::uint64_t heartbeatSequence = 0;
     std::string reason;
@@ -87,7 +87,7 @@
     void adopt(boost::asio::ip::tcp::socket socket);
     [[nodiscard]] std::shared_ptr<transport::StreamObserver> acceptStream(
         const std::shared_ptr<transport::Session>& session, transport::StreamId stream, std::string_view path);
-    void handleControl(ControlStream& control, const wire::Control& message);
+    void handleControl(protocol::ControlStream& control, const wire::Control& message);
     void cancelAttempt(const wire::Cancel& message);
     [[nodiscard]] base::RefusalReason checkAttempt(const delivery::AttemptStart& start) const;
     void targetCrashed(base::Incarnation ended);
--- a/app/ctl/main.cpp
+++ b/app/ctl/main.cpp
@@ -50,6 +50,8 @@
         if (given == command.name)
             return runCommand(command, argumentCount - words, arguments + words);
     }
+    if (argumentCount == 2 && std::string { arguments[1] } == "--version")
+        return settings::printVersion();
     const bool asked = argumentCount < 2 || std::string { arguments[1] } == "--help";
     return printCommands(asked ? settings::exitDone : settings::exitWrongUse);
 }
--- /dev/null
+++ b/app/entry/bundle_feed.cpp
@@ -0,0 +1,74 @@
+#include "entry/bundle_feed.hpp"
+
+#include "logging/event.hpp"
+
+#include <utility>
+
+namespace chivewinch::entry {
+
+namespace internal {
+
+constexpr const char* rolloutLeaseName = "rollout";
+
+std::string holderName(const EntryOptions& options, base::Incarnation incarnation)
+{
+    return options.instance + "/" + std::to_string(static_cast<std::uint64_t>(incarnation));
+}
+
+void logLease(lease::LeaseEvent event, base::FencingNumber number)
+{
+    logging::Event { "rollout_lease" }
+        .field("change", lease::toString(event))
+        .field("fencing", static_cast<std::uint64_t>(number))
+        .info();
+}
+
+void logFailure(const std::string& source, const bundle::Error& error)
+{
+    logging::Event { "bundle_fetch_failed" }
+        .field("source", source)
+        .field("code", bundle::toString(error.code))
+        .field("detail", error.detail)
+        .warning();
+}
+
+} // namespace internal
+
+BundleFeed::BundleFeed(const Dependencies& dependencies, const bundle::TrustedKeys& keys, InForce onInForce)
+    : options { dependencies.options }
+    , peers { dependencies.peers }
+    , replica { keys }
+    , operations { dependencies.store.tables(), dependencies.store.objects(), dependencies.random, keys,
+        dependencies.options.instance }
+    , rolloutLease { internal::rolloutLeaseName, internal::holderName(dependencies.options, dependencies.incarnation),
+        dependencies.store.tables(), dependencies.scheduler, dependencies.clock, dependencies.random,
+        &internal::logLease }
+    , rollout { this->operations, this->rolloutLease }
+    , distributor { { .id = dependencies.options.instance, .zone = dependencies.options.zone }, this->replica,
+        dependencies.store.tables(), dependencies.store.objects(), dependencies.peers, dependencies.scheduler,
+        dependencies.clock, dependencies.random, std::move(onInForce), &internal::logFailure }
+{
+}
+
+void BundleFeed::start()
+{
+    this->onMembership();
+    this->distributor.start();
+    this->rolloutLease.start();
+}
+
+void BundleFeed::onVersion(const std::string& peer, const base::ZoneId& zone, base::BundleVersion version)
+{
+    this->distributor.onHeartbeat(peer, zone, version);
+}
+
+void BundleFeed::onMembership()
+{
+    auto live = this->peers.liveIn(this->options.zone);
+    live.push_back(this->options.instance);
+    this->distributor.setLiveEntries(std::move(live));
+}
+
+void BundleFeed::advanceRollout() { this->rollout.update(this->replica.version(), this->peers.versions()); }
+
+} // namespace chivewinch::entry
--- /dev/null
+++ b/app/entry/bundle_feed.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "bundle/distributor.hpp"
+#include "bundle/operations.hpp"
+#include "bundle/replica.hpp"
+#include "bundle/rollout_duty.hpp"
+#include "entry/peer_set.hpp"
+#include "lease/lease.hpp"
+#include "store/client.hpp"
+#include "store/scheduler.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace chivewinch::entry {
+
+/**
+ * Keeps this entry's bundle up to date from the store and from its peers, and confirms rolled versions while this
+ * entry holds the rollout lease. Used on the control strand only.
+ */
+class BundleFeed {
+public:
+    using InForce = std::function<void(const std::shared_ptr<const bundle::Snapshot>&)>;
+
+    struct Dependencies {
+        const EntryOptions& options;
+        store::Client& store;
+        store::Scheduler& scheduler;
+        const base::Clock& clock;
+        base::RandomSource& random;
+        PeerSet& peers;
+        base::Incarnation incarnation;
+    };
+
+    BundleFeed(const Dependencies& dependencies, const bundle::TrustedKeys& keys, InForce onInForce);
+
+    void start();
+    /** Gives up the lease, so that another entry can take it at once. */
+    void stop() { this->rolloutLease.stop(); }
+
+    void onVersion(const std::string& peer, const base::ZoneId& zone, base::BundleVersion version);
+    void onPeerGone(const std::string& peer) { this->distributor.onPeerGone(peer); }
+    void onReply(const std::string& peer, const bundle::PeerReply& reply) { this->distributor.onReply(peer, reply); }
+    [[nodiscard]] bundle::PeerReply answer(const bundle::PeerRequest& request) const
+    {
+        return this->distributor.onRequest(request);
+    }
+    /** The set of live entries has changed. */
+    void onMembership();
+    /** To be called about once a second. */
+    void advanceRollout();
+
+    [[nodiscard]] const bundle::DistributorStats& stats() const noexcept { return this->distributor.stats(); }
+    [[nodiscard]] bool isReader() const noexcept { return this->distributor.isReader(); }
+    [[nodiscard]] bool holdsRolloutLease() const noexcept { return this->rolloutLease.held(); }
+
+private:
+    const EntryOptions& options;
+    PeerSet& peers;
+    bundle::Replica replica;
+    bundle::Operations operations;
+    lease::Lease rolloutLease;
+    bundle::RolloutDuty rollout;
+    bundle::Distributor distributor;
+};
+
+} // namespace chivewinch::entry
--- a/app/entry/entry.cpp
+++ b/app/entry/entry.cpp
@@ -1,7 +1,5 @@
 #include "entry/entry.hpp"
 
-#include "bundle/digest.hpp"
-#include "bundle/parse.hpp"
 #include "logging/event.hpp"
 
 #include <boost/asio/bind_executor.hpp>
@@ -9,8 +7,6 @@
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 namespace chivewinch::entry {
@@ -20,6 +16,7 @@
 namespace internal {
 
 constexpr std::chrono::milliseconds tickInterval { 50 };
+constexpr std::chrono::seconds rolloutCheckInterval { 1 };
 constexpr std::chrono::milliseconds drainCheckInterval { 20 };
 constexpr std::chrono::milliseconds flushTime { 200 };
 
@@ -55,7 +52,8 @@
 
 } // namespace internal
 
-Entry::Entry(asio::io_context& context, EntryOptions entryOptions, usage::SigningKey key)
+Entry::Entry(
+    asio::io_context& context, EntryOptions entryOptions, usage::SigningKey key, const bundle::TrustedKeys& ownerKeys)
     : context { context }
     , options { std::move(entryOptions) }
     , incarnation { internal::startIncarnation(this->clock) }
@@ -64,12 +62,24 @@
     , scheduler { this->control }
     , tableService { this->control, internal::clientOptions(this->options.tableService) }
     , objects { this->control, internal::clientOptions(this->options.objectStore) }
+    , storeClient { this->tableService, this->objects, this->scheduler, this->clock, this->controlRandom }
     , claims { this->clock, this->scheduler, this->controlRandom, this->tableService, this->objects,
         internal::claimOptions(this->options) }
     , claimDesk { this->control, this->claims }
     , ledger { internal::ledgerOptions(this->options, this->incarnation), std::move(key), this->objects,
         this->scheduler, this->clock, this->controlRandom }
-    , links { context.get_executor(), this->options, this->tables, this->clock, this->incarnation }
+    , heartbeats { this->options, this->tables, this->incarnation }
+    , links { context.get_executor(), this->options, this->tables, this->clock, this->heartbeats }
+    , peers { this->control, context.get_executor(), this->options, this->tables, this->clock, this->heartbeats,
+        this->peerHandlers() }
+    , bundles { { .options = this->options,
+                    .store = this->storeClient,
+                    .scheduler = this->scheduler,
+                    .clock = this->clock,
+                    .random = this->controlRandom,
+                    .peers = this->peers,
+                    .incarnation = this->incarnation },
+        ownerKeys, [this](const std::shared_ptr<const bundle::Snapshot>& snapshot) { this->adopt(snapshot); } }
     , services { this->makeServices() }
     , tickTimer { this->control }
     , drainTimer { this->control }
@@ -109,14 +119,18 @@
             const bool large = kind == http::BadInput::BodyTooLarge;
             this->registry.refused(large ? base::RefusalReason::BodyTooLarge : base::RefusalReason::BadRequest);
         });
-    if (!this->options.bundleFile.empty() && !this->loadBundleFile())
+    if (!this->peers.listen()) {
+        this->reason = this->peers.lastReason();
         return false;
+    }
     if (!this->server->start()) {
         this->reason = this->server->lastReason();
         return false;
     }
     asio::post(this->control, [this] {
         this->ledger.start();
+        this->peers.start();
+        this->bundles.start();
         this->scheduleTick();
     });
     logging::Event { "started" }
@@ -127,27 +141,34 @@
     return true;
 }
 
-bool Entry::loadBundleFile()
+PeerHandlers Entry::peerHandlers()
 {
-    std::ifstream file { this->options.bundleFile };
-    std::ostringstream text;
-    text << file.rdbuf();
-    std::vector<bundle::ConfigError> errors;
-    auto bundle = bundle::parse(text.str(), errors);
-    if (!file || !bundle) {
-        this->reason = "bundle " + this->options.bundleFile + " cannot be read";
-        if (!errors.empty())
-            this->reason += ": " + errors.front().path + ": " + errors.front().fix;
-        return false;
-    }
-    this->adopt(std::make_shared<const bundle::Snapshot>(
-        std::move(*bundle), base::BundleVersion { 1 }, bundle::sha256Hex(text.str())));
-    return true;
+    PeerHandlers handlers;
+    handlers.onVersion = [this](const std::string& peer, const base::ZoneId& zone, base::BundleVersion version) {
+        this->bundles.onVersion(peer, zone, version);
+    };
+    handlers.onGone = [this](const std::string& peer) { this->bundles.onPeerGone(peer); };
+    handlers.onReply
+        = [this](const std::string& peer, const bundle::PeerReply& reply) { this->bundles.onReply(peer, reply); };
+    handlers.answer = [this](const bundle::PeerRequest& request) { return this->bundles.answer(request); };
+    handlers.onMembership = [this] { this->noteMembership(); };
+    return handlers;
+}
+
+void Entry::noteMembership()
+{
+    this->bundles.onMembership();
+    const auto snapshot = this->tables.snapshot.load();
+    const auto live = this->peers.liveCount() + 1;
+    if (!snapshot)
+        return;
+    this->tables.limits.with([&](Limits& limits) { limits.teams.setEntries(live, snapshot->expectedEntries()); });
 }
 
 void Entry::adopt(const std::shared_ptr<const bundle::Snapshot>& snapshot)
 {
     this->tables.adopt(snapshot);
+    this->noteMembership();
     this->links.adopt(*snapshot);
     this->tables.refreshTargets();
     logging::Event { "bundle_in_force" }.field("version", static_cast<std::uint64_t>(snapshot->version())).info();
@@ -180,6 +201,11 @@
     });
     this->tables.limits.with([waiting](Limits& limits) { limits.shedder.setQueued(waiting); });
     this->usageAccepts = this->ledger.canAccept();
+    this->peers.advance();
+    if (now >= this->nextRolloutCheck) {
+        this->nextRolloutCheck = now + internal::rolloutCheckInterval;
+        this->bundles.advanceRollout();
+    }
 }
 
 http::Task<void> Entry::handle(const http::Request& request, http::ResponseWriter& writer)
@@ -409,6 +435,7 @@
 {
     const auto stop = [this] {
         this->links.stop();
+        this->peers.stop();
         this->drainTimer.expires_after(internal::flushTime);
         this->drainTimer.async_wait([this](const boost::system::error_code&) {
             logging::Event { "stopped" }.info();
--- a/app/entry/entry.hpp
+++ b/app/entry/entry.hpp
@@ -3,16 +3,20 @@
 #include "base/clock.hpp"
 #include "base/random.hpp"
 #include "claim/claim_keeper.hpp"
+#include "entry/bundle_feed.hpp"
 #include "entry/claim_desk.hpp"
 #include "entry/disconnect_watch.hpp"
+#include "entry/heartbeat_source.hpp"
 #include "entry/link_set.hpp"
 #include "entry/options.hpp"
+#include "entry/peer_set.hpp"
 #include "entry/request_run.hpp"
 #include "entry/services.hpp"
 #include "entry/stored_answer.hpp"
 #include "entry/tables.hpp"
 #include "http/server.hpp"
 #include "metrics/registry.hpp"
+#include "store/client.hpp"
 #include "store_http/asio_scheduler.hpp"
 #include "store_http/http_services.hpp"
 #include "usage/ledger.hpp"
@@ -30,7 +34,8 @@
 /** Serves callers. Requests run on all threads of the context; store clients and timers on the control strand. */
 class Entry {
 public:
-    Entry(boost::asio::io_context& context, EntryOptions options, usage::SigningKey key);
+    Entry(boost::asio::io_context& context, EntryOptions options, usage::SigningKey key,
+        const bundle::TrustedKeys& ownerKeys);
     Entry(const Entry&) = delete;
     Entry& operator=(const Entry&) = delete;
 
@@ -52,10 +57,14 @@
     store_http::AsioScheduler scheduler;
     store_http::HttpTableService tableService;
     store_http::HttpObjectStore objects;
+    store::Client storeClient;
     claim::ClaimKeeper claims;
     ClaimDesk claimDesk;
     usage::Ledger ledger;
+    HeartbeatSource heartbeats;
     LinkSet links;
+    PeerSet peers;
+    BundleFeed bundles;
     Services services;
     std::shared_ptr<http::Server> server;
     boost::asio::steady_timer tickTimer;
@@ -64,9 +73,11 @@
     std::atomic<bool> draining { false };
     std::atomic<bool> usageAccepts { true };
     std::string reason;
+    base::SteadyTime nextRolloutCheck {};
 
     [[nodiscard]] Services makeServices();
-    [[nodiscard]] bool loadBundleFile();
+    [[nodiscard]] PeerHandlers peerHandlers();
+    void noteMembership();
     void adopt(const std::shared_ptr<const bundle::Snapshot>& snapshot);
     void countUsage(const usage::Record& record);
     void scheduleTick();
--- a/app/entry/link_set.cpp
+++ b/app/entry/link_set.cpp
@@ -74,12 +74,12 @@
 } // namespace internal
 
 LinkSet::LinkSet(boost::asio::any_io_executor executor, const EntryOptions& options, Tables& tables,
-    const base::Clock& clock, base::Incarnation incarnation)
+    const base::Clock& clock, HeartbeatSource& heartbeats)
     : executor { std::move(executor) }
     , options { options }
     , tables { tables }
     , clock { clock }
-    , incarnation { incarnation }
+    , heartbeats { heartbeats }
 {
 }
 
@@ -118,8 +118,8 @@
     handlers.onConnected = [] {};
     // Silence makes the target suspect; a lost connection alone says nothing about its attempts elsewhere.
     handlers.onDisconnected = [] {};
-    handlers.makeHello = [this] { return this->hello(); };
-    handlers.makeHeartbeat = [this] { return this->heartbeat(); };
+    handlers.makeHello = [this] { return this->heartbeats.hello(); };
+    handlers.makeHeartbeat = [this] { return this->heartbeats.heartbeat(); };
     return std::make_shared<Link>(this->executor, std::move(linkOptions), std::move(handlers));
 }
 
@@ -188,8 +188,8 @@
         this->tables.suspects.with([&strikes](Suspects& suspects) { suspects.strikes.merge(strikes); });
     const auto& load = heartbeat.load();
     this->tables.routing.with([&](Routing& routing) {
-        routing.router.reported(
-            target, { .inFlight = load.in_flight(), .queued = load.queued(), .capacity = load.capacity() });
+        routing.router.reported(target,
+            { .inFlight = load.in_flight(), .queued = load.queued(), .capacity = load.capacity() }, this->clock.now());
         routing.waiting.advance(routing.router, this->clock.now());
     });
 }
@@ -201,28 +201,4 @@
     this->tables.refreshTargets();
 }
 
-wire::Control LinkSet::hello() const
-{
-    wire::Control message;
-    auto& hello = *message.mutable_hello();
-    hello.set_instance(this->options.instance);
-    hello.set_zone(this->options.zone);
-    hello.set_incarnation(static_cast<std::uint64_t>(this->incarnation));
-    hello.set_role("entry");
-    return message;
-}
-
-wire::Control LinkSet::heartbeat()
-{
-    wire::Control message;
-    auto& heartbeat = *message.mutable_heartbeat();
-    heartbeat.set_incarnation(static_cast<std::uint64_t>(this->incarnation));
-    heartbeat.set_sequence(++this->heartbeatSequence);
-    if (const auto snapshot = this->tables.snapshot.load())
-        heartbeat.set_bundle_version(static_cast<std::uint64_t>(snapshot->version()));
-    const auto strikes = this->tables.suspects.with([](Suspects& suspects) { return suspects.strikes.report(); });
-    protocol::assignStrikes(heartbeat, strikes);
-    return message;
-}
-
 } // namespace chivewinch::entry
--- a/app/entry/link_set.hpp
+++ b/app/entry/link_set.hpp
@@ -4,12 +4,12 @@
 #include "base/id.hpp"
 #include "bundle/snapshot.hpp"
 #include "entry/agent_link.hpp"
+#include "entry/heartbeat_source.hpp"
 #include "entry/tables.hpp"
 #include "wire/wire.pb.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
-#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,7 +21,7 @@
 class LinkSet {
 public:
     LinkSet(boost::asio::any_io_executor executor, const EntryOptions& options, Tables& tables,
-        const base::Clock& clock, base::Incarnation incarnation);
+        const base::Clock& clock, HeartbeatSource& heartbeats);
 
     /** Opens links to the targets of the bundle that this entry may use and closes the others. */
     void adopt(const bundle::Snapshot& snapshot);
@@ -42,8 +42,7 @@
     const EntryOptions& options;
     Tables& tables;
     const base::Clock& clock;
-    base::Incarnation incarnation;
-    std::atomic<std::uint64_t> heartbeatSequence { 0 };
+    HeartbeatSource& heartbeats;
     base::Guarded<Links> links;
 
     [[nodiscard]] std::shared_ptr<Link> makeLink(const bundle::Target& target);
@@ -51,8 +50,6 @@
     void handleHello(const base::TargetId& target, const base::ZoneId& zone, const wire::Hello& hello);
     void handleHeartbeat(const base::TargetId& target, const wire::Heartbeat& heartbeat);
     void apply(const membership::Event& event);
-    [[nodiscard]] wire::Control hello() const;
-    [[nodiscard]] wire::Control heartbeat();
 };
 
 } // namespace chivewinch::entry
--- a/app/entry/main.cpp
+++ b/app/entry/main.cpp
@@ -1,3 +1,4 @@
+#include "bundle/key_setting.hpp"
 #include "entry/entry.hpp"
 #include "logging/event.hpp"
 #include "settings/program.hpp"
@@ -39,10 +40,15 @@
         .program = "chivewinch-entry",
         .instance = options.instance });
     auto key = usageKey(options);
-    if (!key)
+    bundle::Error reason;
+    const auto ownerKeys = bundle::parseTrustedKeys(options.ownerKeys, reason);
+    if (!key || !ownerKeys || ownerKeys->empty()) {
+        if (key)
+            std::cerr << "setting owner-keys: " << (ownerKeys ? "no key is given" : reason.detail) << "\n";
         return settings::exitWrongUse;
+    }
     boost::asio::io_context context { static_cast<int>(options.workers) };
-    Entry entry { context, options, std::move(*key) };
+    Entry entry { context, options, std::move(*key), *ownerKeys };
     if (!entry.start()) {
         std::cerr << entry.lastReason() << "\n";
         return settings::exitFailed;
--- a/app/entry/options.hpp
+++ b/app/entry/options.hpp
@@ -19,7 +19,7 @@
     settings::Endpoint tableService;
     settings::Endpoint objectStore;
     std::vector<settings::Endpoint> peers;
-    std::string bundleFile;
+    std::string ownerKeys; ///< owner=key,owner=key
     std::size_t workers = 2;
     std::size_t maxConnections = 20'000;
     std::uint64_t maxBodyBytes = 8U << 20;
--- a/app/entry/tables.cpp
+++ b/app/entry/tables.cpp
@@ -78,11 +78,7 @@
 {
     const auto pools = internal::poolsOf(*next, this->zone);
     const auto teams = internal::limitsOf(*next);
-    this->limits.with([&](Limits& limits) {
-        limits.teams.setTeams(teams);
-        // Until peers are counted, the entries that the bundle expects are taken as live.
-        limits.teams.setEntries(next->expectedEntries(), next->expectedEntries());
-    });
+    this->limits.with([&](Limits& limits) { limits.teams.setTeams(teams); });
     this->routing.with([&](Routing& routing) { routing.router.setPools(pools); });
     this->snapshot.store(std::move(next));
     this->routedVersion = 0;
--- a/scripts/installation.py
+++ b/scripts/installation.py
@@ -119,6 +119,7 @@
         self.capacity = capacity
         self.processes = {}
         self.targets = []
+        self.owner_keys = {}
         self.entry_ports = {}
         self.bundle_path = self.folder / "bundle.toml"
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -147,8 +148,7 @@
     def bundle_text(self):
         lines = ["format = 1", ""]
         for owner in OWNERS:
-            seed = key_hash(owner)
-            lines += ["[[owner]]", f'id = "{owner}"', f'name = "{owner}"', f'public_key = "{seed}"', ""]
+            lines += ["[[owner]]", f'id = "{owner}"', f'name = "{owner}"', f'public_key = "{self.owner_keys[owner]}"', ""]
         for zone in self.zones:
             lines += ["[[zone]]", f'id = "{zone}"', 'region = "local"', f"expected_entries = {self.entries_per_zone}", ""]
         for owner, (model, service) in OWNERS.items():
@@ -185,7 +185,8 @@
                         "--target", target["id"], "--kind", target["kind"], "--listen", f"{ADDRESS}:{target['agent_port']}",
                         "--http-listen", f"{ADDRESS}:{target['http_port']}",
                         "--target-endpoint", f"{ADDRESS}:{target['port']}", "--object-store", f"{ADDRESS}:{self.objects}",
-                        "--capacity", self.capacity if target["kind"] == "engine" else 64, "--usage-interval", "2s")
+                        "--capacity", self.capacity if target["kind"] == "engine" else 64, "--usage-interval", "2s",
+                        "--usage-key", self.usage_seed(f"agent-{target['id']}"))
 
     def start_entry(self, entry):
         name, zone, port, peer_port = entry
@@ -193,11 +194,53 @@
         return self.add(name, "entry", "--instance", name, "--zone", zone, "--listen", f"{ADDRESS}:{port}",
                         "--peer-listen", f"{ADDRESS}:{peer_port}", "--peers", peers,
                         "--table-service", f"{ADDRESS}:{self.tables}", "--object-store", f"{ADDRESS}:{self.objects}",
-                        "--bundle-file", self.bundle_path, "--usage-interval", "2s")
+                        "--owner-keys", self.owner_key_setting(), "--usage-interval", "2s",
+                        "--usage-key", self.usage_seed(name))
 
-    def start(self):
+    def usage_seed(self, instance):
+        return key_hash(f"usage of {instance}")
+
+    def owner_key_setting(self):
+        return ",".join(f"{owner}={key}" for owner, key in self.owner_keys.items())
+
+    def ctl(self, *arguments, check=True):
+        """Output of one operator's command."""
+        command = [self.binaries / "chivewinch-ctl", *[str(argument) for argument in arguments]]
+        result = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+        if check and result.returncode != 0:
+            raise RuntimeError(f"{' '.join(map(str, arguments))}: exit code {result.returncode}: {result.stderr}")
+        return result
+
+    def bundle_ctl(self, command, *arguments, check=True):
+        return self.ctl("bundle", command, "--table-service", f"{ADDRESS}:{self.tables}", "--object-store",
+                        f"{ADDRESS}:{self.objects}", "--owner-keys", self.owner_key_setting(), *arguments, check=check)
+
+    def key_file(self, owner):
+        return self.folder / f"{owner}.pem"
+
+    def make_keys(self):
+        for owner in OWNERS:
+            self.owner_keys[owner] = self.ctl("keys", "new", "--file", self.key_file(owner)).stdout.strip()
+
+    def roll_bundle(self, base=0):
+        """Proposes the bundle file, signs it for both owners and rolls it; returns its version."""
+        proposed = self.bundle_ctl("propose", "--file", self.bundle_path, "--base", base, "--output", "json")
+        version = json.loads(proposed.stdout)[0]["version"]
+        for owner in OWNERS:
+            self.bundle_ctl("sign", "--version", version, "--owner", owner, "--key-file", self.key_file(owner))
+        self.bundle_ctl("roll", "--version", version)
+        return version
+
+    def write_bundle(self):
         self.bundle_path.write_text(self.bundle_text(), encoding="utf-8")
+
+    def start(self):
+        self.make_keys()
+        self.write_bundle()
         self.start_platform()
+        for port in (self.tables, self.objects):
+            wait_until(lambda: http("GET", port, "/journal")[0] == 200, "platform stand-ins")
+        self.roll_bundle()
         for target in self.targets:
             self.start_target(target)
         for target in self.targets:
--- a/app/agent/control_stream.cpp
+++ b/src/protocol/control_stream.cpp
@@ -1,10 +1,10 @@
-#include "agent/control_stream.hpp"
+#include "protocol/control_stream.hpp"
 
 #include "logging/event.hpp"
 
 #include <utility>
 
-namespace chivewinch::agent {
+namespace chivewinch::protocol {
 
 ControlStream::ControlStream(std::shared_ptr<transport::Session> session, transport::StreamId stream,
     MessageHandler onMessage, CloseHandler onClosed)
@@ -37,4 +37,4 @@
         handler(this->shared_from_this());
 }
 
-} // namespace chivewinch::agent
+} // namespace chivewinch::protocol
--- a/app/agent/control_stream.hpp
+++ b/src/protocol/control_stream.hpp
@@ -7,9 +7,9 @@
 #include <functional>
 #include <memory>
 
-namespace chivewinch::agent {
+namespace chivewinch::protocol {
 
-/** Control stream of one connected entry. */
+/** Server side of the control stream of one connection. */
 class ControlStream final : public transport::StreamObserver, public std::enable_shared_from_this<ControlStream> {
 public:
     using MessageHandler = std::function<void(ControlStream&, const wire::Control&)>;
@@ -24,7 +24,7 @@
     void onEnd() override { this->session->reset(this->stream); }
     void onClose(const transport::Error& error) override;
 
-    /** What the entry said about itself; empty before its hello. */
+    /** What the peer said about itself; empty before its hello. */
     [[nodiscard]] const wire::Hello& peer() const noexcept { return this->hello; }
     void setPeer(const wire::Hello& message) { this->hello = message; }
     [[nodiscard]] const transport::Session* connection() const noexcept { return this->session.get(); }
@@ -34,8 +34,8 @@
     transport::StreamId stream;
     MessageHandler messageHandler;
     CloseHandler closeHandler;
-    protocol::MessageReader reader;
+    MessageReader reader;
     wire::Hello hello;
 };
 
-} // namespace chivewinch::agent
+} // namespace chivewinch::protocol
--- a/src/protocol/fwd.hpp
+++ b/src/protocol/fwd.hpp
@@ -2,6 +2,7 @@
 
 namespace chivewinch::protocol {
 
+class ControlStream;
 class MessageReader;
 
 } // namespace chivewinch::protocol
--- a/src/settings/definition.cpp
+++ b/src/settings/definition.cpp
@@ -110,6 +110,11 @@
     return Values { std::move(values) };
 }
 
+bool Definition::defines(std::string_view setting) const noexcept
+{
+    return std::ranges::any_of(this->settings, [setting](const auto& known) { return known.name == setting; });
+}
+
 std::string Definition::help() const
 {
     std::ostringstream text;
--- a/src/settings/definition.hpp
+++ b/src/settings/definition.hpp
@@ -70,6 +70,7 @@
         const std::vector<std::string>& arguments, const Environment& environment);
 
     [[nodiscard]] const Error& lastReason() const noexcept { return this->reason; }
+    [[nodiscard]] bool defines(std::string_view setting) const noexcept;
     [[nodiscard]] std::string help() const;
     /** Table for docs/settings.md. */
     [[nodiscard]] std::string markdown() const;
--- a/src/settings/program.cpp
+++ b/src/settings/program.cpp
@@ -16,6 +16,12 @@
 
 } // namespace internal
 
+int printVersion()
+{
+    std::cout << internal::version << "\n";
+    return exitDone;
+}
+
 std::variant<Values, int> parseProgram(Definition& definition, int argumentCount, char** arguments)
 {
     std::vector<std::string> given { arguments + 1, arguments + argumentCount };
@@ -23,10 +29,9 @@
         std::cout << definition.help();
         return exitDone;
     }
-    if (internal::removeFlag(given, "--version")) {
-        std::cout << internal::version << "\n";
-        return exitDone;
-    }
+    // A setting of that name, such as a bundle version, takes a value and goes first.
+    if (!definition.defines("version") && internal::removeFlag(given, "--version"))
+        return printVersion();
     if (internal::removeFlag(given, "--settings-markdown")) {
         std::cout << definition.markdown();
         return exitDone;
--- a/src/settings/program.hpp
+++ b/src/settings/program.hpp
@@ -12,6 +12,9 @@
 inline constexpr int exitFailed = 1;
 inline constexpr int exitWrongUse = 2;
 
+/** Prints the version of chivewinch; returns exitDone. */
+int printVersion();
+
 /**
  * Handles --help, --version, --settings-markdown and --check-config and reports wrong settings on standard error.
  * Returns the values to run with, or the exit code to leave with.
