--- a/src/routing/admission_queue.cpp
+++ b/src/routing/admission_queue.cpp
@@ -72,6 +72,7 @@
 std::chrono::nanoseconds AdmissionQueue::expectedWait(
     const base::OwnerId& ownerName, std::uint8_t priority, base::SteadyTime now)
 {
+    this->accountBusyTime(now);
     auto& owner = this->ownerOf(ownerName);
     std::size_t ahead = 0;
     for (std::size_t rank = 0; rank <= this->rankOf(priority); ++rank)
