Give back admissions that are refused elsewhere; forget loads of an old incarnation

A request that the shedder or the queue refuses after TeamLimiter::tryStart kept its token. cancelStart returns it; the over-admission schedules now cancel one start in ten and hold. The router kept the reported load of a target across a restart.

--- a/src/limit/team_limiter.cpp
+++ b/src/limit/team_limiter.cpp
@@ -91,6 +91,20 @@
     return {};
 }
 
+void TeamLimiter::cancelStart(std::string_view name)
+{
+    const auto found = this->teams.find(name);
+    if (found == this->teams.end() || found->second.inFlight == 0)
+        return;
+    auto& team = found->second;
+    team.tokens = std::min(team.tokens + 1, this->burstOf(team));
+    --team.inFlight;
+    if (team.inFlight <= this->shareOf(team.concurrency))
+        team.extraSlotTaken = false;
+    if (team.removed && team.inFlight == 0)
+        this->teams.erase(found);
+}
+
 void TeamLimiter::finished(std::string_view name, base::SteadyTime now)
 {
     const auto found = this->teams.find(name);
--- a/src/limit/team_limiter.hpp
+++ b/src/limit/team_limiter.hpp
@@ -38,6 +38,9 @@
     /** Admits one request of the team, or refuses it without any effect on later requests. */
     [[nodiscard]] Decision tryStart(std::string_view team, base::SteadyTime now);
 
+    /** Takes back an admission, because the request was refused elsewhere and did not run. */
+    void cancelStart(std::string_view team);
+
     /** An admitted request has ended. */
     void finished(std::string_view team, base::SteadyTime now);
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -72,7 +72,7 @@
     for (const auto& view : views) {
         auto& slot = this->slots.try_emplace(view.target).first->second;
         if (slot.incarnation != view.incarnation)
-            slot.outlier = {};
+            slot.forgetIncarnation();
         slot.target = view.target;
         slot.zone = view.zone;
         slot.incarnation = view.incarnation;
--- a/src/routing/target_slot.hpp
+++ b/src/routing/target_slot.hpp
@@ -29,6 +29,14 @@
     base::SteadyTime reportedAt {};
     Outlier outlier;
 
+    /** Failures and loads of the previous incarnation say nothing about the next one. */
+    void forgetIncarnation() noexcept
+    {
+        this->outlier = {};
+        this->othersLoad = 0;
+        this->usualOthersLoad = 0;
+    }
+
     void report(const LoadReport& load, base::SteadyTime now) noexcept
     {
         this->reportedAt = now;
--- a/tests/limit/limiter_schedule_test.cpp
+++ b/tests/limit/limiter_schedule_test.cpp
@@ -68,6 +68,10 @@
     {
         if (!this->entries[entry].tryStart("t", this->now).admitted())
             return;
+        if (this->random.below(10) == 0) {
+            this->entries[entry].cancelStart("t");
+            return;
+        }
         this->ended[entry].push_back(this->now + std::chrono::milliseconds { this->random.below(2000) });
         const auto passed = std::chrono::duration<double>(this->now - this->lastAdmission).count();
         this->lastAdmission = this->now;
--- a/tests/limit/team_limiter_test.cpp
+++ b/tests/limit/team_limiter_test.cpp
@@ -50,6 +50,19 @@
     EXPECT_TRUE(this->start().admitted());
 }
 
+// Guards against a team whose limit is used up by requests that were refused elsewhere.
+TEST_F(TeamLimiterTest, CancelledStartCostsNothing)
+{
+    this->limiter.setEntries(4, 4);
+    this->configure(2, 2);
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_TRUE(this->start().admitted());
+        this->limiter.cancelStart("t");
+    }
+    EXPECT_TRUE(this->start().admitted());
+    EXPECT_FALSE(this->start().admitted());
+}
+
 // Guards against slots that stay taken after a bundle changed the limits.
 TEST_F(TeamLimiterTest, KeepsCountsAcrossBundles)
 {
--- a/tests/routing/router_schedule.hpp
+++ b/tests/routing/router_schedule.hpp
@@ -126,6 +126,7 @@
             return;
         ++target.incarnation;
         target.probing = false;
+        target.load = { .capacity = target.load.capacity };
     }
 
     void publish()
