--- a/src/routing/target_slot.hpp
+++ b/src/routing/target_slot.hpp
@@ -24,16 +24,26 @@
     std::uint32_t ownInFlight = 0; ///< Attempts of this entry.
     std::uint32_t othersLoad = 0; ///< Attempts of other entries at the time of the last report.
     std::uint32_t capacity = 0;
+    double perCapacity = 0; ///< 1 / capacity; 0 when the capacity is unknown.
     double usualOthersLoad = 0; ///< Moving average of othersLoad.
     base::SteadyTime reportedAt {};
     Outlier outlier;
 
+    /** Failures and loads of the previous incarnation say nothing about the next one. */
+    void forgetIncarnation() noexcept
+    {
+        this->outlier = {};
+        this->othersLoad = 0;
+        this->usualOthersLoad = 0;
+    }
+
     void report(const LoadReport& load, base::SteadyTime now) noexcept
     {
         this->reportedAt = now;
         const auto total = load.inFlight + load.queued;
         this->othersLoad = total - std::min(total, this->ownInFlight);
         this->capacity = load.capacity;
+        this->perCapacity = load.capacity == 0 ? 0 : 1.0 / load.capacity;
         this->usualOthersLoad += usualLoadGain * (this->othersLoad - this->usualOthersLoad);
     }
 };
