--- a/bench/claim_bench.cpp
+++ b/bench/claim_bench.cpp
@@ -15,12 +15,10 @@
 #include <utility>
 #include <vector>
 
-namespace chivewinch::bench {
+namespace chivewinch::bench::internal {
 
 using namespace std::chrono_literals;
 
-namespace internal {
-
 /** Timers on a manual clock. */
 class VirtualScheduler final : public store::Scheduler {
 public:
@@ -237,9 +235,7 @@
         .baselineName = "row per claim (outlasts restarts)" });
 }
 
-} // namespace internal
-
-} // namespace chivewinch::bench
+} // namespace chivewinch::bench::internal
 
 int main()
 {
--- a/bench/delivery_bench.cpp
+++ b/bench/delivery_bench.cpp
@@ -12,12 +12,10 @@
 #include <unordered_map>
 #include <vector>
 
-namespace chivewinch::bench {
+namespace chivewinch::bench::internal {
 
 using namespace std::chrono_literals;
 
-namespace internal {
-
 constexpr int repetitions = 7;
 
 /** Median over repetitions of the nanoseconds per operation. */
@@ -80,6 +78,8 @@
 /** Allocator that counts live bytes, for the memory of the baseline. */
 template <typename T> struct CountingAllocator {
     using value_type = T;
+    static constexpr std::size_t elementBytes
+        = sizeof(value_type); // NOLINT(bugprone-sizeof-expression): may be a pointer
     std::shared_ptr<std::size_t> bytes = std::make_shared<std::size_t>(0);
 
     CountingAllocator() = default;
@@ -90,12 +90,12 @@
     }
     T* allocate(std::size_t count)
     {
-        *this->bytes += count * sizeof(T);
+        *this->bytes += count * elementBytes;
         return std::allocator<T> {}.allocate(count);
     }
     void deallocate(T* pointer, std::size_t count)
     {
-        *this->bytes -= count * sizeof(T);
+        *this->bytes -= count * elementBytes;
         std::allocator<T> {}.deallocate(pointer, count);
     }
     template <typename Other> bool operator==(const CountingAllocator<Other>& other) const
@@ -185,9 +185,7 @@
     report({ .name = "delivery_plan_with_one_retry", .value = time, .unit = "ns", .size = 2 });
 }
 
-} // namespace internal
-
-} // namespace chivewinch::bench
+} // namespace chivewinch::bench::internal
 
 int main()
 {
--- a/bench/suspect_bench.cpp
+++ b/bench/suspect_bench.cpp
@@ -9,9 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace chivewinch::bench {
-
-namespace internal {
+namespace chivewinch::bench::internal {
 
 constexpr int repetitions = 7;
 
@@ -124,9 +122,7 @@
     report({ .name = "suspect_merge", .value = merging / 1'000, .unit = "us", .size = list.size() });
 }
 
-} // namespace internal
-
-} // namespace chivewinch::bench
+} // namespace chivewinch::bench::internal
 
 int main()
 {
--- a/src/claim/group_commit.cpp
+++ b/src/claim/group_commit.cpp
@@ -88,8 +88,8 @@
 
 std::chrono::nanoseconds GroupCommit::expectedWait()
 {
-    const auto fullBatches = static_cast<double>(this->queue.size() / this->options.maxBatch);
-    const std::chrono::duration<double> drain { fullBatches / this->options.transactionsPerSecond };
+    const auto batches = this->queue.size() / this->options.maxBatch;
+    const std::chrono::duration<double> drain { static_cast<double>(batches) / this->options.transactionsPerSecond };
     return this->untilToken() + std::chrono::ceil<std::chrono::nanoseconds>(drain);
 }
 
--- a/tests/claim/claim_keeper_test.cpp
+++ b/tests/claim/claim_keeper_test.cpp
@@ -194,8 +194,8 @@
 // Guards against claims that use more of the store than its share, and against waits that cannot succeed.
 TEST_F(ClaimKeeperTest, TransactionsStayWithinTheirRate)
 {
-    constexpr int seconds = 20;
-    constexpr int claimsPerSecond = 2'000;
+    constexpr std::size_t seconds = 20;
+    constexpr std::size_t claimsPerSecond = 2'000;
     const CommitOptions limits;
     std::vector<std::optional<ClaimResult>> results(seconds * claimsPerSecond);
     for (std::size_t i = 0; i < results.size(); ++i) {
@@ -233,7 +233,7 @@
 }
 
 // Guards against a difference from a map that is updated at once, for requests one after the other.
-RC_GTEST_PROP(ClaimDifferentialTest, AgreesWithNaiveMapWithoutFaults, (std::vector<std::uint8_t> commands))
+RC_GTEST_PROP(ClaimDifferentialTest, AgreesWithNaiveMapWithoutFaults, (const std::vector<std::uint8_t>& commands))
 {
     struct Naive {
         std::string body;
@@ -279,7 +279,8 @@
 }
 
 // Guards against rows that change on their way through the store, and against a crash on damaged ones.
-RC_GTEST_PROP(ClaimRowTest, RoundTripsAndRejectsDamage, (std::uint64_t nonce, std::string body, std::string answer))
+RC_GTEST_PROP(
+    ClaimRowTest, RoundTripsAndRejectsDamage, (std::uint64_t nonce, const std::string& body, const std::string& answer))
 {
     const ClaimRow row { .nonce = nonce,
         .bodyHash = body,
--- a/tests/delivery/answer_checker_test.cpp
+++ b/tests/delivery/answer_checker_test.cpp
@@ -64,7 +64,7 @@
 }
 
 // Guards against repeated or missing bytes when a stream is cut anywhere and replayed with other frame borders.
-RC_GTEST_PROP(AnswerCheckerTest, ReplayContinuesAfterDeliveredBytes, (std::string answer))
+RC_GTEST_PROP(AnswerCheckerTest, ReplayContinuesAfterDeliveredBytes, (const std::string& answer))
 {
     const auto cut = *rc::gen::inRange<std::size_t>(0, answer.size() + 1);
     const auto step = *rc::gen::inRange<std::size_t>(1, 5);
--- a/tests/delivery/delivery_schedule.cpp
+++ b/tests/delivery/delivery_schedule.cpp
@@ -79,11 +79,11 @@
     return std::chrono::microseconds { 100 + this->random.below(limit) };
 }
 
-void DeliverySchedule::transmit(std::function<void()> deliver, bool reliable)
+void DeliverySchedule::transmit(const std::function<void()>& deliver)
 {
     const int copies = this->chance(this->options.duplicated) ? 2 : 1;
     for (int i = 0; i < copies; ++i)
-        if (reliable || !this->chance(this->options.lost))
+        if (!this->chance(this->options.lost))
             this->scheduler.after(this->delay(), deliver);
 }
 
--- a/tests/delivery/delivery_schedule.hpp
+++ b/tests/delivery/delivery_schedule.hpp
@@ -87,7 +87,7 @@
     void addRequest(std::size_t index);
     void scheduleFaults(std::size_t index);
     void attempt(std::size_t index, AnswerStart start, std::uint64_t fromToken);
-    void transmit(std::function<void()> deliver, bool reliable = false);
+    void transmit(const std::function<void()>& deliver);
     void arrive(std::size_t agent, const Message& message);
     void arriveCancel(std::size_t agent, const CancelRequest& cancel, std::size_t request);
     void step(const std::shared_ptr<Run>& run);
