Keep the candidates of a fingerprint while targets are down

Cause: candidates taken from the usable targets move on when a target goes down, so entries with different views use three targets between them. Change: candidates come from all targets that the bundle names; a struck fingerprint has a single candidate and waits for it, an unstruck one falls back to usable targets when both are down.

--- a/bench/suspect_bench.cpp
+++ b/bench/suspect_bench.cpp
@@ -90,7 +90,7 @@
     const auto time = [&](const suspect::EntryGuard& guard) {
         return nanosecondsPer(placements, [&] {
             for (std::uint64_t i = 1; i <= placements; ++i)
-                sink += guard.place(i, names).targets.size();
+                sink += guard.place(i, names, names).targets.size();
         });
     };
     report({ .name = "suspect_place",
--- a/src/suspect/entry_guard.cpp
+++ b/src/suspect/entry_guard.cpp
@@ -45,23 +45,45 @@
                 : std::chrono::nanoseconds { 0 };
 }
 
-std::vector<base::TargetId> EntryGuard::allowed(
-    std::uint64_t fingerprint, std::span<const base::TargetId> targets) const
+/** With one candidate less per strike, all entries go on to the same target. */
+std::vector<base::TargetId> EntryGuard::candidates(
+    std::uint64_t fingerprint, std::span<const base::TargetId> targets, std::size_t strikes) const
 {
-    auto result = this->options.usePair ? candidatePair(fingerprint, targets)
-                                        : std::vector<base::TargetId> { targets.begin(), targets.end() };
-    std::erase_if(result, [&](const auto& target) { return this->table.struckOn(fingerprint, target); });
+    if (strikes == 0)
+        return candidatePair(fingerprint, targets);
+    std::vector<base::TargetId> rest { targets.begin(), targets.end() };
+    std::erase_if(rest, [&](const auto& target) { return this->table.struckOn(fingerprint, target); });
+    auto result = candidatePair(fingerprint, rest);
+    result.resize(std::min<std::size_t>(result.size(), 1));
     return result;
 }
 
-Placement EntryGuard::place(std::uint64_t fingerprint, std::span<const base::TargetId> targets) const
+std::vector<base::TargetId> EntryGuard::allowed(
+    std::uint64_t fingerprint, std::span<const base::TargetId> targets, std::span<const base::TargetId> usable) const
+{
+    const auto strikes = this->table.strikes(fingerprint);
+    if (!this->options.usePair) {
+        std::vector<base::TargetId> result { usable.begin(), usable.end() };
+        std::erase_if(result, [&](const auto& target) { return this->table.struckOn(fingerprint, target); });
+        return result;
+    }
+    if (!this->options.stableCandidates)
+        return this->candidates(fingerprint, usable, strikes);
+    auto result = this->candidates(fingerprint, targets, strikes);
+    std::erase_if(
+        result, [&](const auto& target) { return std::find(usable.begin(), usable.end(), target) == usable.end(); });
+    return result.empty() && strikes == 0 ? this->candidates(fingerprint, usable, strikes) : result;
+}
+
+Placement EntryGuard::place(
+    std::uint64_t fingerprint, std::span<const base::TargetId> targets, std::span<const base::TargetId> usable) const
 {
     const auto verdict = this->table.verdict(fingerprint);
     if (verdict == Verdict::Blocked)
         return { .refusal = base::RefusalReason::SuspectRequest };
     if (const auto left = this->holdLeft(fingerprint); left > std::chrono::nanoseconds { 0 })
         return { .refusal = base::RefusalReason::SuspectBusy, .targets = {}, .retryAfter = left };
-    auto choices = this->allowed(fingerprint, targets);
+    auto choices = this->allowed(fingerprint, targets, usable);
     const auto found = this->running.find(fingerprint);
     if (this->options.oneTarget && found != this->running.end()) {
         const auto& only = found->second.target;
--- a/src/suspect/entry_guard.hpp
+++ b/src/suspect/entry_guard.hpp
@@ -18,8 +18,10 @@
     std::chrono::nanoseconds hold { std::chrono::milliseconds { 200 } };
     /** Equal fingerprints of one entry run on one target at a time. */
     bool oneTarget = true;
-    /** A fingerprint runs only on the two targets that candidatePair names. */
+    /** A fingerprint runs only on as many targets as strikes are left to it, the first in rendezvous order. */
     bool usePair = true;
+    /** Off: the candidates are taken from the usable targets only. */
+    bool stableCandidates = true;
 
     bool operator==(const EntryGuardOptions&) const = default;
 };
@@ -42,8 +44,15 @@
 public:
     EntryGuard(const base::Clock& clock, StrikeTable& table, EntryGuardOptions options = {});
 
-    /** Choices for one attempt among the targets of the zone. */
-    [[nodiscard]] Placement place(std::uint64_t fingerprint, std::span<const base::TargetId> targets) const;
+    /**
+     * Choices for one attempt. The candidates are taken from all targets of the zone that the bundle names, so that
+     * they do not move when a target is down. A fingerprint without a strike whose candidates are all unusable may
+     * run elsewhere; one with a strike waits.
+     * @param targets All targets of the zone.
+     * @param usable Those of them that may receive work now.
+     */
+    [[nodiscard]] Placement place(std::uint64_t fingerprint, std::span<const base::TargetId> targets,
+        std::span<const base::TargetId> usable) const;
     void started(std::uint64_t fingerprint, const base::TargetId& target);
     /** Ends a run; its crash, if any, is recorded in the strike table before. */
     void finished(std::uint64_t fingerprint);
@@ -55,8 +64,10 @@
     };
 
     [[nodiscard]] std::chrono::nanoseconds holdLeft(std::uint64_t fingerprint) const;
-    [[nodiscard]] std::vector<base::TargetId> allowed(
-        std::uint64_t fingerprint, std::span<const base::TargetId> targets) const;
+    [[nodiscard]] std::vector<base::TargetId> candidates(
+        std::uint64_t fingerprint, std::span<const base::TargetId> targets, std::size_t strikes) const;
+    [[nodiscard]] std::vector<base::TargetId> allowed(std::uint64_t fingerprint,
+        std::span<const base::TargetId> targets, std::span<const base::TargetId> usable) const;
 
     const base::Clock& clock;
     StrikeTable& table;
--- a/tests/suspect/zone_schedule.cpp
+++ b/tests/suspect/zone_schedule.cpp
@@ -55,7 +55,11 @@
         return;
     auto& entry = this->entries[attempt.entry];
     const auto fingerprint = attempt.fingerprint;
-    const auto placement = entry.guard->place(fingerprint, this->names);
+    std::vector<base::TargetId> usable;
+    for (const auto& name : this->names)
+        if (!entry.down.contains(name))
+            usable.push_back(name);
+    const auto placement = entry.guard->place(fingerprint, this->names, usable);
     if (placement.refusal != base::RefusalReason::None) {
         this->retry(attempt, left);
         return;
@@ -135,15 +139,30 @@
             entry.guard->finished(attempt.fingerprint);
             this->retry(attempt, internal::resends);
         });
-    const auto report = target.table->report();
-    for (auto& entry : this->entries)
-        this->send(report, entry.table);
+    this->reportCrash(index);
     this->scheduler.after(std::chrono::milliseconds { 1000 + this->random.below(4000) }, [this, index] {
         this->targets[index].up = true;
         ++this->targets[index].incarnation;
     });
 }
 
+/** The agent's report carries the strikes and the state of its target in one message. */
+void ZoneSchedule::reportCrash(std::size_t index)
+{
+    const auto report = this->targets[index].table->report();
+    for (auto& entry : this->entries) {
+        if (!this->options.propagate || this->random.unit() < this->options.lost)
+            continue;
+        this->scheduler.after(this->delay(), [this, &entry, report, index] {
+            entry.table->merge(report);
+            if (!this->options.dropCrashed)
+                return;
+            entry.down.insert(this->names[index]);
+            this->scheduler.after(3s, [this, &entry, index] { entry.down.erase(this->names[index]); });
+        });
+    }
+}
+
 void ZoneSchedule::send(const StrikeList& list, const std::shared_ptr<StrikeTable>& receiver)
 {
     if (!this->options.propagate || this->random.unit() < this->options.lost || list.empty())
--- a/tests/suspect/zone_schedule.hpp
+++ b/tests/suspect/zone_schedule.hpp
@@ -21,6 +21,7 @@
     bool propagate = true; ///< Off: the processes of the zone hear nothing from each other.
     double lost = 0.2; ///< Share of strike lists that are lost.
     std::chrono::milliseconds maxDelay { 20 }; ///< Of any message.
+    bool dropCrashed = false; ///< Entries do not use a target after its agent's crash report until it is up.
     bool agentKeepsStrikes = true; ///< Off: the agent dies together with its target.
     EntryGuardOptions entry;
     TargetGuardOptions target;
@@ -46,6 +47,7 @@
     struct Entry {
         std::shared_ptr<StrikeTable> table;
         std::unique_ptr<EntryGuard> guard;
+        std::set<std::string> down;
     };
 
     struct Attempt {
@@ -69,6 +71,7 @@
     void arrive(std::size_t target, const Attempt& attempt, int left);
     void complete(std::size_t target, const Attempt& attempt, int left, std::uint64_t incarnation);
     void crash(std::size_t target, std::uint64_t killer, std::uint64_t incarnation);
+    void reportCrash(std::size_t target);
     void heartbeat();
     void send(const StrikeList& list, const std::shared_ptr<StrikeTable>& receiver);
     void retry(const Attempt& attempt, int left);
--- a/tests/suspect/zone_test.cpp
+++ b/tests/suspect/zone_test.cpp
@@ -61,6 +61,12 @@
     EXPECT_LE(internal::runZones({ .propagate = false }).mostLost, 2U);
 }
 
+// Guards against candidates that move on to a third target when a crashed one is no longer used.
+TEST(SuspectZoneTest, AtMostTwoTargetsAreLostWhenCrashedTargetsAreNotUsed)
+{
+    EXPECT_LE(internal::runZones({ .dropCrashed = true }).mostLost, 2U);
+}
+
 // Guards against an agent that dies with its target and runs the fingerprint again after its restart.
 TEST(SuspectZoneTest, AtMostTwoTargetsAreLostWhenAgentsForget)
 {
@@ -95,6 +101,12 @@
     EXPECT_GT(internal::runZones({ .entry = { .usePair = false } }, 500).overTwo, 0U);
 }
 
+TEST(SuspectMechanismTest, WithoutStableCandidatesMoreThanTwoAreLost)
+{
+    const ZoneOptions options { .dropCrashed = true, .entry = { .stableCandidates = false } };
+    EXPECT_GT(internal::runZones(options).overTwo, 0U);
+}
+
 TEST(SuspectMechanismTest, WithoutStruckTargetRuleMoreThanTwoAreLost)
 {
     const ZoneOptions options { .propagate = false, .target = { .refuseStruckHere = false } };
