--- a/app/agent/attempt_run.cpp
+++ b/app/agent/attempt_run.cpp
@@ -206,6 +206,7 @@
     head.set_status(this->upstream->status());
     head.set_content_type(std::string { this->upstream->header("Content-Type") });
     head.set_from_token(this->message.resume_from_token());
+    *head.mutable_load() = this->agent.loadReport();
     this->send(reply);
 }
 
--- a/app/entry/entry.cpp
+++ b/app/entry/entry.cpp
@@ -158,6 +158,9 @@
 void Entry::noteMembership()
 {
     this->bundles.onMembership();
+    auto zonePeers = this->peers.liveIn(this->options.zone);
+    zonePeers.push_back(this->options.instance);
+    this->tables.routing.with([&zonePeers](Routing& routing) { routing.router.setPeers(zonePeers); });
     const auto snapshot = this->tables.snapshot.load();
     const auto live = this->peers.liveCount() + 1;
     if (!snapshot)
@@ -287,8 +290,13 @@
     const auto decision = this->tables.limits.with([&](Limits& limits) {
         const auto now = this->clock.now();
         const auto priority = static_cast<std::uint8_t>(request.priority * (limit::priorityCount - 1) / 9);
-        const auto shed = limits.shedder.admit(request.team->owner, priority, now);
-        return shed.admitted() ? limits.teams.tryStart(request.team->id, now) : shed;
+        auto decision = limits.teams.tryStart(request.team->id, now);
+        if (!decision.admitted())
+            return decision;
+        decision = limits.shedder.admit(request.team->owner, priority, now);
+        if (!decision.admitted())
+            limits.teams.cancelStart(request.team->id);
+        return decision;
     });
     if (decision.admitted())
         return std::nullopt;
--- a/app/entry/request_run.cpp
+++ b/app/entry/request_run.cpp
@@ -158,7 +158,7 @@
             inZone.push_back(target->id);
     }
     const auto placement = this->services.tables.suspects.with(
-        [&](Suspects& suspects) { return suspects.guard.place(this->request.fingerprint, inZone); });
+        [&](Suspects& suspects) { return suspects.guard.place(this->request.fingerprint, inZone, inZone); });
     if (placement.refusal != base::RefusalReason::None) {
         wait = placement.retryAfter;
         return placement.refusal;
@@ -372,6 +372,11 @@
 std::optional<delivery::AttemptEvent> RequestRun::handleHead(Attempt& attempt, const wire::AnswerHead& head)
 {
     const auto verdict = this->checker.head(protocol::toAnswerHead(head));
+    if (verdict == delivery::FrameVerdict::Accepted && head.has_load()) {
+        this->services.tables.routing.with([&](Routing& routing) {
+            routing.router.reported(attempt.target, *internal::loadOf(head.load()), this->services.clock.now());
+        });
+    }
     if (verdict == delivery::FrameVerdict::WrongStart) {
         this->cancel(attempt);
         return this->event(attempt, delivery::EventKind::WrongStart);
--- a/bench/suspect_bench.cpp
+++ b/bench/suspect_bench.cpp
@@ -9,9 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace chivewinch::bench {
-
-namespace internal {
+namespace chivewinch::bench::internal {
 
 constexpr int repetitions = 7;
 
@@ -92,7 +90,7 @@
     const auto time = [&](const suspect::EntryGuard& guard) {
         return nanosecondsPer(placements, [&] {
             for (std::uint64_t i = 1; i <= placements; ++i)
-                sink += guard.place(i, names).targets.size();
+                sink += guard.place(i, names, names).targets.size();
         });
     };
     report({ .name = "suspect_place",
@@ -124,9 +122,7 @@
     report({ .name = "suspect_merge", .value = merging / 1'000, .unit = "us", .size = list.size() });
 }
 
-} // namespace internal
-
-} // namespace chivewinch::bench
+} // namespace chivewinch::bench::internal
 
 int main()
 {
