Explore the lease and roll protocol exhaustively over the real decision code

With stopByClock, waitFullDuration, growFencing or compareBase off they find one (ExplorationTest.EachMechanismIsNeeded).

--- /dev/null
+++ b/tests/bundle/exploration_test.cpp
@@ -0,0 +1,412 @@
+#include "base/hash.hpp"
+#include "bundle/operations.hpp"
+#include "bundle/rollout_duty.hpp"
+#include "bundle/sample.hpp"
+#include "lease/lease.hpp"
+#include "store/memory_store.hpp"
+#include "support/fake_scheduler.hpp"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <iostream>
+#include <memory>
+#include <unordered_set>
+
+namespace chivewinch::bundle {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int actorCount = 4; ///< Two lease holders and two operators.
+constexpr base::BundleVersion baseVersion { 1 };
+constexpr base::BundleVersion firstVersion { 2 };
+constexpr base::BundleVersion secondVersion { 3 };
+
+enum class Fate : std::uint8_t { Answer, LoseAnswer, LoseRequest };
+
+/** One step of a schedule. */
+struct Choice {
+    enum class Kind : std::uint8_t { Operation, Time, Pause, Resume } kind = Kind::Time;
+    int actor = 0;
+    Fate fate = Fate::Answer;
+};
+
+/** Actors that take part, and limits that make the number of schedules finite. */
+struct Limits {
+    std::vector<int> actors;
+    int faults = 1;
+    std::chrono::seconds timeStep { 0 };
+    int timeSteps = 0;
+    int pauses = 0; ///< Of the first process, at any moment in which it holds the lease.
+};
+
+/** Holds back an actor's store operations until the explorer decides their fate. */
+class ChoiceTables final : public store::TableService {
+public:
+    ChoiceTables(store::MemoryTableService& memory, std::string& history) noexcept
+        : memory { memory }
+        , history { history }
+    {
+    }
+
+    std::deque<std::function<void(Fate)>> pending;
+    std::string pendingText; ///< Identity of the pending operations.
+
+    void get(std::vector<store::RowKey> keys, GetCallback callback) override
+    {
+        this->pending.push_back([this, keys = std::move(keys), callback = std::move(callback)](Fate fate) {
+            this->memory.get(keys, [this, fate, callback](const auto& rows, const store::Error&) {
+                if (fate != Fate::Answer) {
+                    this->history += "read lost;";
+                    callback(std::nullopt, { .code = store::ErrorCode::TimedOut, .detail = "" });
+                    return;
+                }
+                for (const auto& row : *rows)
+                    this->history += row.key.key + "@" + std::to_string(row.version) + ";";
+                callback(rows, {});
+            });
+        });
+    }
+
+    void scan(std::string, std::string, std::size_t, GetCallback) override { FAIL() << "not used by these modules"; }
+
+    void transact(store::Transaction transaction, TransactCallback callback) override
+    {
+        this->pending.push_back(
+            [this, transaction = std::move(transaction), callback = std::move(callback)](Fate fate) {
+                const store::Error lost { .code = store::ErrorCode::Ambiguous, .detail = "" };
+                if (fate == Fate::LoseRequest) {
+                    this->history += "write lost;";
+                    callback(std::nullopt, lost);
+                    return;
+                }
+                this->memory.transact(transaction, [&](const auto& result, const store::Error&) {
+                    if (fate == Fate::LoseAnswer) {
+                        this->history += "write lost;";
+                        callback(std::nullopt, lost);
+                        return;
+                    }
+                    this->history += result->committed ? "committed " : "refused ";
+                    for (const auto& row : result->rows)
+                        this->history += row.key.key + "@" + std::to_string(row.version) + ";";
+                    callback(result, {});
+                });
+            });
+    }
+
+private:
+    store::MemoryTableService& memory;
+    std::string& history;
+};
+
+/** Signed rows of three versions: 1 rolled, 2 and 3 signed and based on 1. */
+const std::vector<std::pair<store::RowKey, std::string>>& initialRows()
+{
+    static const auto rows = [] {
+        std::vector<std::pair<store::RowKey, std::string>> result;
+        Proof rolled;
+        for (const auto version : { baseVersion, firstVersion, secondVersion }) {
+            const auto proof = sample::sign({ .version = version,
+                .base = version == baseVersion ? base::BundleVersion {} : baseVersion,
+                .content = sha256Hex(toString(version)),
+                .signatures = {} });
+            rolled = version == baseVersion ? proof : rolled;
+            result.emplace_back(versionKey(version),
+                encode(VersionRecord { .proof = proof,
+                    .state = version == baseVersion ? State::Rolling : State::Signed,
+                    .author = "author",
+                    .proposeNonce = toString(version),
+                    .nonce = toString(version) }));
+        }
+        result.emplace_back(
+            headKey(), encode(HeadRecord { .last = secondVersion, .rolled = rolled, .by = "author", .nonce = "head" }));
+        return result;
+    }();
+    return rows;
+}
+
+/** The real decision code of four actors on one in-memory store, driven one choice at a time. */
+class World {
+public:
+    World(std::chrono::seconds timeStep, lease::LeaseOptions leaseOptions, OperationsOptions operationsOptions)
+        : timeStep { timeStep }
+    {
+        for (const auto& [key, value] : initialRows())
+            this->memory.transact({ .conditions = {}, .writes = { { .key = key, .value = value } } },
+                [](const auto&, const store::Error&) {});
+        for (int i = 0; i < 2; ++i)
+            this->holders.push_back(std::make_unique<Holder>(*this, i, leaseOptions));
+        for (int i = 0; i < 2; ++i) {
+            this->operators.push_back(std::make_unique<Roller>(*this, 2 + i, operationsOptions));
+            auto& roller = *this->operators.back();
+            roller.operations.roll(
+                i == 0 ? firstVersion : secondVersion, [&roller](const auto& record, const Error& error) {
+                    roller.ended = true;
+                    roller.won = record.has_value();
+                    roller.error = error.code;
+                });
+        }
+    }
+
+    void apply(const Choice& choice)
+    {
+        if (choice.kind == Choice::Kind::Time) {
+            ++this->timeSteps;
+            this->histories[0] += "|";
+            this->histories[1] += "|";
+            this->scheduler.runFor(this->timeStep);
+        } else if (choice.kind == Choice::Kind::Operation) {
+            auto& tables = this->tablesOf(choice.actor);
+            auto operation = std::move(tables.pending.front());
+            tables.pending.pop_front();
+            this->faults += choice.fate == Fate::Answer ? 0 : 1;
+            operation(choice.fate);
+        } else {
+            this->pauses += choice.kind == Choice::Kind::Pause ? 1 : 0;
+            this->paused = choice.kind == Choice::Kind::Pause;
+            this->histories[0] += this->paused ? "paused;" : "resumed;";
+        }
+        this->act();
+    }
+
+    /** Sets the violation if the current state breaks an invariant. */
+    void check()
+    {
+        if (this->holders[0]->lease.held() && this->holders[1]->lease.held())
+            this->violation = "two processes hold the lease";
+        this->checkOperators();
+        this->checkStates();
+    }
+
+    [[nodiscard]] std::vector<Choice> choices(const Limits& limits)
+    {
+        std::vector<Choice> result;
+        for (const auto actor : limits.actors) {
+            if (this->tablesOf(actor).pending.empty() || (actor == 0 && this->paused))
+                continue;
+            result.push_back({ Choice::Kind::Operation, actor, Fate::Answer });
+            if (this->faults < limits.faults) {
+                result.push_back({ Choice::Kind::Operation, actor, Fate::LoseAnswer });
+                result.push_back({ Choice::Kind::Operation, actor, Fate::LoseRequest });
+            }
+        }
+        if (this->timeSteps < limits.timeSteps)
+            result.push_back({ Choice::Kind::Time, 0, Fate::Answer });
+        if (this->paused)
+            result.push_back({ Choice::Kind::Resume, 0, Fate::Answer });
+        else if (this->pauses < limits.pauses && this->holders[0]->lease.held())
+            result.push_back({ Choice::Kind::Pause, 0, Fate::Answer });
+        return result;
+    }
+
+    /** Each actor is a function of its inputs, so their histories and the store identify the state. */
+    [[nodiscard]] std::string identity() const
+    {
+        std::string text = std::to_string(this->faults) + "," + std::to_string(this->pauses);
+        for (const auto& history : this->histories)
+            text += "#" + history;
+        for (const auto& key :
+            { headKey(), versionKey(baseVersion), versionKey(firstVersion), versionKey(secondVersion),
+                store::RowKey { .table = std::string { lease::leaseTable }, .key = "rollout" } })
+            text += "#" + this->memory.row(key).value;
+        return text;
+    }
+
+    std::string violation;
+
+private:
+    struct Holder {
+        Holder(World& world, int id, lease::LeaseOptions options)
+            : tables { world.memory, world.histories[static_cast<std::size_t>(id)] }
+            , random { static_cast<std::uint64_t>(id) + 1 }
+            , operations { this->tables, world.objects, this->random, sample::trustedKeys(), "holder" }
+            , lease { "rollout", "holder-" + std::to_string(id), this->tables, world.scheduler, world.clock,
+                this->random,
+                [&world](lease::LeaseEvent event, base::FencingNumber number) { world.onLease(event, number); },
+                options }
+            , duty { this->operations, this->lease }
+        {
+            this->lease.start();
+        }
+
+        ChoiceTables tables;
+        base::SeededRandom random;
+        Operations operations;
+        lease::Lease lease;
+        RolloutDuty duty;
+    };
+
+    struct Roller {
+        Roller(World& world, int id, OperationsOptions options)
+            : tables { world.memory, world.histories[static_cast<std::size_t>(id)] }
+            , random { static_cast<std::uint64_t>(id) + 1 }
+            , operations { this->tables, world.objects, this->random, sample::trustedKeys(),
+                "operator-" + std::to_string(id), options }
+        {
+        }
+
+        ChoiceTables tables;
+        base::SeededRandom random;
+        Operations operations;
+        bool ended = false;
+        bool won = false;
+        ErrorCode error = ErrorCode::None;
+    };
+
+    std::chrono::seconds timeStep;
+    base::ManualClock clock;
+    support::FakeScheduler scheduler { this->clock };
+    store::MemoryTableService memory;
+    store::MemoryObjectStore objects;
+    std::array<std::string, actorCount> histories;
+    std::vector<std::unique_ptr<Holder>> holders;
+    std::vector<std::unique_ptr<Roller>> operators;
+    int faults = 0;
+    int timeSteps = 0;
+    int pauses = 0;
+    bool paused = false;
+    base::FencingNumber largestNumber {};
+    base::BundleVersion largestVersion {};
+    std::uint64_t headRowVersion = store::absentVersion;
+    base::BundleVersion headVersion {};
+
+    ChoiceTables& tablesOf(int actor)
+    {
+        const auto index = static_cast<std::size_t>(actor);
+        return actor < 2 ? this->holders[index]->tables : this->operators[index - 2]->tables;
+    }
+
+    void onLease(lease::LeaseEvent event, base::FencingNumber number)
+    {
+        if (event != lease::LeaseEvent::Acquired)
+            return;
+        if (number <= this->largestNumber)
+            this->violation = "a fencing number did not grow";
+        this->largestNumber = number;
+    }
+
+    /** Version in force in the store; decoded again only when the row has changed. */
+    [[nodiscard]] base::BundleVersion versionInForce()
+    {
+        const auto row = this->memory.row(headKey());
+        if (std::exchange(this->headRowVersion, row.version) != row.version)
+            this->headVersion = decodeHead(row.value)->rolled->version;
+        return this->headVersion;
+    }
+
+    /** The holders do their duty with the version in force; a paused one does nothing. */
+    void act()
+    {
+        const auto version = this->versionInForce();
+        if (version < this->largestVersion)
+            this->violation = "the version in force went back";
+        this->largestVersion = version;
+        for (std::size_t i = 0; i < this->holders.size(); ++i) {
+            if (i != 0 || !this->paused)
+                this->holders[i]->duty.update(version, {});
+        }
+    }
+
+    void checkOperators()
+    {
+        if (this->operators[0]->won && this->operators[1]->won)
+            this->violation = "two operators rolled over the same version";
+        const auto version = this->versionInForce();
+        for (std::size_t i = 0; i < this->operators.size(); ++i) {
+            const bool current = version == (i == 0 ? firstVersion : secondVersion);
+            if (this->operators[i]->won && !current)
+                this->violation = "a roll was reported that is not in the store";
+            if (this->operators[i]->error == ErrorCode::LostRace && (current || version == baseVersion))
+                this->violation = "an operator was told that it lost although nobody else won";
+        }
+    }
+
+    void checkStates()
+    {
+        const auto version = this->versionInForce();
+        const auto record = *decodeVersion(this->memory.row(versionKey(version)).value);
+        if (record.state != State::Rolling && record.state != State::InForce)
+            this->violation = "the version in force is " + std::string { toString(record.state) };
+        for (const auto other : { baseVersion, firstVersion, secondVersion }) {
+            const auto state = decodeVersion(this->memory.row(versionKey(other)).value)->state;
+            if (other != version && (state == State::Rolling || state == State::InForce))
+                this->violation = "two versions are rolling or in force";
+        }
+    }
+};
+
+/** Result of an exploration. */
+struct Explored {
+    std::size_t states = 0;
+    std::size_t schedules = 0;
+    std::string violation;
+};
+
+/** Visits every reachable state within the limits. Each path is replayed from the start and then followed further. */
+Explored explore(const Limits& limits, lease::LeaseOptions leaseOptions = {}, OperationsOptions operationsOptions = {})
+{
+    Explored result;
+    std::unordered_set<std::uint64_t> visited;
+    std::vector<std::vector<Choice>> stack { {} };
+    while (!stack.empty() && result.violation.empty()) {
+        auto path = std::move(stack.back());
+        stack.pop_back();
+        World world { limits.timeStep, leaseOptions, operationsOptions };
+        for (const auto& choice : path)
+            world.apply(choice);
+        ++result.schedules;
+        while (visited.insert(base::hash64(world.identity())).second) {
+            world.check();
+            result.violation = world.violation;
+            const auto choices = world.choices(limits);
+            if (choices.empty() || !result.violation.empty())
+                break;
+            for (std::size_t i = 1; i < choices.size(); ++i) {
+                stack.push_back(path);
+                stack.back().push_back(choices[i]);
+            }
+            path.push_back(choices.front());
+            world.apply(path.back());
+        }
+    }
+    result.states = visited.size();
+    return result;
+}
+
+// Two lease holders and a pause. Nine seconds pass a renewal, then the end of the holder's term, then the whole lease.
+const Limits pauseLimits { .actors = { 0, 1 }, .faults = 0, .timeStep = 9s, .timeSteps = 3, .pauses = 1 };
+// The same with a lost message instead of the pause; each step is longer than the lease.
+const Limits lossLimits { .actors = { 0, 1 }, .faults = 1, .timeStep = 17s, .timeSteps = 2 };
+// Two operators and one lease holder that confirms.
+const Limits rollLimits { .actors = { 0, 2, 3 }, .faults = 1 };
+
+void expectNoViolation(const Limits& limits)
+{
+    const auto result = explore(limits);
+    std::cout << result.states << " states, " << result.schedules << " schedules" << std::endl;
+    EXPECT_EQ(result.violation, "");
+    EXPECT_GT(result.states, 1'000U);
+}
+
+} // namespace
+
+// Guards against two lease holders, a repeated fencing number and a late confirmation by a paused holder, in every
+// order of store operations with passing time and with a pause or a lost request or answer.
+TEST(ExplorationTest, EveryScheduleOfAPausedLeaseHolderKeepsTheInvariants) { expectNoViolation(pauseLimits); }
+TEST(ExplorationTest, EveryScheduleOfTwoLeaseHoldersKeepsTheInvariants) { expectNoViolation(lossLimits); }
+
+// Guards against two winners of a roll, a version in force that goes back and a wrong answer to an operator.
+TEST(ExplorationTest, EveryScheduleOfTwoOperatorsKeepsTheInvariants) { expectNoViolation(rollLimits); }
+
+// The exploration finds the fault when a mechanism is off.
+TEST(ExplorationTest, EachMechanismIsNeeded)
+{
+    EXPECT_EQ(explore(pauseLimits, { .stopByClock = false }).violation, "two processes hold the lease");
+    EXPECT_EQ(explore(pauseLimits, { .waitFullDuration = false }).violation, "two processes hold the lease");
+    EXPECT_EQ(explore(pauseLimits, { .growFencing = false }).violation, "a fencing number did not grow");
+    EXPECT_NE(explore(rollLimits, {}, { .compareBase = false }).violation, "");
+}
+
+} // namespace chivewinch::bundle
