--- a/src/bundle/operations.cpp
+++ b/src/bundle/operations.cpp
@@ -248,10 +248,9 @@
                 return;
             }
             const auto signature = key.sign(statement(record->proof));
-            this->contents.load(record->proof.content,
-                [this, version, owner, signature, proof = record->proof, callback](
-                    const auto& parts, const Error& reason) {
-                    if (parts)
+            this->readBack(record->proof,
+                [this, version, owner, signature, proof = record->proof, callback](bool readable, const Error& reason) {
+                    if (readable)
                         this->addSignature(version, owner, signature, proof, internal::signTries, callback);
                     else
                         callback(std::nullopt, reason);
@@ -259,6 +258,39 @@
         });
 }
 
+/** Reads the parts that the version changes. The other ones were read when its base was signed. */
+void Operations::readBack(const Proof& proof, ContentStore::DoneCallback callback)
+{
+    const auto readParts = [this, callback](PartHashes wanted) {
+        this->contents.parts(std::move(wanted),
+            [callback](const auto& parts, const Error& error) { callback(parts.has_value(), error); });
+    };
+    this->contents.manifest(
+        proof.content, [this, base = proof.base, callback, readParts](const auto& hashes, const Error& error) {
+            if (!hashes) {
+                callback(false, error);
+                return;
+            }
+            this->show(base, [this, hashes = *hashes, readParts](const auto& record, const Error&) {
+                if (!record) {
+                    readParts(hashes);
+                    return;
+                }
+                this->contents.manifest(
+                    record->proof.content, [hashes, readParts](const auto& baseHashes, const Error&) {
+                        auto wanted = hashes;
+                        std::erase_if(wanted, [&](const auto& part) {
+                            if (!baseHashes)
+                                return false;
+                            const auto found = baseHashes->find(part.first);
+                            return found != baseHashes->end() && found->second == part.second;
+                        });
+                        readParts(std::move(wanted));
+                    });
+            });
+        });
+}
+
 void Operations::addSignature(base::BundleVersion version, const base::OwnerId& owner, const std::string& signature,
     const Proof& signedProof, int triesLeft, RecordCallback callback)
 {
--- a/src/bundle/operations.hpp
+++ b/src/bundle/operations.hpp
@@ -41,7 +41,7 @@
     /** Stores a valid bundle as a new version. base is the version that it was edited from, 0 for the first. */
     void propose(const Bundle& bundle, base::BundleVersion base, RecordCallback callback);
 
-    /** Adds an owner's signature after reading back the complete content. */
+    /** Adds an owner's signature after reading back the parts that the version changes. */
     void sign(base::BundleVersion version, const base::OwnerId& owner, PrivateKey key, RecordCallback callback);
 
     /** Lets every process put a completely signed version into force. */
@@ -86,6 +86,7 @@
         std::function<void(bool, const Error&)> callback);
     void createVersion(
         const Rows& rows, const std::string& content, base::BundleVersion withdraws, RecordCallback callback);
+    void readBack(const Proof& proof, ContentStore::DoneCallback callback);
     void addSignature(base::BundleVersion version, const base::OwnerId& owner, const std::string& signature,
         const Proof& signedProof, int triesLeft, RecordCallback callback);
     void rollRows(const Rows& rows, int triesLeft, RecordCallback callback);
--- a/tests/bundle/cluster.hpp
+++ b/tests/bundle/cluster.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "../support/fake_scheduler.hpp"
+#include "../support/faulty_store.hpp"
 #include "bundle/distributor.hpp"
-#include "bundle/sample.hpp"
+#include "sample.hpp"
 #include "store/memory_store.hpp"
-#include "support/fake_scheduler.hpp"
-#include "support/faulty_store.hpp"
 
 #include <chrono>
 #include <map>
@@ -15,6 +15,78 @@
 
 namespace chivewinch::bundle::sample {
 
+/** Requests that reached the store. */
+struct StoreCounts {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t readBytes = 0;
+};
+
+class CountingTables final : public store::TableService {
+public:
+    CountingTables(store::TableService& next, StoreCounts& counts) noexcept
+        : next { next }
+        , counts { counts }
+    {
+    }
+
+    void get(std::vector<store::RowKey> keys, GetCallback callback) override
+    {
+        ++this->counts.reads;
+        this->next.get(std::move(keys), [this, callback](const auto& rows, const store::Error& error) {
+            for (const auto& row : *rows)
+                this->counts.readBytes += row.value.size();
+            callback(rows, error);
+        });
+    }
+    void scan(std::string table, std::string prefix, std::size_t limit, GetCallback callback) override
+    {
+        ++this->counts.reads;
+        this->next.scan(std::move(table), std::move(prefix), limit, std::move(callback));
+    }
+    void transact(store::Transaction transaction, TransactCallback callback) override
+    {
+        ++this->counts.writes;
+        this->next.transact(std::move(transaction), std::move(callback));
+    }
+
+private:
+    store::TableService& next;
+    StoreCounts& counts;
+};
+
+class CountingObjects final : public store::ObjectStore {
+public:
+    CountingObjects(store::ObjectStore& next, StoreCounts& counts) noexcept
+        : next { next }
+        , counts { counts }
+    {
+    }
+
+    void putIfAbsent(std::string name, std::string bytes, PutCallback callback) override
+    {
+        ++this->counts.writes;
+        this->next.putIfAbsent(std::move(name), std::move(bytes), std::move(callback));
+    }
+    void get(std::string name, GetCallback callback) override
+    {
+        ++this->counts.reads;
+        this->next.get(std::move(name), [this, callback](const auto& object, const store::Error& error) {
+            this->counts.readBytes += (*object).value_or("").size();
+            callback(object, error);
+        });
+    }
+    void list(std::string prefix, std::string startAfter, std::size_t limit, ListCallback callback) override
+    {
+        ++this->counts.reads;
+        this->next.list(std::move(prefix), std::move(startAfter), limit, std::move(callback));
+    }
+
+private:
+    store::ObjectStore& next;
+    StoreCounts& counts;
+};
+
 /** Store, processes and the network between them; heartbeats every second as in membership. */
 class Cluster {
 public:
@@ -23,8 +95,8 @@
             : cluster { cluster }
             , self { self }
             , replica { trustedKeys(), guard }
-            , tables { cluster.tableMemory, cluster.scheduler, cluster.random }
-            , objects { cluster.objectMemory, cluster.scheduler, cluster.random }
+            , tables { cluster.countedTables, cluster.scheduler, cluster.random }
+            , objects { cluster.countedObjects, cluster.scheduler, cluster.random }
             , distributor { self, this->replica, this->tables, this->objects, *this, cluster.scheduler, cluster.clock,
                 cluster.random,
                 [this](const auto& snapshot) {
@@ -71,6 +143,9 @@
     base::SeededRandom random;
     store::MemoryTableService tableMemory;
     store::MemoryObjectStore objectMemory;
+    StoreCounts counts;
+    CountingTables countedTables { this->tableMemory, this->counts };
+    CountingObjects countedObjects { this->objectMemory, this->counts };
     std::map<std::string, std::unique_ptr<Process>> processes;
     std::vector<std::unique_ptr<Process>> retired; ///< Kept for messages in flight; they receive none.
     std::set<base::ZoneId> cutZones; ///< Without a connection to other zones and to the store.
