--- a/src/expert/decider.cpp
+++ b/src/expert/decider.cpp
@@ -99,7 +99,7 @@
     ++this->stepNumber;
     this->stepOpen = true;
     DeciderActions actions;
-    this->repeat(actions);
+    this->sendHeader(actions);
     return actions;
 }
 
@@ -116,7 +116,7 @@
     auto& rank = this->ranks[rejoin.rank];
     const bool known = rejoin.session < rank.session || (rank.joined && rejoin.session == rank.joined->session);
     if (!known)
-        this->onRestart(rank, rejoin.session, actions);
+        this->onRestart(rejoin.rank, rejoin.session, actions);
 }
 
 void Decider::on(const Joined& joined, DeciderActions& actions)
@@ -126,7 +126,7 @@
         return;
     if (this->phase != Phase::Joining) {
         if (joined.session > rank.session)
-            this->onRestart(rank, joined.session, actions);
+            this->onRestart(joined.rank, joined.session, actions);
         return;
     }
     rank.session = joined.session;
@@ -141,7 +141,7 @@
 {
     auto& rank = this->ranks[prepared.rank];
     if (prepared.session > rank.session) {
-        this->onRestart(rank, prepared.session, actions);
+        this->onRestart(prepared.rank, prepared.session, actions);
         return;
     }
     const bool current = rank.joined && prepared.term == this->term && prepared.session == rank.joined->session;
@@ -162,13 +162,14 @@
 }
 
 // While ranks are still joining, a restarted one that has not joined answers the open request.
-void Decider::onRestart(Rank& rank, std::uint64_t session, DeciderActions& actions)
+void Decider::onRestart(std::uint32_t index, std::uint64_t session, DeciderActions& actions)
 {
+    auto& rank = this->ranks[index];
     rank.session = session;
     if (this->phase != Phase::Joining || rank.joined)
         this->openTerm(actions);
     else
-        this->repeat(actions);
+        this->sendJoinRequest(index, actions);
 }
 
 void Decider::openTerm(DeciderActions& actions)
@@ -215,8 +216,7 @@
     if (this->phase == Phase::Joining) {
         for (std::uint32_t rank = 0; rank < this->ranks.size(); ++rank) {
             if (!this->ranks[rank].joined)
-                actions.push_back({ .rank = rank,
-                    .message = JoinRequest { .term = this->term, .session = this->ranks[rank].session } });
+                this->sendJoinRequest(rank, actions);
         }
         return;
     }
@@ -224,10 +224,20 @@
         this->sendPrepare(this->activeMap, true, actions);
     else if (this->changing())
         this->sendPrepare(this->current->map, false, actions);
-    if (this->stepOpen) {
-        const StepId step { .term = this->term, .number = this->stepNumber };
-        this->sendAll(StepHeader { .step = step, .map = this->activeMap, .largestFencing = this->fencing }, actions);
-    }
+    if (this->stepOpen)
+        this->sendHeader(actions);
+}
+
+void Decider::sendJoinRequest(std::uint32_t rank, DeciderActions& actions) const
+{
+    const JoinRequest request { .term = this->term, .session = this->ranks[rank].session };
+    actions.push_back({ .rank = rank, .message = request });
+}
+
+void Decider::sendHeader(DeciderActions& actions) const
+{
+    const StepId step { .term = this->term, .number = this->stepNumber };
+    this->sendAll(StepHeader { .step = step, .map = this->activeMap, .largestFencing = this->fencing }, actions);
 }
 
 void Decider::sendPrepare(const MapRef& map, bool inUse, DeciderActions& actions) const
--- a/src/expert/decider.hpp
+++ b/src/expert/decider.hpp
@@ -82,11 +82,13 @@
     void on(const Rejoin& rejoin, DeciderActions& actions);
     void on(const Joined& joined, DeciderActions& actions);
     void on(const Prepared& prepared, DeciderActions& actions);
-    void onRestart(Rank& rank, std::uint64_t session, DeciderActions& actions);
+    void onRestart(std::uint32_t index, std::uint64_t session, DeciderActions& actions);
     void openTerm(DeciderActions& actions);
     void chooseMap(DeciderActions& actions);
     void abandon(ProposalStatus status, DeciderActions& actions);
     void repeat(DeciderActions& actions) const;
+    void sendJoinRequest(std::uint32_t rank, DeciderActions& actions) const;
+    void sendHeader(DeciderActions& actions) const;
     void sendPrepare(const MapRef& map, bool inUse, DeciderActions& actions) const;
     void sendAll(const DeciderMessage& message, DeciderActions& actions) const;
     [[nodiscard]] bool changing() const noexcept;
--- a/src/expert/render_svg.cpp
+++ b/src/expert/render_svg.cpp
@@ -20,6 +20,7 @@
 constexpr double marginBottom = 48;
 constexpr double fontSize = 12;
 constexpr double markerRadius = 3;
+constexpr std::size_t maxMarkers = 50;
 constexpr int ticks = 5;
 
 struct Colour {
@@ -76,7 +77,9 @@
     std::string out;
     auto* surface = cairo_svg_surface_create_for_stream(appendBytes, &out, options.width, options.height);
     auto* context = cairo_create(surface);
-    cairo_select_font_face(context, "sans-serif", CAIRO_FONT_SLANT_NORMAL, CAIRO_FONT_WEIGHT_NORMAL);
+    // Cairo's built-in font: equal output on machines with other fonts, and no use of fontconfig, whose caches are
+    // reported as leaks.
+    cairo_select_font_face(context, "@cairo:", CAIRO_FONT_SLANT_NORMAL, CAIRO_FONT_WEIGHT_NORMAL);
     cairo_set_font_size(context, fontSize);
     cairo_set_source_rgb(context, 1, 1, 1);
     cairo_paint(context);
@@ -148,10 +151,11 @@
     {
         setColour(this->context, colour);
         cairo_set_line_width(this->context, 1.5);
+        cairo_new_path(this->context);
         for (std::size_t i = 0; i < series.x.size(); ++i)
             cairo_line_to(this->context, this->left(series.x[i]), this->top(series.y[i]));
         cairo_stroke(this->context);
-        for (std::size_t i = 0; i < series.x.size(); ++i) {
+        for (std::size_t i = 0; i < series.x.size() && series.x.size() <= maxMarkers; ++i) {
             cairo_arc(this->context, this->left(series.x[i]), this->top(series.y[i]), markerRadius, 0, 2 * M_PI);
             cairo_fill(this->context);
         }
