--- a/src/expert/layer_plan.cpp
+++ b/src/expert/layer_plan.cpp
@@ -147,22 +147,26 @@
 }
 
 /** Best of a few moves that relieve the hottest rank; nullopt when there is none. */
-std::optional<LayerBalance> bestMove(const LayerBalance& balance, std::uint32_t sweeps)
+std::optional<LayerBalance> bestMove(const LayerBalance& balance, const ImproveOptions& options)
 {
     const auto hottest = std::ranges::max_element(balance.rankLoads()) - balance.rankLoads().begin();
     std::vector<Move> moves;
     for (const auto expert : heaviestExperts(balance, static_cast<std::uint32_t>(hottest)))
         collectSlots(balance, expert, moves);
+    if (balance.skew() > options.coarseSkew && !moves.empty())
+        return moved(balance, moves.front(), options.coarseSweeps);
     std::optional<LayerBalance> best;
     double bestScore = std::numeric_limits<double>::infinity();
     for (const auto& move : moves) {
-        auto tried = moved(balance, move, sweeps);
+        auto tried = moved(balance, move, options.trialSweeps);
         const auto score = unevenness(tried);
         if (score < bestScore) {
             bestScore = score;
             best = std::move(tried);
         }
     }
+    if (best)
+        best->evenShares(options.sweeps);
     return best;
 }
 
@@ -193,11 +197,10 @@
     for (std::uint32_t moves = 1; moves <= options.maxMoves && sinceBest < options.patience; ++moves) {
         if (balance.skew() <= options.targetSkew)
             break;
-        auto next = internal::bestMove(balance, options.trialSweeps);
+        auto next = internal::bestMove(balance, options);
         if (!next)
             break;
         balance = std::move(*next);
-        balance.evenShares(options.sweeps);
         ++sinceBest;
         const auto cost = balance.skew() + moves * options.minGainPerMove;
         if (cost < bestCost) {
--- a/src/expert/load_estimator.hpp
+++ b/src/expert/load_estimator.hpp
@@ -23,7 +23,7 @@
 
 struct EstimatorOptions {
     double noiseWeight = 0.03; ///< Weight of the newest interval in the estimate of noise.
-    double driftWeight = 0.05; ///< Weight of the newest interval in the estimate of drift.
+    double driftWeight = 0.1; ///< Weight of the newest interval in the estimate of drift.
     double minGain = 0.03; ///< Least weight of the newest interval in the popularity.
     double surgeGain = 0.7; ///< Weight for an expert whose deviations have one sign.
     double surgeDeviations = 3; ///< Standard deviations of the smoothed deviation that show a surge.
