--- a/src/usage/chain_set.hpp
+++ b/src/usage/chain_set.hpp
@@ -11,9 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace chivewinch::usage {
-
-namespace internal {
+namespace chivewinch::usage::internal {
 
 /** What the chain check needs of a segment. */
 struct SegmentInfo {
@@ -94,6 +92,4 @@
     [[nodiscard]] WallMillis nextLife(const ProcessId& process) const;
 };
 
-} // namespace internal
-
-} // namespace chivewinch::usage
+} // namespace chivewinch::usage::internal
--- a/src/usage/segment_codec.cpp
+++ b/src/usage/segment_codec.cpp
@@ -1,5 +1,6 @@
 #include "usage/segment.hpp"
 #include "usage/segment.pb.h"
+#include "usage/stored_process.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -62,17 +63,6 @@
     return any != 0;
 }
 
-void assign(stored::Process& out, const ProcessId& process)
-{
-    out.set_instance(process.instance);
-    out.set_incarnation(static_cast<std::uint64_t>(process.incarnation));
-}
-
-ProcessId toProcess(const stored::Process& in)
-{
-    return { .instance = in.instance(), .incarnation = static_cast<base::Incarnation>(in.incarnation()) };
-}
-
 void encodeHeader(const SegmentHeader& header, stored::Segment& out)
 {
     out.set_format(formatVersion);
--- a/src/usage/summary.cpp
+++ b/src/usage/summary.cpp
@@ -3,6 +3,7 @@
 #include "usage/record_buffer.hpp"
 #include "usage/segment.hpp"
 #include "usage/segment.pb.h"
+#include "usage/stored_process.hpp"
 
 #include <algorithm>
 
@@ -10,21 +11,8 @@
 
 namespace internal {
 
-namespace {
-
 constexpr std::uint32_t summaryFormat = 1;
 
-void assign(stored::Process& out, const ProcessId& process)
-{
-    out.set_instance(process.instance);
-    out.set_incarnation(static_cast<std::uint64_t>(process.incarnation));
-}
-
-ProcessId toProcess(const stored::Process& in)
-{
-    return { .instance = in.instance(), .incarnation = static_cast<base::Incarnation>(in.incarnation()) };
-}
-
 WallMillis toTime(std::int64_t milliseconds) { return WallMillis { std::chrono::milliseconds { milliseconds } }; }
 
 bool assignDigest(Digest& out, const std::string& bytes)
@@ -135,8 +123,6 @@
     return summary;
 }
 
-} // namespace
-
 } // namespace internal
 
 std::string summaryName(WallMillis hour) { return "usage/summary/" + hourText(hour); }
--- a/tests/usage/crash_schedule.cpp
+++ b/tests/usage/crash_schedule.cpp
@@ -1,14 +1,10 @@
 #include "usage/crash_schedule.hpp"
 
+#include "usage/crash_oracle.hpp"
 #include "usage/support.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cstdlib>
-#include <iostream>
-#include <map>
 #include <optional>
-#include <set>
 
 namespace chivewinch::usage::test {
 
@@ -19,19 +15,6 @@
 constexpr std::size_t memoryBound = 48U << 10;
 constexpr std::size_t reservedRecords = 100;
 
-/** Everything the oracle knows about one request. Each request has a team of its own. */
-struct Request {
-    std::string team;
-    base::RequestId id;
-    std::optional<Result> answer; ///< What the caller was told; nullopt when the entry died first.
-    base::AttemptId lastAttempt;
-    Counts billed;
-    std::uint64_t ranGenerated = 0;
-    bool completedByAgent = false;
-    ProcessId entry;
-    ProcessId agent;
-};
-
 struct Process {
     Side side = Side::Entry;
     std::string instance;
@@ -73,9 +56,7 @@
     bool hourOutage = false;
     std::chrono::milliseconds entryInterval = entrySegmentInterval;
     std::vector<Process> processes;
-    std::vector<Request> requests;
-    std::set<ProcessId> crashed;
-    std::set<std::pair<ProcessId, ProcessId>> losses; ///< Reported pairs of entry and agent.
+    CrashOracle oracle;
     ScheduleResult result;
 
     bool chance(std::uint64_t percent) { return this->world.random.below(100) < percent; }
@@ -120,7 +101,7 @@
         if (this->result.crashes >= static_cast<std::size_t>(this->options.maxCrashes))
             return;
         ++this->result.crashes;
-        this->crashed.insert(process.id);
+        this->oracle.crashed.insert(process.id);
         process.ledger.reset();
     }
 
@@ -221,14 +202,14 @@
         auto& entry = this->processes[this->world.random.below(2)];
         if (!entry.ledger || !entry.ledger->canAccept())
             return;
-        Request request { .team = "team-" + std::to_string(this->requests.size()),
+        Request request { .team = "team-" + std::to_string(this->oracle.requests.size()),
             .id = base::randomRequestId(this->world.random),
             .entry = entry.id };
         request.billed.promptTokens = static_cast<std::uint32_t>(1 + this->world.random.below(1000));
         std::uint32_t delivered = 0;
         for (std::uint32_t number = 1; number <= 3 && entry.ledger && !request.answer; ++number)
             delivered = this->attempt(entry, request, number, delivered);
-        this->requests.push_back(request);
+        this->oracle.requests.push_back(request);
     }
 
     Record recordOf(const Request& request, std::uint32_t number, WallMillis issued, const ProcessId& peer) const
@@ -350,67 +331,8 @@
         for (const auto& [name, bytes] : this->world.memory.all())
             verifier.add(name, bytes);
         const auto report = verifier.finish();
-        std::map<std::string, Totals> perTeam;
-        for (const auto& [key, totals] : report.split)
-            perTeam[key.subject.team] += totals;
-        for (const auto& finding : report.findings) {
-            if (finding.kind == FindingKind::PossibleLoss)
-                this->addLoss(finding);
-            const bool expected = finding.kind == FindingKind::OpenEnd || finding.kind == FindingKind::PossibleLoss
-                || finding.kind == FindingKind::MissingChain;
-            if (!expected)
-                this->result.violations.push_back("unexpected finding: " + toString(finding));
-        }
-        for (const auto& request : this->requests)
-            this->compare(request, perTeam[request.team]);
+        this->oracle.judge(report, this->result);
     }
-
-    /** A reported loss names an entry and an agent, and both must have died. */
-    void addLoss(const Finding& finding)
-    {
-        ++this->result.possibleLosses;
-        std::vector<ProcessId> named;
-        for (const auto& place : { finding.place, finding.other }) {
-            for (const auto& process : this->crashed) {
-                if (place.segment.find(toString(process)) != std::string::npos)
-                    named.push_back(process);
-            }
-        }
-        if (named.size() == 2)
-            this->losses.emplace(named[0], named[1]);
-        else
-            this->result.violations.push_back("false alarm: " + toString(finding));
-    }
-
-    void compare(const Request& request, const Totals& totals)
-    {
-        const auto fail = [&](const std::string& text) { this->result.violations.push_back(request.team + text); };
-        this->result.completedFromAgent += totals.completedFromAgent;
-        const bool bothDied = this->crashed.contains(request.entry) && this->crashed.contains(request.agent);
-        const bool acknowledged = request.answer == Result::Done;
-        this->result.acknowledged += acknowledged ? 1 : 0;
-        if (totals.requests > 1)
-            fail(" is counted " + std::to_string(totals.requests) + " times");
-        if (!acknowledged && totals.requests > 0 && !request.completedByAgent)
-            fail(" is counted although nothing completed it");
-        if (request.answer && !acknowledged && totals.requests > 0 && !this->crashed.contains(request.entry))
-            fail(" is counted although the caller got no answer");
-        if (!acknowledged)
-            return;
-        const bool exact = totals.requests == 1 && totals.promptTokens == request.billed.promptTokens
-            && totals.generatedTokens
-                == std::uint64_t { request.billed.generatedTokens } + request.billed.resumedTokens;
-        if (!exact && !bothDied)
-            fail(" has an acknowledged answer that is not counted exactly once");
-        if (!exact && !this->losses.contains({ request.entry, request.agent }))
-            fail(" is lost without a reported gap");
-        this->result.lost += exact ? 0 : 1;
-        if (this->crashed.empty()
-            && totals.unbilledGeneratedTokens != excess(request.ranGenerated, totals.generatedTokens))
-            fail(" has a wrong count of unbilled tokens");
-    }
-
-    static std::uint64_t excess(std::uint64_t total, std::uint64_t part) { return total > part ? total - part : 0; }
 };
 
 } // namespace
