--- a/src/usage/key.cpp
+++ b/src/usage/key.cpp
@@ -59,9 +59,11 @@
 
 Digest sha256(std::string_view bytes)
 {
+    // Fetched once, because EVP_sha256() searches the providers under a lock at each use.
+    static const EVP_MD* const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
     Digest digest {};
     unsigned int size = 0;
-    if (EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(), nullptr) != 1)
+    if (EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, algorithm, nullptr) != 1)
         throw std::runtime_error("OpenSSL failed to compute SHA-256");
     return digest;
 }
