--- a/src/usage/join.hpp
+++ b/src/usage/join.hpp
@@ -28,7 +28,7 @@
     void settle(std::vector<Finding>& findings, Split& split);
 
 private:
-    static constexpr std::size_t partitionBits = 9;
+    static constexpr std::size_t partitionBits = 7;
 
     const VerifierOptions& options;
     const ChainSet& chains;
--- a/src/usage/request_rule.hpp
+++ b/src/usage/request_rule.hpp
@@ -8,8 +8,8 @@
 
 namespace chivewinch::usage::internal {
 
-/** Record with indexes that are valid over all segments. Its size is one cache line. */
-struct JoinItem {
+/** Record with indexes that are valid over all segments, in one cache line. */
+struct alignas(64) JoinItem {
     base::RequestId request;
     WallMillis issued;
     std::uint32_t number = 0;
--- a/src/usage/segment.cpp
+++ b/src/usage/segment.cpp
@@ -77,22 +77,11 @@
 
 std::optional<Envelope> unwrap(std::string_view bytes, Error& reason)
 {
-    stored::Signed envelope;
-    Envelope result;
-    const auto fail = [&reason](const char* detail) {
-        reason = { .code = ErrorCode::Malformed, .detail = detail };
+    SegmentDecoder decoder;
+    Envelope envelope;
+    if (!decoder.unwrap(bytes, envelope, reason))
         return std::nullopt;
-    };
-    if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-        return fail("the object is not a signed message");
-    if (envelope.signature().size() != result.signature.size())
-        return fail("the signature does not have 64 bytes");
-    std::copy(envelope.signature().begin(), envelope.signature().end(), result.signature.begin());
-    result.payload = std::move(*envelope.mutable_payload());
-    if (wrap(result.payload, result.signature) != bytes)
-        return fail("the signed message is not in the canonical form");
-    result.digest = sha256(result.payload);
-    return result;
+    return envelope;
 }
 
 } // namespace chivewinch::usage
--- a/src/usage/segment.hpp
+++ b/src/usage/segment.hpp
@@ -116,6 +116,9 @@
     SegmentDecoder& operator=(const SegmentDecoder&) = delete;
     ~SegmentDecoder();
 
+    /** Overwrites the envelope; false with ErrorCode::Malformed for anything that wrap does not produce. */
+    [[nodiscard]] bool unwrap(std::string_view bytes, Envelope& envelope, Error& reason);
+
     /** Overwrites the segment; false with ErrorCode::Malformed for anything that encode does not produce. */
     [[nodiscard]] bool decode(std::string_view payload, Segment& segment, Error& reason);
 
--- a/src/usage/segment_codec.cpp
+++ b/src/usage/segment_codec.cpp
@@ -233,6 +233,7 @@
 }
 
 struct SegmentDecoder::State {
+    stored::Signed envelope;
     stored::Segment message;
     std::string canonical;
 };
@@ -244,6 +245,27 @@
 
 SegmentDecoder::~SegmentDecoder() = default;
 
+bool SegmentDecoder::unwrap(std::string_view bytes, Envelope& envelope, Error& reason)
+{
+    auto& in = this->state->envelope;
+    const auto fail = [&reason](const char* detail) {
+        reason = { .code = ErrorCode::Malformed, .detail = detail };
+        return false;
+    };
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return fail("the object is not a signed message");
+    if (in.signature().size() != envelope.signature.size())
+        return fail("the signature does not have 64 bytes");
+    // Two fields of known size, in order and without repetition or padding, have exactly one form.
+    constexpr char payloadTag = 0x0A;
+    if (internal::hasUnknown(in) || in.ByteSizeLong() != bytes.size() || bytes.front() != payloadTag)
+        return fail("the signed message is not in the canonical form");
+    std::copy(in.signature().begin(), in.signature().end(), envelope.signature.begin());
+    std::swap(envelope.payload, *in.mutable_payload());
+    envelope.digest = sha256(envelope.payload);
+    return true;
+}
+
 bool SegmentDecoder::decode(std::string_view payload, Segment& segment, Error& reason)
 {
     auto& in = this->state->message;
--- a/src/usage/verifier.cpp
+++ b/src/usage/verifier.cpp
@@ -43,8 +43,8 @@
 void Verifier::addSegment(const std::string& name, std::string_view bytes)
 {
     Error reason;
-    const auto envelope = unwrap(bytes, reason);
-    if (!envelope || !this->decoder.decode(envelope->payload, this->segment, reason)) {
+    if (!this->decoder.unwrap(bytes, this->envelope, reason)
+        || !this->decoder.decode(this->envelope.payload, this->segment, reason)) {
         this->report.findings.push_back(
             { .kind = FindingKind::Malformed, .place = { .segment = name }, .detail = reason.detail });
         return;
@@ -57,9 +57,9 @@
             .detail = "the header belongs to another object" });
     const auto index = this->chains.add({ .name = name,
         .header = this->segment.header,
-        .digest = envelope->digest,
-        .signature = envelope->signature,
-        .link = linkOf(envelope->digest, envelope->signature) });
+        .digest = this->envelope.digest,
+        .signature = this->envelope.signature,
+        .link = linkOf(this->envelope.digest, this->envelope.signature) });
     ++this->report.segments;
     this->report.records += this->segment.records.size();
     this->report.bytes += bytes.size();
--- a/src/usage/verifier.hpp
+++ b/src/usage/verifier.hpp
@@ -39,7 +39,9 @@
     internal::ChainSet chains;
     internal::Joiner joiner;
     SegmentDecoder decoder;
-    Segment segment; ///< Reused for every object.
+    // Reused for every object.
+    Envelope envelope;
+    Segment segment;
     Report report;
     std::vector<NamedSummary> summaries;
 
