--- a/src/usage/chain_set.hpp
+++ b/src/usage/chain_set.hpp
@@ -11,9 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace chivewinch::usage {
-
-namespace internal {
+namespace chivewinch::usage::internal {
 
 /** What the chain check needs of a segment. */
 struct SegmentInfo {
@@ -44,8 +42,8 @@
     /** Returns the index of the segment. */
     std::uint32_t add(SegmentInfo segment);
 
-    /** Notes that a process life exists according to another process. */
-    void mention(const ProcessId& process, Side side, WallMillis when, const std::string& by);
+    /** Notes that a process life exists according to another process; false when the time is out of the window. */
+    bool mention(const ProcessId& process, Side side, WallMillis when, const std::string& by);
 
     /** Judges all chains; call it once, after the last add and mention. */
     void check(std::vector<Finding>& findings);
@@ -94,6 +92,4 @@
     [[nodiscard]] WallMillis nextLife(const ProcessId& process) const;
 };
 
-} // namespace internal
-
-} // namespace chivewinch::usage
+} // namespace chivewinch::usage::internal
--- a/src/usage/join.hpp
+++ b/src/usage/join.hpp
@@ -28,7 +28,7 @@
     void settle(std::vector<Finding>& findings, Split& split);
 
 private:
-    static constexpr std::size_t partitionBits = 9;
+    static constexpr std::size_t partitionBits = 7;
 
     const VerifierOptions& options;
     const ChainSet& chains;
@@ -48,6 +48,7 @@
 
     void settlePartition(std::vector<JoinItem>& items, std::vector<Finding>& findings);
     void linkRequests(const std::vector<JoinItem>& items);
+    void orderGroup();
     void settleRequest(std::vector<Finding>& findings);
     void collectAttempts(std::vector<Finding>& findings);
     void compare(const RequestVerdict& verdict, std::vector<Finding>& findings) const;
--- a/src/usage/verifier.hpp
+++ b/src/usage/verifier.hpp
@@ -39,9 +39,12 @@
     internal::ChainSet chains;
     internal::Joiner joiner;
     SegmentDecoder decoder;
-    Segment segment; ///< Reused for every object.
+    // Reused for every object.
+    Envelope envelope;
+    Segment segment;
     Report report;
     std::vector<NamedSummary> summaries;
+    std::vector<bool> mentioned; ///< By the joiner's index of the process.
 
     void addSegment(const std::string& name, std::string_view bytes);
     void addSummary(const std::string& name, std::string_view bytes);
