--- a/scripts/installation.py
+++ b/scripts/installation.py
@@ -120,6 +120,7 @@
         self.processes = {}
         self.targets = []
         self.owner_keys = {}
+        self.extra_teams = []
         self.entry_ports = {}
         self.bundle_path = self.folder / "bundle.toml"
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -157,6 +158,9 @@
             rate, concurrency = self.team_limits
             lines += ["[[team]]", f'id = "{owner}-team"', f'owner = "{owner}"', f'key_hash = "{key_hash(owner + "-key")}"',
                       f"rate = {rate}", f"concurrency = {concurrency}", 'models = ["*"]', 'services = ["*"]', ""]
+        for team in self.extra_teams:
+            lines += ["[[team]]", f'id = "{team}"', 'owner = "kilat-lilin"', f'key_hash = "{key_hash(team + "-key")}"',
+                      "rate = 100", "concurrency = 100", 'models = ["*"]', 'services = ["*"]', ""]
         for target in self.targets:
             field = "model" if target["kind"] == "engine" else "service"
             lines += ["[[target]]", f'id = "{target["id"]}"', f'owner = "{target["owner"]}"', f'kind = "{target["kind"]}"',
@@ -215,6 +219,31 @@
         return self.ctl("bundle", command, "--table-service", f"{ADDRESS}:{self.tables}", "--object-store",
                         f"{ADDRESS}:{self.objects}", "--owner-keys", self.owner_key_setting(), *arguments, check=check)
 
+    def write_process_keys(self):
+        """File with the public usage keys of all entries and agents."""
+        keys = []
+        for side, names in (("entry", [entry[0] for entry in self.entries]),
+                            ("agent", [f"agent-{target['id']}" for target in self.targets])):
+            for name in names:
+                keys += json.loads(self.ctl("keys", "usage", "--seed", self.usage_seed(name), "--instance", name,
+                                            "--side", side).stdout)
+        path = self.folder / "process-keys.json"
+        path.write_text(json.dumps(keys), encoding="utf-8")
+        return path
+
+    def usage_ctl(self, command, *arguments, check=True):
+        return self.ctl("usage", command, "--table-service", f"{ADDRESS}:{self.tables}", "--object-store",
+                        f"{ADDRESS}:{self.objects}", "--process-keys", self.write_process_keys(), *arguments, check=check)
+
+    def bundle_versions(self):
+        """Version in force at each entry that answers."""
+        statuses = [self.status(entry[2]) for entry in self.entries]
+        return [status["bundle_version"] if status else None for status in statuses]
+
+    def stop_daemons(self):
+        """Stops entries, then agents; returns the names of processes that did not exit with 0."""
+        return self.stop_group("entry-") + self.stop_group("agent-")
+
     def key_file(self, owner):
         return self.folder / f"{owner}.pem"
 
@@ -259,17 +288,19 @@
         status = self.status(entry[2])
         return status is not None and sum(target["state"] == "live" for target in status["targets"]) == len(self.targets)
 
-    def stop(self):
-        """Stops entries, then agents, then stand-ins; returns the names of processes that did not exit with 0."""
+    def stop_group(self, prefix):
         failed = []
-        for prefix in ("entry-", "agent-", ""):
-            group = [process for name, process in self.processes.items() if name.startswith(prefix) and process.running()]
-            for process in group:
-                process.terminate()
-            for process in group:
-                code = process.wait()
-                if code is None:
-                    process.kill()
-                if code != 0:
-                    failed.append(f"{process.name} ({code})")
+        group = [process for name, process in self.processes.items() if name.startswith(prefix) and process.running()]
+        for process in group:
+            process.terminate()
+        for process in group:
+            code = process.wait()
+            if code is None:
+                process.kill()
+            if code != 0:
+                failed.append(f"{process.name} ({code})")
         return failed
+
+    def stop(self):
+        """Stops daemons, then stand-ins; returns the names of processes that did not exit with 0."""
+        return self.stop_daemons() + self.stop_group("")
