--- a/app/entry/claim_desk.hpp
+++ b/app/entry/claim_desk.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "claim/claim_keeper.hpp"
-#include "entry/attempt_channel.hpp"
 #include "entry/caller_request.hpp"
+#include "entry/request_channel.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/app/entry/disconnect_watch.hpp
+++ b/app/entry/disconnect_watch.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/attempt_channel.hpp"
+#include "entry/request_channel.hpp"
 #include "http/response_writer.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
--- a/app/entry/agent_link.cpp
+++ b/app/entry/link.cpp
@@ -1,4 +1,4 @@
-#include "entry/agent_link.hpp"
+#include "entry/link.hpp"
 
 #include "logging/event.hpp"
 #include "protocol/convert.hpp"
--- a/app/entry/agent_link.hpp
+++ b/app/entry/link.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/attempt_channel.hpp"
+#include "entry/request_channel.hpp"
 #include "protocol/message_reader.hpp"
 #include "settings/value_type.hpp"
 #include "transport/session.hpp"
--- a/app/entry/link_set.hpp
+++ b/app/entry/link_set.hpp
@@ -3,8 +3,8 @@
 #include "base/guarded.hpp"
 #include "base/id.hpp"
 #include "bundle/snapshot.hpp"
-#include "entry/agent_link.hpp"
 #include "entry/heartbeat_source.hpp"
+#include "entry/link.hpp"
 #include "entry/tables.hpp"
 #include "wire/wire.pb.h"
 
--- a/app/entry/peer_set.hpp
+++ b/app/entry/peer_set.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "bundle/peer_exchange.hpp"
-#include "entry/agent_link.hpp"
 #include "entry/heartbeat_source.hpp"
+#include "entry/link.hpp"
 #include "membership/target_table.hpp"
 #include "protocol/control_stream.hpp"
 #include "transport/session.hpp"
--- a/app/entry/attempt_channel.cpp
+++ b/app/entry/request_channel.cpp
@@ -1,4 +1,4 @@
-#include "entry/attempt_channel.hpp"
+#include "entry/request_channel.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
--- a/app/entry/services.hpp
+++ b/app/entry/services.hpp
@@ -2,7 +2,7 @@
 
 #include "base/clock.hpp"
 #include "base/id.hpp"
-#include "entry/agent_link.hpp"
+#include "entry/link.hpp"
 #include "entry/options.hpp"
 #include "entry/tables.hpp"
 #include "metrics/registry.hpp"
--- /dev/null
+++ b/app/entry/target_chooser.cpp
@@ -0,0 +1,155 @@
+#include "entry/target_chooser.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewinch::entry {
+
+namespace internal {
+
+// Shortest pause before a suspect that cannot run yet is tried again.
+constexpr std::chrono::milliseconds minSuspicionWait { 20 };
+
+std::uint8_t queuePriority(std::uint32_t priority)
+{
+    // Bundles have priorities 0 to 9, the queue has 0 to 7.
+    return static_cast<std::uint8_t>(priority * 7 / 9);
+}
+
+} // namespace internal
+
+http::Task<std::optional<routing::Choice>> TargetChooser::choose(std::uint32_t attempt)
+{
+    while (true) {
+        const auto suspicion = this->checkSuspicion();
+        this->reason = suspicion.refusal;
+        if (suspicion.refusal == base::RefusalReason::None) {
+            auto choice = this->tryRouter(attempt, suspicion.excluded);
+            if (choice || this->reason != base::RefusalReason::TargetBusy)
+                co_return choice;
+            co_return co_await this->waitForTarget(attempt);
+        }
+        if (suspicion.refusal != base::RefusalReason::SuspectBusy)
+            co_return std::nullopt;
+        const bool waited = co_await this->waitForSuspicion(suspicion.wait);
+        if (!waited)
+            co_return std::nullopt;
+    }
+}
+
+std::vector<base::TargetId> TargetChooser::candidates() const
+{
+    const auto& pool = this->request.pool();
+    const auto& targets = this->request.model.empty() ? this->request.snapshot->targetsByService(pool)
+                                                      : this->request.snapshot->targetsByModel(pool);
+    std::vector<base::TargetId> local;
+    std::vector<base::TargetId> all;
+    for (const auto* target : targets) {
+        all.push_back(target->id);
+        if (target->zone == this->services.options.zone)
+            local.push_back(target->id);
+    }
+    // A pool without targets in this zone is served from the others, where the strikes of this zone still count.
+    return local.empty() ? all : local;
+}
+
+TargetChooser::Suspicion TargetChooser::checkSuspicion() const
+{
+    const auto targets = this->candidates();
+    const auto placement = this->services.tables.suspects.with(
+        [&](Suspects& suspects) { return suspects.guard.place(this->request.fingerprint, targets, targets); });
+    Suspicion suspicion { .refusal = placement.refusal, .wait = placement.retryAfter, .excluded = this->excluded };
+    for (const auto& target : targets) {
+        if (std::ranges::find(placement.targets, target) == placement.targets.end())
+            suspicion.excluded.push_back(target);
+    }
+    return suspicion;
+}
+
+std::optional<routing::Choice> TargetChooser::tryRouter(
+    std::uint32_t attempt, const std::vector<base::TargetId>& without)
+{
+    const routing::RouteRequest route {
+        .pool = this->request.pool(), .prefixHash = this->request.prefixHash, .attempt = attempt, .excluded = without
+    };
+    return this->services.tables.routing.with([&](Routing& routing) -> std::optional<routing::Choice> {
+        const auto now = this->services.clock.now();
+        auto choice = routing.router.choose(route, now);
+        this->reason = routing.router.lastReason();
+        if (choice)
+            routing.router.started(route, *choice, now);
+        return choice;
+    });
+}
+
+http::Task<bool> TargetChooser::waitForSuspicion(std::chrono::nanoseconds wait)
+{
+    const auto step = std::max<std::chrono::nanoseconds>(wait, internal::minSuspicionWait);
+    const auto until = this->services.clock.now() + std::chrono::duration_cast<base::SteadyTime::duration>(step);
+    if (until >= this->request.deadline)
+        co_return false;
+    while (true) {
+        const auto event = co_await this->channel->next(until);
+        if (!event)
+            co_return true;
+        if (std::holds_alternative<CallerGone>(*event)) {
+            this->isCallerGone = true;
+            co_return false;
+        }
+    }
+}
+
+base::RefusalReason TargetChooser::enterWaitingRoom(std::uint32_t attempt)
+{
+    Applicant applicant;
+    applicant.request = { .id = this->request.id,
+        .owner = this->request.team->owner,
+        .priority = internal::queuePriority(this->request.priority),
+        .deadline = this->request.deadline };
+    applicant.pool = this->request.pool();
+    applicant.prefixHash = this->request.prefixHash;
+    applicant.attempt = attempt;
+    applicant.excluded = this->excluded;
+    applicant.channel = this->channel;
+    return this->services.tables.routing.with(
+        [&](Routing& routing) { return routing.waiting.enter(std::move(applicant), this->services.clock.now()); });
+}
+
+http::Task<std::optional<routing::Choice>> TargetChooser::waitForTarget(std::uint32_t attempt)
+{
+    this->reason = this->enterWaitingRoom(attempt);
+    while (this->reason == base::RefusalReason::None) {
+        const auto event = co_await this->channel->next(this->request.deadline);
+        if (event && std::holds_alternative<TargetGranted>(*event))
+            co_return std::get<TargetGranted>(*event).choice;
+        if (!event) {
+            this->reason = base::RefusalReason::QueueDeadline;
+        } else if (const auto* refused = std::get_if<QueueRefused>(&*event)) {
+            this->reason = refused->reason;
+        } else if (std::holds_alternative<CallerGone>(*event)) {
+            this->isCallerGone = true;
+            this->reason = base::RefusalReason::CancelledBeforeStart;
+        }
+    }
+    co_await this->leaveWaitingRoom();
+    co_return std::nullopt;
+}
+
+http::Task<void> TargetChooser::leaveWaitingRoom()
+{
+    const auto now = this->services.clock.now();
+    this->services.tables.routing.with(
+        [&](Routing& routing) { routing.waiting.leave(this->request.pool(), this->request.id, now); });
+    // A grant may have been made meanwhile; its place goes back unused.
+    auto late = co_await this->channel->next(now);
+    while (late) {
+        if (const auto* granted = std::get_if<TargetGranted>(&*late)) {
+            this->services.tables.routing.with([&](Routing& routing) {
+                routing.router.finished(granted->choice.target, routing::Result::Cancelled, std::nullopt, now);
+            });
+        }
+        late = co_await this->channel->next(now);
+    }
+}
+
+} // namespace chivewinch::entry
--- /dev/null
+++ b/app/entry/target_chooser.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "entry/caller_request.hpp"
+#include "entry/request_channel.hpp"
+#include "entry/services.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace chivewinch::entry {
+
+/** Finds a target for each attempt of one request, waiting for capacity where that helps. */
+class TargetChooser {
+public:
+    TargetChooser(Services& services, const CallerRequest& request, std::shared_ptr<RequestChannel> channel)
+        : services { services }
+        , request { request }
+        , channel { std::move(channel) }
+    {
+    }
+
+    /** Target that has been marked as started in the router; nullopt and a last reason if there is none in time. */
+    [[nodiscard]] http::Task<std::optional<routing::Choice>> choose(std::uint32_t attempt);
+    [[nodiscard]] base::RefusalReason lastReason() const noexcept { return this->reason; }
+    [[nodiscard]] bool callerGone() const noexcept { return this->isCallerGone; }
+
+    /** Later attempts do not get this target. */
+    void exclude(const base::TargetId& target) { this->excluded.push_back(target); }
+
+private:
+    Services& services;
+    const CallerRequest& request;
+    std::shared_ptr<RequestChannel> channel;
+    std::vector<base::TargetId> excluded;
+    base::RefusalReason reason = base::RefusalReason::NoTarget;
+    bool isCallerGone = false;
+
+    /** Targets that the strikes of the request leave open, as exclusions. */
+    struct Suspicion {
+        base::RefusalReason refusal = base::RefusalReason::None;
+        std::chrono::nanoseconds wait {};
+        std::vector<base::TargetId> excluded;
+    };
+
+    [[nodiscard]] std::vector<base::TargetId> candidates() const;
+    [[nodiscard]] Suspicion checkSuspicion() const;
+    [[nodiscard]] std::optional<routing::Choice> tryRouter(
+        std::uint32_t attempt, const std::vector<base::TargetId>& without);
+    [[nodiscard]] http::Task<bool> waitForSuspicion(std::chrono::nanoseconds wait);
+    [[nodiscard]] http::Task<std::optional<routing::Choice>> waitForTarget(std::uint32_t attempt);
+    [[nodiscard]] base::RefusalReason enterWaitingRoom(std::uint32_t attempt);
+    [[nodiscard]] http::Task<void> leaveWaitingRoom();
+};
+
+} // namespace chivewinch::entry
--- a/app/entry/waiting_room.hpp
+++ b/app/entry/waiting_room.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/attempt_channel.hpp"
+#include "entry/request_channel.hpp"
 #include "routing/admission_queue.hpp"
 #include "routing/router.hpp"
 
