--- a/src/bundle/operations.cpp
+++ b/src/bundle/operations.cpp
@@ -259,7 +259,7 @@
 }
 
 /** Reads the parts that the version changes. The other ones were read when its base was signed. */
-void Operations::readBack(const Proof& proof, ContentStore::DoneCallback callback)
+void Operations::readBack(const Proof& proof, const ContentStore::DoneCallback& callback)
 {
     const auto readParts = [this, callback](PartHashes wanted) {
         this->contents.parts(std::move(wanted),
--- a/src/bundle/operations.hpp
+++ b/src/bundle/operations.hpp
@@ -86,7 +86,7 @@
         std::function<void(bool, const Error&)> callback);
     void createVersion(
         const Rows& rows, const std::string& content, base::BundleVersion withdraws, RecordCallback callback);
-    void readBack(const Proof& proof, ContentStore::DoneCallback callback);
+    void readBack(const Proof& proof, const ContentStore::DoneCallback& callback);
     void addSignature(base::BundleVersion version, const base::OwnerId& owner, const std::string& signature,
         const Proof& signedProof, int triesLeft, RecordCallback callback);
     void rollRows(const Rows& rows, int triesLeft, RecordCallback callback);
--- a/src/bundle/patch.cpp
+++ b/src/bundle/patch.cpp
@@ -72,7 +72,9 @@
 
 bool patch(Bundle& bundle, const Delta& delta, Error& reason)
 {
-    for (const auto& [part, change] : delta.parts) {
+    for (const auto& item : delta.parts) {
+        const auto& part = item.first;
+        const auto& change = item.second;
         const auto table = part.substr(0, part.find('/'));
         bool known = false;
         std::optional<std::string> malformed;
--- a/src/bundle/proof.hpp
+++ b/src/bundle/proof.hpp
@@ -34,7 +34,10 @@
 /** Whether every trusted owner has signed; otherwise MissingSignature or BadSignature. */
 [[nodiscard]] bool verifyProof(const Proof& proof, const TrustedKeys& keys, Error& reason);
 
+// nlohmann-json finds these two by name.
+// NOLINTBEGIN(readability-identifier-naming)
 void to_json(nlohmann::json& json, const Proof& proof);
 void from_json(const nlohmann::json& json, Proof& proof);
+// NOLINTEND(readability-identifier-naming)
 
 } // namespace chivewinch::bundle
--- a/tests/bundle/operations_test.cpp
+++ b/tests/bundle/operations_test.cpp
@@ -322,9 +322,10 @@
     std::cout << rolled << " successful rolls" << std::endl;
     EXPECT_GT(rolled, schedules);
     int broken = 0;
-    for (auto seed = firstSeed; seed < firstSeed + 20; ++seed)
+    for (auto seed = firstSeed; seed < firstSeed + 200; ++seed)
         broken += runSchedule(seed, rolled, { .compareBase = false }).empty() ? 0 : 1;
-    EXPECT_GT(broken, 0) << "the schedules never reach a race that the base comparison decides";
+    std::cout << broken << " broken without it" << std::endl;
+    EXPECT_GT(broken, 10) << "the schedules never reach a race that the base comparison decides";
 }
 
 } // namespace chivewinch::bundle
