Continue an interrupted first load of a bundle from the store

A process without peers reads about 330 parts at 12,000 teams. One failed request started the load again, so that with a fifth of the requests lost it never ended (InterruptedFirstLoadContinuesWhereItStopped). Parts that arrived are kept by hash, and the burst of the operation budget covers one load.

--- a/src/bundle/content_store.cpp
+++ b/src/bundle/content_store.cpp
@@ -74,10 +74,12 @@
 /** Reads a list of parts in turn. */
 class GetParts : public std::enable_shared_from_this<GetParts> {
 public:
-    GetParts(store::ObjectStore& objects, PartHashes wanted, ContentStore::PartsCallback callback)
+    GetParts(store::ObjectStore& objects, PartHashes wanted, ContentStore::PartsCallback callback,
+        ContentStore::PartObserver observer)
         : objects { objects }
         , wanted { std::move(wanted) }
         , callback { std::move(callback) }
+        , observer { std::move(observer) }
         , position { this->wanted.begin() }
     {
     }
@@ -98,6 +100,7 @@
     store::ObjectStore& objects;
     PartHashes wanted;
     ContentStore::PartsCallback callback;
+    ContentStore::PartObserver observer;
     PartHashes::const_iterator position;
     Parts found;
 
@@ -109,6 +112,8 @@
             this->callback(std::nullopt, bytes ? malformed : error);
             return;
         }
+        if (this->observer)
+            this->observer(this->position->first, *records);
         this->found.emplace(this->position->first, std::move(*records));
         ++this->position;
         this->run();
@@ -153,9 +158,10 @@
         });
 }
 
-void ContentStore::parts(PartHashes wanted, PartsCallback callback)
+void ContentStore::parts(PartHashes wanted, PartsCallback callback, PartObserver observer)
 {
-    std::make_shared<internal::GetParts>(this->objects, std::move(wanted), std::move(callback))->run();
+    std::make_shared<internal::GetParts>(this->objects, std::move(wanted), std::move(callback), std::move(observer))
+        ->run();
 }
 
 void ContentStore::load(const std::string& content, PartsCallback callback)
--- a/src/bundle/content_store.hpp
+++ b/src/bundle/content_store.hpp
@@ -21,6 +21,8 @@
     using DoneCallback = std::function<void(bool, const Error&)>;
     using ManifestCallback = std::function<void(std::optional<PartHashes>, const Error&)>;
     using PartsCallback = std::function<void(std::optional<Parts>, const Error&)>;
+    /** Called with name and records of each part as it arrives. */
+    using PartObserver = std::function<void(const std::string&, const PartRecords&)>;
     using DeltaCallback = std::function<void(std::optional<Delta>, const Error&)>;
 
     explicit ContentStore(store::ObjectStore& objects) noexcept
@@ -37,7 +39,7 @@
 
     void manifest(const std::string& content, ManifestCallback callback);
     /** MissingPart or Altered if any part cannot be had. */
-    void parts(PartHashes wanted, PartsCallback callback);
+    void parts(PartHashes wanted, PartsCallback callback, PartObserver observer = {});
     /** All parts of a content. */
     void load(const std::string& content, PartsCallback callback);
     void delta(const std::string& from, const std::string& to, DeltaCallback callback);
--- a/src/bundle/distributor.cpp
+++ b/src/bundle/distributor.cpp
@@ -103,10 +103,8 @@
     const auto record = decodeHead(row.value);
     if (!record || !record->rolled || record->rolled->version <= this->replica.version())
         return;
-    if (!this->head || record->rolled->version > this->head->version) {
+    if (!this->head || record->rolled->version > this->head->version)
         this->head = record->rolled;
-        this->headSeenAt = this->clock.now();
-    }
     if (this->reader) {
         this->fetchFromStore();
         return;
@@ -127,7 +125,7 @@
     else if (this->replica.snapshot())
         this->fetchDelta();
     else
-        this->fetchParts();
+        this->fetchParts(*this->head);
 }
 
 void Distributor::fetchDelta()
@@ -139,26 +137,29 @@
             if (delta && this->replica.apply(proof, *delta))
                 this->endStoreFetch(true, {});
             else
-                this->fetchParts();
+                this->fetchParts(proof);
         }));
 }
 
-void Distributor::fetchParts()
+void Distributor::fetchParts(const Proof& proof)
 {
     this->contents.manifest(
-        this->head->content, this->guarded([this](const std::optional<PartHashes>& hashes, const Error& error) {
+        proof.content, this->guarded([this, proof](const std::optional<PartHashes>& hashes, const Error& error) {
             if (hashes)
-                this->collectParts(*hashes);
+                this->collectParts(proof, *hashes);
             else
                 this->endStoreFetch(false, error);
         }));
 }
 
-void Distributor::collectParts(const PartHashes& hashes)
+void Distributor::collectParts(const Proof& proof, const PartHashes& hashes)
 {
-    const auto proof = *this->head;
     PartHashes missing;
     auto present = presentParts(this->replica, hashes, missing);
+    std::erase_if(missing, [&](const auto& part) {
+        const auto found = this->arrived.find(part.second);
+        return found != this->arrived.end() && present.emplace(part.first, found->second).second;
+    });
     this->contents.parts(std::move(missing),
         this->guarded(
             [this, proof, present = std::move(present)](const std::optional<Parts>& found, const Error& error) {
@@ -169,7 +170,10 @@
                 auto parts = present;
                 parts.insert(found->begin(), found->end());
                 this->endStoreFetch(this->replica.apply(proof, std::move(parts)), this->replica.lastReason());
-            }));
+            }),
+        this->guarded([this, hashes](const std::string& name, const PartRecords& records) {
+            this->arrived.insert_or_assign(hashes.at(name), records);
+        }));
 }
 
 void Distributor::endStoreFetch(bool applied, const Error& error)
@@ -189,6 +193,7 @@
 
 void Distributor::announceInForce()
 {
+    this->arrived.clear();
     this->onInForce(this->replica.snapshot());
     this->channel.announce(this->replica.version());
     this->fetchFromPeer();
--- a/src/bundle/distributor.hpp
+++ b/src/bundle/distributor.hpp
@@ -110,7 +110,8 @@
     base::SteadyTime startedAt {};
     bool storeAnswered = false;
     std::optional<Proof> head; ///< Newest one read from the store.
-    base::SteadyTime headSeenAt {};
+    /** Parts from the store by hash, so that an interrupted fetch continues where it stopped. */
+    std::map<std::string, PartRecords> arrived;
 
     std::map<std::string, Peer> peers;
     std::optional<PeerFetch> fetch;
@@ -124,8 +125,8 @@
 
     void fetchFromStore();
     void fetchDelta();
-    void fetchParts();
-    void collectParts(const PartHashes& hashes);
+    void fetchParts(const Proof& proof);
+    void collectParts(const Proof& proof, const PartHashes& hashes);
     void endStoreFetch(bool applied, const Error& error);
 
     [[nodiscard]] base::BundleVersion smallestUseful() const noexcept;
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -18,7 +18,7 @@
     std::chrono::nanoseconds backoffBase = std::chrono::milliseconds { 50 };
     std::chrono::nanoseconds backoffLimit = std::chrono::seconds { 5 };
     double operationsPerSecond = 5;
-    double operationBurst = 50;
+    double operationBurst = 400; ///< Enough to load a bundle of 12,000 teams once.
     bool limitOperations = true;
     bool coalesceReads = true;
     bool resolveAmbiguous = true; ///< Off: an ambiguous write is reported without a re-read.
--- /dev/null
+++ b/tests/bundle/choice_tables.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "store/memory_store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chivewinch::bundle::sample {
+
+/** What happens to one store operation. */
+enum class Fate : std::uint8_t { Answer, LoseAnswer, LoseRequest };
+
+/** Holds back an actor's store operations until the explorer decides their fate. */
+class ChoiceTables final : public store::TableService {
+public:
+    ChoiceTables(store::MemoryTableService& memory, std::string& history) noexcept
+        : memory { memory }
+        , history { history }
+    {
+    }
+
+    std::deque<std::function<void(Fate)>> pending;
+    std::string pendingText; ///< Identity of the pending operations.
+
+    void get(std::vector<store::RowKey> keys, GetCallback callback) override
+    {
+        this->pending.push_back([this, keys = std::move(keys), callback = std::move(callback)](Fate fate) {
+            this->memory.get(keys, [this, fate, callback](const auto& rows, const store::Error&) {
+                if (fate != Fate::Answer) {
+                    this->history += "read lost;";
+                    callback(std::nullopt, { .code = store::ErrorCode::TimedOut, .detail = "" });
+                    return;
+                }
+                for (const auto& row : *rows)
+                    this->history += row.key.key + "@" + std::to_string(row.version) + ";";
+                callback(rows, {});
+            });
+        });
+    }
+
+    void scan(std::string, std::string, std::size_t, GetCallback) override { FAIL() << "not used by these modules"; }
+
+    void transact(store::Transaction transaction, TransactCallback callback) override
+    {
+        this->pending.push_back(
+            [this, transaction = std::move(transaction), callback = std::move(callback)](Fate fate) {
+                const store::Error lost { .code = store::ErrorCode::Ambiguous, .detail = "" };
+                if (fate == Fate::LoseRequest) {
+                    this->history += "write lost;";
+                    callback(std::nullopt, lost);
+                    return;
+                }
+                this->memory.transact(transaction, [&](const auto& result, const store::Error&) {
+                    if (fate == Fate::LoseAnswer) {
+                        this->history += "write lost;";
+                        callback(std::nullopt, lost);
+                        return;
+                    }
+                    this->history += result->committed ? "committed " : "refused ";
+                    for (const auto& row : result->rows)
+                        this->history += row.key.key + "@" + std::to_string(row.version) + ";";
+                    callback(result, {});
+                });
+            });
+    }
+
+private:
+    store::MemoryTableService& memory;
+    std::string& history;
+};
+
+} // namespace chivewinch::bundle::sample
--- a/tests/bundle/distributor_test.cpp
+++ b/tests/bundle/distributor_test.cpp
@@ -270,6 +270,19 @@
     }
 }
 
+// Guards against a first load that starts again after each failed request and therefore never ends.
+TEST(DistributorTest, InterruptedFirstLoadContinuesWhereItStopped)
+{
+    Cluster cluster { 11 };
+    cluster.storeFaults.lostRequest = 0.2;
+    cluster.roll(sample::bundle(2000, 100));
+    auto& process = cluster.start("zone-a");
+    cluster.run(400s);
+    EXPECT_EQ(process.replica.version(), base::BundleVersion { 1 });
+    // Each of the 320 parts is read about once: a fifth of the requests is lost before the store.
+    EXPECT_LT(cluster.counts.reads, 1200U);
+}
+
 // Guards against five seconds of latency that stop the distribution instead of delaying it.
 TEST(DistributorTest, SlowStoreOnlyDelaysAVersion)
 {
--- a/tests/bundle/exploration_test.cpp
+++ b/tests/bundle/exploration_test.cpp
@@ -1,4 +1,5 @@
 #include "base/hash.hpp"
+#include "bundle/choice_tables.hpp"
 #include "bundle/operations.hpp"
 #include "bundle/rollout_duty.hpp"
 #include "bundle/sample.hpp"
@@ -8,7 +9,6 @@
 
 #include <gtest/gtest.h>
 
-#include <deque>
 #include <iostream>
 #include <memory>
 #include <unordered_set>
@@ -19,13 +19,14 @@
 
 namespace {
 
+using sample::ChoiceTables;
+using sample::Fate;
+
 constexpr int actorCount = 4; ///< Two lease holders and two operators.
 constexpr base::BundleVersion baseVersion { 1 };
 constexpr base::BundleVersion firstVersion { 2 };
 constexpr base::BundleVersion secondVersion { 3 };
 
-enum class Fate : std::uint8_t { Answer, LoseAnswer, LoseRequest };
-
 /** One step of a schedule. */
 struct Choice {
     enum class Kind : std::uint8_t { Operation, Time, Pause, Resume } kind = Kind::Time;
@@ -42,65 +43,6 @@
     int pauses = 0; ///< Of the first process, at any moment in which it holds the lease.
 };
 
-/** Holds back an actor's store operations until the explorer decides their fate. */
-class ChoiceTables final : public store::TableService {
-public:
-    ChoiceTables(store::MemoryTableService& memory, std::string& history) noexcept
-        : memory { memory }
-        , history { history }
-    {
-    }
-
-    std::deque<std::function<void(Fate)>> pending;
-    std::string pendingText; ///< Identity of the pending operations.
-
-    void get(std::vector<store::RowKey> keys, GetCallback callback) override
-    {
-        this->pending.push_back([this, keys = std::move(keys), callback = std::move(callback)](Fate fate) {
-            this->memory.get(keys, [this, fate, callback](const auto& rows, const store::Error&) {
-                if (fate != Fate::Answer) {
-                    this->history += "read lost;";
-                    callback(std::nullopt, { .code = store::ErrorCode::TimedOut, .detail = "" });
-                    return;
-                }
-                for (const auto& row : *rows)
-                    this->history += row.key.key + "@" + std::to_string(row.version) + ";";
-                callback(rows, {});
-            });
-        });
-    }
-
-    void scan(std::string, std::string, std::size_t, GetCallback) override { FAIL() << "not used by these modules"; }
-
-    void transact(store::Transaction transaction, TransactCallback callback) override
-    {
-        this->pending.push_back(
-            [this, transaction = std::move(transaction), callback = std::move(callback)](Fate fate) {
-                const store::Error lost { .code = store::ErrorCode::Ambiguous, .detail = "" };
-                if (fate == Fate::LoseRequest) {
-                    this->history += "write lost;";
-                    callback(std::nullopt, lost);
-                    return;
-                }
-                this->memory.transact(transaction, [&](const auto& result, const store::Error&) {
-                    if (fate == Fate::LoseAnswer) {
-                        this->history += "write lost;";
-                        callback(std::nullopt, lost);
-                        return;
-                    }
-                    this->history += result->committed ? "committed " : "refused ";
-                    for (const auto& row : result->rows)
-                        this->history += row.key.key + "@" + std::to_string(row.version) + ";";
-                    callback(result, {});
-                });
-            });
-    }
-
-private:
-    store::MemoryTableService& memory;
-    std::string& history;
-};
-
 /** Signed rows of three versions: 1 rolled, 2 and 3 signed and based on 1. */
 const std::vector<std::pair<store::RowKey, std::string>>& initialRows()
 {
