--- a/bench/bundle_bench.cpp
+++ b/bench/bundle_bench.cpp
@@ -4,6 +4,7 @@
 #include "bundle/rollout_duty.hpp"
 #include "report.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -228,6 +229,46 @@
     reportBoth(350);
 }
 
+/** Times in seconds from a roll until all of 30 processes use it, in order. Messages take 0 to 5 ms. */
+std::vector<double> rolloutTimes(bool usePeers)
+{
+    sample::Cluster cluster { 2 };
+    auto bundle = sample::bundle(20, 5);
+    cluster.roll(bundle);
+    for (std::size_t i = 0; i < 30; ++i)
+        cluster.start("zone-" + std::to_string(i % 3), {}, { .usePeers = usePeers });
+    cluster.run(10s);
+    std::vector<double> times;
+    constexpr int changes = 200;
+    for (int change = 0; change < changes; ++change) {
+        cluster.run(std::chrono::milliseconds { cluster.random.below(5000) });
+        bundle.teams[0].rate += 1;
+        cluster.roll(bundle);
+        auto elapsed = 0ms;
+        for (; !cluster.allOnHead(); elapsed += 10ms)
+            cluster.run(10ms);
+        times.push_back(std::chrono::duration<double> { elapsed }.count());
+    }
+    std::ranges::sort(times);
+    return times;
+}
+
+void measureRollout()
+{
+    const auto ours = rolloutTimes(true);
+    const auto baseline = rolloutTimes(false);
+    const std::vector<std::pair<std::string, std::size_t>> quantiles { { "rollout_seconds_median", ours.size() / 2 },
+        { "rollout_seconds_max", ours.size() - 1 } };
+    for (const auto& [name, index] : quantiles)
+        report({ .name = name,
+            .value = ours[index],
+            .unit = "s",
+            .size = 30,
+            .baseline = baseline[index],
+            .baselineName = "each process polls the store",
+            .goal = "< 2" });
+}
+
 } // namespace
 
 } // namespace chivewinch::bundle
@@ -236,5 +277,6 @@
 {
     for (const std::size_t teams : { 10U, 1200U, 12'000U })
         chivewinch::bundle::measureSize(teams);
+    chivewinch::bundle::measureRollout();
     chivewinch::bundle::measureRates();
 }
