--- a/bench/expert_bench.cpp
+++ b/bench/expert_bench.cpp
@@ -27,33 +27,42 @@
 
 void printRow(const std::string& trace, const std::string& policy, const Outcome& outcome)
 {
-    std::cerr << std::left << std::setw(13) << trace << std::setw(12) << policy << std::fixed << std::setprecision(4)
+    std::cerr << std::left << std::setw(15) << trace << std::setw(12) << policy << std::fixed << std::setprecision(4)
               << outcome.meanSkew << "  " << outcome.p99Skew << "  " << std::setw(9) << outcome.moves << outcome.changes
               << "\n";
 }
 
-void reportTrace(const std::string& trace, const Outcome& fixed, const Outcome& full, const Outcome& ours)
+/** Outcomes of all policies on one trace. */
+struct Comparison {
+    Outcome fixed;
+    Outcome plain; ///< Full re-solve without search.
+    Outcome searched; ///< Full re-solve with the planner's search.
+    Outcome planner;
+};
+
+void reportTrace(const std::string& trace, const Comparison& results)
 {
     const bool noise = trace == "noise";
-    const auto figure = [&](const std::string& name, double value, const std::string& unit, double baseline,
-                            const std::string& baselineName, const std::string& goal) {
-        bench::report({ .name = "expert." + trace + "." + name,
-            .value = value,
-            .unit = unit,
-            .size = traceShape.ranks,
-            .baseline = baseline,
-            .baselineName = baselineName,
-            .goal = goal });
+    const auto figure = [&](const std::string& name, const std::string& unit, const std::string& goal, auto value) {
+        const auto against = [&](const std::string& suffix, const Outcome& baseline, const std::string& baselineName,
+                                 const std::string& shownGoal) {
+            bench::report({ .name = "expert." + trace + "." + name + suffix,
+                .value = static_cast<double>(value(results.planner)),
+                .unit = unit,
+                .size = traceShape.ranks,
+                .baseline = static_cast<double>(value(baseline)),
+                .baselineName = baselineName,
+                .goal = shownGoal });
+        };
+        against("", results.searched, "full re-solve with search", goal);
+        against(".plain", results.plain, "full re-solve without search", "");
+        against(".static", results.fixed, "static map", "");
     };
-    figure("skew_mean", ours.meanSkew, "ratio", full.meanSkew, "full re-solve", "<= 1.05");
-    figure("skew_mean_against_static", ours.meanSkew, "ratio", fixed.meanSkew, "static map", "");
-    figure("skew_p99", ours.p99Skew, "ratio", full.p99Skew, "full re-solve", "<= 1.15");
-    figure("skew_p99_against_static", ours.p99Skew, "ratio", fixed.p99Skew, "static map", "");
-    const auto fifth = std::to_string(full.moves / 5);
-    figure("moved_weights", static_cast<double>(ours.moves), "experts", static_cast<double>(full.moves),
-        "full re-solve", "<= " + fifth);
-    figure("changes", static_cast<double>(ours.changes), "changes", static_cast<double>(full.changes), "full re-solve",
-        noise ? "<= 0" : "");
+    const auto fifth = std::to_string(results.searched.moves / 5);
+    figure("skew_mean", "ratio", "<= 1.05", [](const Outcome& outcome) { return outcome.meanSkew; });
+    figure("skew_p99", "ratio", "<= 1.15", [](const Outcome& outcome) { return outcome.p99Skew; });
+    figure("moved_weights", "experts", "<= " + fifth, [](const Outcome& outcome) { return outcome.moves; });
+    figure("changes", "changes", noise ? "<= 0" : "", [](const Outcome& outcome) { return outcome.changes; });
 }
 
 expert::Series overTime(const std::string& label, const Outcome& outcome)
@@ -68,17 +77,19 @@
 {
     for (const std::string trace : { "drift", "weekend", "alternating", "noise" }) {
         const bench::TraceOptions options { .kind = trace, .shape = traceShape };
-        const auto fixed = bench::simulate(options, bench::staticMap());
-        const auto full = bench::simulate(options, bench::resolveAlways());
-        const auto ours = bench::simulate(options, bench::planned(skewWeight, costWeight));
-        printRow(trace, "static", fixed);
-        printRow(trace, "re-solve", full);
-        printRow(trace, "planner", ours);
-        reportTrace(trace, fixed, full, ours);
-        const std::vector<expert::Series> series { overTime("planner", ours), overTime("static map", fixed),
-            overTime("full re-solve", full) };
+        const Comparison results { .fixed = bench::simulate(options, bench::staticMap()),
+            .plain = bench::simulate(options, bench::resolveAlways(false)),
+            .searched = bench::simulate(options, bench::resolveAlways(true)),
+            .planner = bench::simulate(options, bench::planned(skewWeight, costWeight)) };
+        printRow(trace, "static", results.fixed);
+        printRow(trace, "re-solve", results.plain);
+        printRow(trace, "with search", results.searched);
+        printRow(trace, "planner", results.planner);
+        reportTrace(trace, results);
         if (trace != "weekend")
             continue;
+        const std::vector<expert::Series> series { overTime("planner", results.planner),
+            overTime("static map", results.fixed), overTime("full re-solve with search", results.searched) };
         writePlot(folder, "expert-weekend.svg",
             expert::renderSvg(series, { .title = "Skew over time: " + trace, .xLabel = "interval", .yLabel = "skew" }));
     }
--- a/bench/expert_policies.hpp
+++ b/bench/expert_policies.hpp
@@ -93,14 +93,15 @@
     return [](const auto&, const auto&, auto) { return Step {}; };
 }
 
-/** Solves every layer anew in every interval; its weights are assumed to arrive within the interval. */
-inline Policy resolveAlways()
+/** Solves every layer anew in every interval, with or without the planner's search after it. Its weights are assumed to
+ * arrive within the interval. */
+inline Policy resolveAlways(bool improve)
 {
-    return [](const expert::ExpertMap& map, const expert::LoadEstimator& estimator, std::uint64_t) {
+    return [improve](const expert::ExpertMap& map, const expert::LoadEstimator& estimator, std::uint64_t) {
         if (estimator.layer(0).intervals < expert::PlannerOptions {}.minIntervals)
             return Step {};
         const auto estimate = [&](std::uint32_t layer) { return estimator.layer(layer).load; };
-        return Step { .map = solveAll(map.shape(), estimate, false) };
+        return Step { .map = solveAll(map.shape(), estimate, improve) };
     };
 }
 
