Spread the parts of experts so that maps depend less on single estimates

A fresh solve under the same estimates had less skew than the planner, because its replicas follow popularity and its parts are even. The planner now exchanges replicas whose loads differ by more than 1.25 and evens shares from equal parts.

--- a/src/expert/layer_balance.cpp
+++ b/src/expert/layer_balance.cpp
@@ -59,6 +59,18 @@
     return total > 0 ? *std::ranges::max_element(this->ranks) * static_cast<double>(this->ranks.size()) / total : 1;
 }
 
+void LayerBalance::splitEqually()
+{
+    for (std::uint32_t expert = 0; expert < this->experts.size(); ++expert) {
+        auto& parts = this->experts[expert];
+        for (auto& part : parts) {
+            this->ranks[part.rank] -= part.load;
+            part.load = this->expertLoads[expert] / static_cast<double>(parts.size());
+            this->ranks[part.rank] += part.load;
+        }
+    }
+}
+
 void LayerBalance::evenShares(std::uint32_t sweeps)
 {
     // The largest load alone is no sign of convergence: load spreads through a large hot set before its peak falls.
--- a/src/expert/layer_balance.hpp
+++ b/src/expert/layer_balance.hpp
@@ -25,6 +25,8 @@
      * fills the least loaded ranks of one expert to a common level, which lowers the sum of squared rank loads.
      */
     void evenShares(std::uint32_t sweeps);
+    /** Gives all replicas of an expert the same part. */
+    void splitEqually();
 
     [[nodiscard]] bool holds(std::uint32_t expert, std::uint32_t rank) const;
     [[nodiscard]] std::uint32_t freeSlots(std::uint32_t rank) const;
--- a/src/expert/layer_plan.cpp
+++ b/src/expert/layer_plan.cpp
@@ -170,34 +170,73 @@
     return best;
 }
 
-} // namespace internal
+/** Expert with the largest part per replica and the one that needs a replica least; nullopt when they are close. */
+std::optional<std::pair<std::uint32_t, std::uint32_t>> unequalExperts(const LayerBalance& balance, double ratio)
+{
+    std::pair<std::uint32_t, std::uint32_t> found;
+    double largest = 0;
+    double smallest = std::numeric_limits<double>::infinity();
+    for (std::uint32_t expert = 0; expert < balance.expertCount(); ++expert) {
+        const auto replicas = static_cast<double>(balance.parts(expert).size());
+        if (balance.load(expert) / replicas > largest && replicas < static_cast<double>(balance.rankLoads().size())) {
+            largest = balance.load(expert) / replicas;
+            found.first = expert;
+        }
+        if (replicas > 1 && balance.load(expert) / (replicas - 1) < smallest) {
+            smallest = balance.load(expert) / (replicas - 1);
+            found.second = expert;
+        }
+    }
+    return largest > ratio * smallest ? std::optional { found } : std::nullopt;
+}
 
-std::optional<LayerMap> solveLayer(const GroupShape& shape, std::span<const double> loads)
+/** Replaces one replica of an expert by one of another expert on the least loaded rank that allows it. */
+bool exchangeReplica(LayerBalance& balance, std::uint32_t wanted, std::uint32_t given)
 {
-    if (shape.ranks * shape.slotsPerRank < shape.experts || loads.size() != shape.experts)
-        return std::nullopt;
-    auto balance = internal::placeReplicas(shape, loads, internal::replicaCounts(shape, loads));
-    for (std::uint32_t expert = 0; expert < shape.experts; ++expert) {
-        if (balance.parts(expert).empty())
-            return std::nullopt;
+    std::optional<std::uint32_t> best;
+    for (const auto& part : balance.parts(given)) {
+        const bool colder = !best || balance.rankLoads()[part.rank] < balance.rankLoads()[*best];
+        if (colder && !balance.holds(wanted, part.rank))
+            best = part.rank;
     }
-    balance.evenShares(internal::finalSweeps);
-    return balance.toLayer();
+    if (!best)
+        return false;
+    balance.removeReplica(given, *best);
+    balance.addReplica(wanted, *best);
+    return true;
 }
 
-LayerPlan improveLayer(
-    const GroupShape& shape, const LayerMap& layer, std::span<const double> loads, const ImproveOptions& options)
+/**
+ * Brings the replicas of the experts closer to their popularity, so that no rank depends on the estimate of one expert.
+ * Returns the number of moved weights; 0 when they would cost more than they are worth.
+ */
+std::uint32_t equaliseReplicas(LayerBalance& balance, const ImproveOptions& options)
+{
+    auto changed = balance;
+    std::uint32_t moves = 0;
+    while (moves < options.maxMoves) {
+        const auto pair = unequalExperts(changed, options.replicaRatio);
+        if (!pair || !exchangeReplica(changed, pair->first, pair->second))
+            break;
+        ++moves;
+    }
+    if (moves == 0 || moves * options.minGainPerMove > options.replicaGain)
+        return 0;
+    changed.evenShares(options.sweeps);
+    balance = std::move(changed);
+    return moves;
+}
+
+/** Moves weights one by one and returns the state with the best balance of skew and moves. */
+LayerBalance searchMoves(LayerBalance balance, std::uint32_t moves, const ImproveOptions& options)
 {
-    LayerBalance balance { shape, layer, loads };
-    const auto skewBefore = balance.skew();
-    balance.evenShares(internal::finalSweeps);
     auto best = balance;
-    auto bestCost = balance.skew();
+    auto bestCost = balance.skew() + moves * options.minGainPerMove;
     std::uint32_t sinceBest = 0;
-    for (std::uint32_t moves = 1; moves <= options.maxMoves && sinceBest < options.patience; ++moves) {
+    for (++moves; moves <= options.maxMoves && sinceBest < options.patience; ++moves) {
         if (balance.skew() <= options.targetSkew)
             break;
-        auto next = internal::bestMove(balance, options);
+        auto next = bestMove(balance, options);
         if (!next)
             break;
         balance = std::move(*next);
@@ -209,6 +248,34 @@
             sinceBest = 0;
         }
     }
+    return best;
+}
+
+} // namespace internal
+
+std::optional<LayerMap> solveLayer(const GroupShape& shape, std::span<const double> loads)
+{
+    if (shape.ranks * shape.slotsPerRank < shape.experts || loads.size() != shape.experts)
+        return std::nullopt;
+    auto balance = internal::placeReplicas(shape, loads, internal::replicaCounts(shape, loads));
+    for (std::uint32_t expert = 0; expert < shape.experts; ++expert) {
+        if (balance.parts(expert).empty())
+            return std::nullopt;
+    }
+    balance.evenShares(internal::finalSweeps);
+    return balance.toLayer();
+}
+
+LayerPlan improveLayer(
+    const GroupShape& shape, const LayerMap& layer, std::span<const double> loads, const ImproveOptions& options)
+{
+    LayerBalance balance { shape, layer, loads };
+    const auto skewBefore = balance.skew();
+    balance.evenShares(internal::finalSweeps);
+    const auto moves = internal::equaliseReplicas(balance, options);
+    auto best = internal::searchMoves(std::move(balance), moves, options);
+    // Equal parts as the start keep a rank from depending on the estimate of one expert.
+    best.splitEqually();
     best.evenShares(internal::finalSweeps);
     LayerPlan plan { .layer = best.toLayer(), .skewBefore = skewBefore, .skewAfter = best.skew() };
     plan.moves = countMoves(layer, plan.layer);
--- a/src/expert/layer_plan.hpp
+++ b/src/expert/layer_plan.hpp
@@ -16,6 +16,8 @@
     double minGainPerMove = 0; ///< Reduction of the skew that one moved weight must bring on average.
     std::uint32_t maxMoves = 64;
     std::uint32_t patience = 12; ///< Moves without a better balance of gain and moves before the search stops.
+    double replicaRatio = 1.25; ///< Loads per replica may differ by this factor before a replica is exchanged.
+    double replicaGain = 0.003; ///< What even replicas are worth: less skew when the estimate is wrong.
     double coarseSkew = 1.1; ///< Above this skew the most promising move is made without trying others.
     std::uint32_t coarseSweeps = 4; ///< Of evenShares after such a move.
     std::uint32_t trialSweeps = 2; ///< Of evenShares for each move that is tried.
