Let a repeat claim when the request before it gave up in the queue

Cause: a claim that is dropped unsent because its request reached its deadline answered all waiting repeats as unavailable, although their deadlines were later. Change: the next waiting request claims. The added test failed before the change.

--- a/src/claim/claim_keeper.cpp
+++ b/src/claim/claim_keeper.cpp
@@ -147,6 +147,11 @@
         this->follow(item, result.row);
         break;
     case WriteStatus::Unavailable:
+        // The write was dropped because its own request had given up; the others have later deadlines.
+        if (item->claimant->answered && !item->waiters.empty()) {
+            this->startClaim(item);
+            break;
+        }
         this->remove(item);
         this->answerUnavailable(item);
         break;
--- a/src/delivery/fwd.hpp
+++ b/src/delivery/fwd.hpp
@@ -14,6 +14,7 @@
 struct AttemptEvent;
 struct AttemptKey;
 struct AttemptStart;
+struct CheckerOptions;
 struct CancelRequest;
 struct FinalFrame;
 struct Finish;
--- a/tests/claim/claim_keeper_test.cpp
+++ b/tests/claim/claim_keeper_test.cpp
@@ -219,6 +219,22 @@
         ASSERT_TRUE(result.has_value());
 }
 
+// Guards against a repeat that is refused because the request before it reached its own deadline in the queue.
+TEST_F(ClaimKeeperTest, RepeatClaimsAfterTheFirstRequestGaveUpInTheQueue)
+{
+    auto slow = this->options;
+    slow.commit.interval = 500ms;
+    ClaimKeeper keeper { this->clock, this->scheduler, this->random, this->faultyTables, this->faultyObjects, slow };
+    std::vector<ClaimResult> results;
+    for (const auto timeout : { 100ms, 5'000ms })
+        keeper.claim({ .key = this->key, .bodyHash = "body", .deadline = this->clock.now() + timeout },
+            [&results](const ClaimResult& answer) { results.push_back(answer); });
+    this->scheduler.runFor(2s);
+    ASSERT_EQ(results.size(), 2U);
+    EXPECT_EQ(results[0], ClaimResult { Unavailable {} });
+    EXPECT_TRUE(std::holds_alternative<Granted>(results[1]));
+}
+
 // Guards against callbacks into an object that is gone.
 TEST_F(ClaimKeeperTest, MayBeDestroyedWithPendingOperations)
 {
