--- a/tests/delivery/invariant_test.cpp
+++ b/tests/delivery/invariant_test.cpp
@@ -3,13 +3,15 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <iostream>
+#include <string>
 
 namespace chivewinch::delivery {
 
 namespace internal {
 
 constexpr std::uint64_t firstSeed = 20261204'000;
-constexpr std::uint64_t schedules = 30'000;
+constexpr std::uint64_t schedules = 60'000;
 constexpr std::uint64_t schedulesWithoutMechanism = 3'000;
 
 struct Violations {
@@ -109,75 +111,39 @@
     EXPECT_EQ(violations.withoutHint, 0U);
 }
 
-// Each guards against an invariant test that cannot fail: it finds violations once the mechanism is off.
-TEST(DeliveryMechanismTest, WithoutKeyCheckForeignBytesAreFound)
-{
-    const auto found
-        = internal::runSchedules({ .checker = { .checkKey = false } }, internal::schedulesWithoutMechanism);
-    EXPECT_GT(found.foreignBytes, 0U);
-}
-
-TEST(DeliveryMechanismTest, WithoutSequenceCheckForeignBytesAreFound)
-{
-    const auto found
-        = internal::runSchedules({ .checker = { .checkSequence = false } }, internal::schedulesWithoutMechanism);
-    EXPECT_GT(found.foreignBytes, 0U);
-}
-
-TEST(DeliveryMechanismTest, WithoutFinalCheckWrongAnswersAreFound)
-{
-    const auto found
-        = internal::runSchedules({ .checker = { .checkFinal = false } }, internal::schedulesWithoutMechanism);
-    EXPECT_GT(found.wrongAnswers, 0U);
-}
-
-TEST(DeliveryMechanismTest, WithoutPrefixCheckWrongAnswersAreFound)
-{
-    const auto found
-        = internal::runSchedules({ .checker = { .checkPrefix = false } }, internal::schedulesWithoutMechanism);
-    EXPECT_GT(found.wrongAnswers, 0U);
-}
-
-TEST(DeliveryMechanismTest, WithoutHeadBeforeResumedFramesForeignBytesAreFound)
-{
-    const auto found
-        = internal::runSchedules({ .checker = { .requireHead = false } }, internal::schedulesWithoutMechanism);
-    EXPECT_GT(found.foreignBytes, 0U);
-}
-
-TEST(DeliveryMechanismTest, WithoutIncarnationCheckRepeatedRunsAreFound)
-{
-    ScheduleOptions options;
-    options.gate.checkIncarnation = false;
-    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).repeatedRuns, 0U);
-}
+struct Mechanism {
+    const char* name;
+    void (*turnOff)(ScheduleOptions&);
+    std::uint64_t internal::Violations::*violation; ///< What the schedules find without it.
+};
 
-TEST(DeliveryMechanismTest, WithoutRecordRepeatedRunsAreFound)
-{
-    ScheduleOptions options;
-    options.gate.checkSeen = false;
-    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).repeatedRuns, 0U);
-}
+void PrintTo(const Mechanism& mechanism, std::ostream* output) { *output << mechanism.name; }
 
-TEST(DeliveryMechanismTest, WithoutRecordedRefusalsFalseProofsAreFound)
-{
-    ScheduleOptions options;
-    options.gate.recordRefusals = false;
-    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).falseNotRun, 0U);
-}
+class DeliveryMechanismTest : public testing::TestWithParam<Mechanism> { };
 
-TEST(DeliveryMechanismTest, WithoutRecordedCancelsFalseProofsAreFound)
+// Guards against an invariant test that cannot fail: it finds violations once the mechanism is off.
+TEST_P(DeliveryMechanismTest, ViolationsAreFoundWithout)
 {
     ScheduleOptions options;
-    options.gate.recordEarlyCancels = false;
-    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).falseNotRun, 0U);
-}
-
-TEST(DeliveryMechanismTest, WithoutProofRuleRepeatedRunsAreFound)
-{
-    ScheduleOptions options;
-    options.requireProof = false;
-    EXPECT_GT(internal::runSchedules(options, internal::schedulesWithoutMechanism).repeatedRuns, 0U);
-}
+    GetParam().turnOff(options);
+    const auto found = internal::runSchedules(options, internal::schedulesWithoutMechanism);
+    EXPECT_GT(found.*GetParam().violation, 0U);
+}
+
+using Options = ScheduleOptions;
+using Found = internal::Violations;
+
+INSTANTIATE_TEST_SUITE_P(Delivery, DeliveryMechanismTest,
+    testing::Values(Mechanism { "KeyCheck", [](Options& off) { off.checker.checkKey = false; }, &Found::foreignBytes },
+        Mechanism { "SequenceCheck", [](Options& off) { off.checker.checkSequence = false; }, &Found::foreignBytes },
+        Mechanism { "FinalCheck", [](Options& off) { off.checker.checkFinal = false; }, &Found::wrongAnswers },
+        Mechanism { "PrefixCheck", [](Options& off) { off.checker.checkPrefix = false; }, &Found::wrongAnswers },
+        Mechanism { "HeadOfResumed", [](Options& off) { off.checker.requireHead = false; }, &Found::foreignBytes },
+        Mechanism { "Incarnation", [](Options& off) { off.gate.checkIncarnation = false; }, &Found::repeatedRuns },
+        Mechanism { "Record", [](Options& off) { off.gate.checkSeen = false; }, &Found::repeatedRuns },
+        Mechanism { "Refusals", [](Options& off) { off.gate.recordRefusals = false; }, &Found::falseNotRun },
+        Mechanism { "Cancels", [](Options& off) { off.gate.recordEarlyCancels = false; }, &Found::falseNotRun },
+        Mechanism { "ProofRule", [](Options& off) { off.requireProof = false; }, &Found::repeatedRuns }),
+    [](const auto& info) { return std::string { info.param.name }; });
 
 } // namespace chivewinch::delivery
--- a/tests/suspect/strike_table_test.cpp
+++ b/tests/suspect/strike_table_test.cpp
@@ -210,7 +210,7 @@
 // Guards against a changed decision in the recorded situations.
 TEST(SuspectTraceTest, RecordedTracesHaveStatedOutcomes)
 {
-    for (const auto* name : { "resent_killer", "innocent_neighbour" }) {
+    for (const auto* name : { "resent_request", "innocent_neighbour" }) {
         std::ifstream input { std::string { TRACE_DIRECTORY } + "/" + name + ".trace" };
         ASSERT_TRUE(input) << name;
         base::ManualClock clock;
--- a/tests/suspect/zone_schedule.cpp
+++ b/tests/suspect/zone_schedule.cpp
@@ -29,7 +29,7 @@
         this->names.push_back("target-" + std::to_string(i));
         this->startAgent(i);
     }
-    for (std::uint64_t fingerprint = 1; fingerprint <= options.killers + options.innocents; ++fingerprint)
+    for (std::uint64_t fingerprint = 1; fingerprint <= options.crashing + options.innocents; ++fingerprint)
         for (std::size_t i = 0; i < internal::callersPerEntry * this->entries.size(); ++i) {
             const Attempt attempt { .entry = i % this->entries.size(), .caller = i, .fingerprint = fingerprint };
             this->scheduler.after(this->delay(), [this, attempt] { this->resend(attempt, internal::resends); });
@@ -95,7 +95,7 @@
     const auto duration = std::chrono::milliseconds { 1 + this->random.below(this->random.below(4) == 0 ? 4000 : 100) };
     const auto incarnation = target.incarnation;
     this->scheduler.after(duration, [this, index, attempt, left, incarnation] {
-        if (this->kills(attempt.fingerprint))
+        if (this->crashesTargets(attempt.fingerprint))
             this->crash(index, attempt.fingerprint, incarnation);
         else
             this->complete(index, attempt, left, incarnation);
@@ -119,13 +119,13 @@
     });
 }
 
-void ZoneSchedule::crash(std::size_t index, std::uint64_t killer, std::uint64_t incarnation)
+void ZoneSchedule::crash(std::size_t index, std::uint64_t cause, std::uint64_t incarnation)
 {
     auto& target = this->targets[index];
     if (target.incarnation != incarnation || !target.up)
         return;
     target.up = false;
-    this->result.mostLost = std::max(this->result.mostLost, ++this->lost[killer]);
+    this->result.mostLost = std::max(this->result.mostLost, ++this->lost[cause]);
     target.guard->crashed(base::Incarnation { incarnation });
     if (!this->options.agentKeepsStrikes) {
         this->startAgent(index);
@@ -192,12 +192,12 @@
 {
     this->scheduler.runFor(internal::callersStopAfter);
     this->stopped = true;
-    for (std::uint64_t killer = 1; killer <= this->options.killers; ++killer)
-        this->result.killersBlocked += std::all_of(this->entries.begin(), this->entries.end(),
-            [&](const Entry& entry) { return entry.table->verdict(killer) == Verdict::Blocked; });
+    for (std::uint64_t cause = 1; cause <= this->options.crashing; ++cause)
+        this->result.crashingBlocked += std::all_of(this->entries.begin(), this->entries.end(),
+            [&](const Entry& entry) { return entry.table->verdict(cause) == Verdict::Blocked; });
     this->scheduler.runFor(12min);
     for (std::uint64_t i = 1; i <= this->options.innocents; ++i) {
-        const auto fingerprint = this->options.killers + i;
+        const auto fingerprint = this->options.crashing + i;
         const bool normal = std::all_of(this->entries.begin(), this->entries.end(),
             [&](const Entry& entry) { return entry.table->verdict(fingerprint) == Verdict::Normal; });
         this->result.innocentsNotNormal += normal ? 0 : 1;
--- a/tests/suspect/zone_schedule.hpp
+++ b/tests/suspect/zone_schedule.hpp
@@ -16,7 +16,7 @@
 
 struct ZoneOptions {
     std::uint64_t seed = 0;
-    std::size_t killers = 1; ///< Fingerprints that crash every target that runs them.
+    std::size_t crashing = 1; ///< Fingerprints that crash every target that runs them.
     std::size_t innocents = 4;
     bool propagate = true; ///< Off: the processes of the zone hear nothing from each other.
     double lost = 0.2; ///< Share of strike lists that are lost.
@@ -33,7 +33,7 @@
     std::size_t innocentsCompleted = 0;
     std::size_t innocentsNotNormal = 0; ///< Innocent fingerprints without Verdict::Normal somewhere at the end.
     std::size_t sharedIsolation = 0; ///< Starts of a struck fingerprint beside another struck one.
-    std::size_t killersBlocked = 0; ///< Killers that every entry blocks a second after the last crash.
+    std::size_t crashingBlocked = 0; ///< Crashing fingerprints that every entry blocks a second after the last crash.
 };
 
 /** Entries and targets of one zone; callers send each fingerprint to all entries at once and again and again. */
@@ -70,12 +70,12 @@
     void resend(const Attempt& attempt, int left);
     void arrive(std::size_t target, const Attempt& attempt, int left);
     void complete(std::size_t target, const Attempt& attempt, int left, std::uint64_t incarnation);
-    void crash(std::size_t target, std::uint64_t killer, std::uint64_t incarnation);
+    void crash(std::size_t target, std::uint64_t cause, std::uint64_t incarnation);
     void reportCrash(std::size_t target);
     void heartbeat();
     void send(const StrikeList& list, const std::shared_ptr<StrikeTable>& receiver);
     void retry(const Attempt& attempt, int left);
-    [[nodiscard]] bool kills(std::uint64_t fingerprint) const { return fingerprint <= this->options.killers; }
+    [[nodiscard]] bool crashesTargets(std::uint64_t fingerprint) const { return fingerprint <= this->options.crashing; }
     [[nodiscard]] std::chrono::nanoseconds delay();
 
     ZoneOptions options;
--- a/tests/suspect/zone_test.cpp
+++ b/tests/suspect/zone_test.cpp
@@ -13,13 +13,13 @@
 
 struct ZoneSum {
     std::size_t mostLost = 0;
-    std::size_t mostOverTwicePerEntry = 0; ///< Schedules with more than two crashes per entry.
-    std::size_t mostOverEntriesPlusOne = 0; ///< Schedules with more crashes than entries and one.
+    std::size_t overTwicePerEntry = 0; ///< Schedules with more than two crashes per entry.
+    std::size_t overEntriesPlusOne = 0; ///< Schedules with more crashes than entries and one.
     std::size_t overTwo = 0;
     std::size_t innocentsCompleted = 0;
     std::size_t innocentsNotNormal = 0;
     std::size_t sharedIsolation = 0;
-    std::size_t killersBlocked = 0;
+    std::size_t crashingBlocked = 0;
 };
 
 ZoneSum runZones(ZoneOptions options, std::uint64_t count = schedules)
@@ -27,20 +27,20 @@
     ZoneSum sum;
     for (std::uint64_t seed = firstSeed; seed < firstSeed + count; ++seed) {
         options.seed = seed;
-        options.killers = 1 + seed % 2;
+        options.crashing = 1 + seed % 2;
         const auto one = ZoneSchedule { options }.run();
         sum.mostLost = std::max(sum.mostLost, one.mostLost);
         sum.overTwo += one.mostLost > 2 ? 1 : 0;
-        sum.mostOverTwicePerEntry += one.mostLost > 2 * one.entries ? 1 : 0;
-        sum.mostOverEntriesPlusOne += one.mostLost > one.entries + 1 ? 1 : 0;
+        sum.overTwicePerEntry += one.mostLost > 2 * one.entries ? 1 : 0;
+        sum.overEntriesPlusOne += one.mostLost > one.entries + 1 ? 1 : 0;
         sum.innocentsCompleted += one.innocentsCompleted;
         sum.innocentsNotNormal += one.innocentsNotNormal;
         sum.sharedIsolation += one.sharedIsolation;
-        sum.killersBlocked += one.killersBlocked;
+        sum.crashingBlocked += one.crashingBlocked;
     }
     std::cout << "seeds " << firstSeed << " to " << firstSeed + count - 1 << ": at most " << sum.mostLost
               << " targets lost to a fingerprint, " << sum.overTwo << " schedules over two, " << sum.innocentsCompleted
-              << " innocent runs completed, " << sum.killersBlocked << " killers blocked\n";
+              << " innocent runs completed, " << sum.crashingBlocked << " crashing fingerprints blocked\n";
     return sum;
 }
 
@@ -51,7 +51,7 @@
 {
     const auto sum = internal::runZones({});
     EXPECT_LE(sum.mostLost, 2U);
-    EXPECT_GT(sum.killersBlocked, 0U);
+    EXPECT_GT(sum.crashingBlocked, 0U);
     EXPECT_GT(sum.innocentsCompleted, internal::schedules);
 }
 
@@ -78,9 +78,9 @@
 {
     const EntryGuardOptions independent { .usePair = false };
     const auto silent = internal::runZones({ .propagate = false, .entry = independent });
-    EXPECT_EQ(silent.mostOverTwicePerEntry, 0U);
+    EXPECT_EQ(silent.overTwicePerEntry, 0U);
     const auto timely = internal::runZones({ .lost = 0, .entry = independent });
-    EXPECT_EQ(timely.mostOverEntriesPlusOne, 0U);
+    EXPECT_EQ(timely.overEntriesPlusOne, 0U);
 }
 
 // Guards against an innocent fingerprint that stays isolated or blocked because peers renew its strikes.
@@ -118,13 +118,13 @@
     const ZoneOptions options { .propagate = false,
         .entry = { .hold = 0ns, .oneTarget = false, .usePair = false },
         .target = { .refuseStruckHere = false } };
-    EXPECT_GT(internal::runZones(options, 500).mostOverTwicePerEntry, 0U);
+    EXPECT_GT(internal::runZones(options, 500).overTwicePerEntry, 0U);
 }
 
 TEST(SuspectMechanismTest, WithoutHoldEntriesPlusOneIsExceeded)
 {
     const ZoneOptions options { .lost = 0, .maxDelay = 400ms, .entry = { .hold = 0ns, .usePair = false } };
-    EXPECT_GT(internal::runZones(options).mostOverEntriesPlusOne, 0U);
+    EXPECT_GT(internal::runZones(options).overEntriesPlusOne, 0U);
 }
 
 TEST(SuspectMechanismTest, WithoutIsolationStruckFingerprintsShareATarget)
