--- a/src/usage/chain_set.cpp
+++ b/src/usage/chain_set.cpp
@@ -185,10 +185,25 @@
                 .place = { .segment = first.name },
                 .other = { .segment = this->segments[previous->second.segments.back()].name },
                 .detail = "the first segment does not name the previous life of its instance" });
+        if (follows && previous->second.closes)
+            this->checkRestart(*previous, life.second.coversFrom);
         previous = &life;
     }
 }
 
+void ChainSet::checkRestart(const std::pair<const ProcessId, Chain>& closed, WallMillis next)
+{
+    // A life that left nothing may hide between two lives, unless a process that lived throughout would have met it.
+    const auto& last = this->segments[closed.second.segments.back()];
+    const Period between { .from = closed.second.coversUntil, .until = next };
+    const bool witnessed = std::any_of(this->chains.begin(), this->chains.end(), [&](const auto& other) {
+        const auto& chain = other.second;
+        return chain.coversFrom <= between.from && between.until <= chain.coversUntil && chain.lost.empty();
+    });
+    if (!witnessed)
+        this->addUncovered(closed.first, last.header.side, between, last.name);
+}
+
 void ChainSet::checkMentions(std::vector<Finding>& findings)
 {
     for (const auto& [process, mention] : this->mentions) {
--- a/src/usage/chain_set.hpp
+++ b/src/usage/chain_set.hpp
@@ -85,6 +85,7 @@
     void checkOrder(const ProcessId& process, Chain& chain, std::vector<Finding>& findings);
     void checkPair(const SegmentInfo& before, const SegmentInfo& after, std::vector<Finding>& findings) const;
     void checkLives(std::vector<Finding>& findings);
+    void checkRestart(const std::pair<const ProcessId, Chain>& closed, WallMillis next);
     void checkMentions(std::vector<Finding>& findings);
     void checkOpenEnds(std::vector<Finding>& findings);
     void addUncovered(const ProcessId& process, Side side, Period period, const std::string& lastSegment);
--- a/tests/usage/crash_oracle.hpp
+++ b/tests/usage/crash_oracle.hpp
@@ -5,6 +5,7 @@
 #include "usage/verifier.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -31,13 +32,19 @@
 public:
     std::vector<Request> requests;
     std::set<ProcessId> crashed;
+    std::map<ProcessId, Period> lives;
 
     void judge(const Report& report, ScheduleResult& result);
 
 private:
     std::set<std::pair<ProcessId, ProcessId>> losses; ///< Reported pairs of entry and agent.
 
+    std::set<ProcessId> stored; ///< Lives that left a segment.
+
     [[nodiscard]] std::vector<ProcessId> crashedNamedBy(const Finding& finding) const;
+    [[nodiscard]] std::optional<ProcessId> crashedNamedBy(const FindingPlace& place) const;
+    /** Whether the place is a closed life before a restart that no process outlived, so that nobody could tell. */
+    [[nodiscard]] bool isUnwitnessedRestart(const FindingPlace& place) const;
     void judge(const Finding& finding, ScheduleResult& result);
     void compare(const Request& request, const Totals& totals, ScheduleResult& result) const;
 };
--- a/tests/usage/crash_schedule.cpp
+++ b/tests/usage/crash_schedule.cpp
@@ -79,6 +79,7 @@
             .maxSegmentRecords = 32 + this->world.random.below(512),
             .writer = this->options.writer,
             .refuseBeyondBound = this->options.refuseBeyondBound });
+        this->oracle.lives[process.id] = { .from = this->world.now(), .until = WallMillis::max() };
         process.ledger->start();
         for (auto& other : this->processes) {
             if (!other.ledger || &other == &process)
@@ -102,6 +103,7 @@
             return;
         ++this->result.crashes;
         this->oracle.crashed.insert(process.id);
+        this->oracle.lives[process.id].until = this->world.now();
         process.ledger.reset();
     }
 
@@ -144,10 +146,13 @@
         if (!mayDie)
             this->world.objects.faults() = {};
         bool closed = false;
+        const auto closing = this->world.now();
         process.ledger->close([&closed] { closed = true; });
         this->world.scheduler.runFor(mayDie ? 20s : 3min);
         if (!closed)
             this->crash(process);
+        else
+            this->oracle.lives[process.id].until = closing;
         process.ledger.reset();
     }
 
