--- a/src/usage/chain_set.cpp
+++ b/src/usage/chain_set.cpp
@@ -198,7 +198,9 @@
     const Period between { .from = closed.second.coversUntil, .until = next };
     const bool witnessed = std::any_of(this->chains.begin(), this->chains.end(), [&](const auto& other) {
         const auto& chain = other.second;
-        return chain.coversFrom <= between.from && between.until <= chain.coversUntil && chain.lost.empty();
+        return chain.coversFrom <= between.from && between.until <= chain.coversUntil
+            && std::none_of(chain.lost.begin(), chain.lost.end(),
+                [&between](const Period& lost) { return lost.from < between.until && between.from < lost.until; });
     });
     if (!witnessed)
         this->addUncovered(closed.first, last.header.side, between, last.name);
