--- a/bench/usage_bench.cpp
+++ b/bench/usage_bench.cpp
@@ -4,6 +4,7 @@
 #include "store/memory_store.hpp"
 #include "usage/ledger.hpp"
 #include "usage/verifier.hpp"
+#include "usage_timers.hpp"
 
 #include <ctime>
 #include <functional>
@@ -14,6 +15,8 @@
 namespace {
 
 using namespace chivewinch;
+using bench::OneTimer;
+using bench::TimerQueue;
 using namespace std::chrono_literals;
 
 constexpr double requestsPerSecond = 18000;
@@ -30,21 +33,6 @@
     return static_cast<double>(time.tv_sec) + 1e-9 * static_cast<double>(time.tv_nsec);
 }
 
-/** Runs timers when the benchmark says so; there is at most one per ledger. */
-class OneTimer final : public store::Scheduler {
-public:
-    store::TimerId after(std::chrono::nanoseconds, std::function<void()> callback) override
-    {
-        this->callback = std::move(callback);
-        return {};
-    }
-    void cancel(store::TimerId) override { this->callback = nullptr; }
-    void fire() { std::exchange(this->callback, nullptr)(); }
-
-private:
-    std::function<void()> callback;
-};
-
 usage::SigningKey keyOf(const std::string& instance) { return usage::SigningKey::fromSeed(usage::sha256(instance)); }
 
 struct Node {
@@ -246,16 +234,6 @@
         bench::report(
             { .name = "usage_bytes_per_request_agent", .value = slopes.agentBytes, .unit = "bytes", .size = agents });
     }
-    const auto interval = [](std::chrono::milliseconds time) { return static_cast<double>(time.count()) / 1000; };
-    const auto writes
-        = entryCount / interval(usage::entrySegmentInterval) + agentCount / interval(usage::agentSegmentInterval);
-    bench::report({ .name = "usage_store_writes_at_design_scale",
-        .value = writes,
-        .unit = "1/s",
-        .size = entryCount + agentCount,
-        .baseline = 2 * requestsPerSecond,
-        .baselineName = "one store write per request",
-        .goal = "<= 60" });
     bench::report({ .name = "usage_store_bytes_at_design_scale",
         .value = requestsPerSecond * (slopes.entryBytes + slopes.agentBytes),
         .unit = "bytes/s",
@@ -272,6 +250,78 @@
         .goal = "<= 5000 for all control traffic" });
 }
 
+/** Store writes per second of processes that run for an hour of simulated time. */
+double writesPerSecond(std::size_t entries, std::size_t agents)
+{
+    base::ManualClock clock;
+    base::SeededRandom random { 3 };
+    TimerQueue timers { clock };
+    store::MemoryObjectStore objects;
+    std::vector<std::unique_ptr<usage::Ledger>> ledgers;
+    for (std::size_t i = 0; i < entries + agents; ++i) {
+        const auto side = i < entries ? usage::Side::Entry : usage::Side::Agent;
+        const auto interval = i < entries ? usage::entrySegmentInterval : usage::agentSegmentInterval;
+        const auto instance = "process-" + std::to_string(i);
+        ledgers.push_back(std::make_unique<usage::Ledger>(
+            usage::LedgerOptions { .side = side, .process = { .instance = instance }, .segmentInterval = interval },
+            keyOf(instance), objects, timers, clock, random));
+        ledgers.back()->start();
+    }
+    const auto before = objects.all().size();
+    timers.runUntil(clock.now() + 1h);
+    return static_cast<double>(objects.all().size() - before) / 3600;
+}
+
+void reportStoreWrites()
+{
+    for (const std::size_t entries : { 7U, 14U, 28U }) {
+        const auto agents = entries * agentCount / entryCount;
+        const auto scale = static_cast<double>(entryCount) / static_cast<double>(entries);
+        bench::report({ .name = "usage_store_writes_at_design_scale",
+            .value = scale * writesPerSecond(entries, agents),
+            .unit = "1/s",
+            .size = entries + agents,
+            .baseline = 2 * requestsPerSecond,
+            .baselineName = "one store write per request",
+            .goal = "<= 60" });
+    }
+}
+
+/** Memory that a process at design load needs for an outage of one hour, as counted against its bound. */
+void reportOutage()
+{
+    const auto megabytes = [](double load) {
+        base::ManualClock clock;
+        base::SeededRandom random { 4 };
+        OneTimer timer;
+        store::MemoryObjectStore objects;
+        usage::Ledger ledger { { .process = { .instance = "entry-0" } }, keyOf("entry-0"), objects, timer, clock,
+            random };
+        const auto now = usage::toMillis(clock.wallNow());
+        for (std::size_t i = 0; i < static_cast<std::size_t>(3600 * load); ++i) {
+            const auto team = "team-" + std::to_string(random.below(teamCount));
+            ledger.add(usage::RecordView { .id = { .request = base::randomRequestId(random), .number = 1 },
+                .owner = "kilat-lilin",
+                .team = team,
+                .model = "model-1",
+                .peerInstance = "agent-1",
+                .issued = now,
+                .finished = now });
+        }
+        return static_cast<double>(ledger.status().bufferedBytes) / (1 << 20);
+    };
+    bench::report({ .name = "usage_outage_hour_memory_entry",
+        .value = megabytes(requestsPerSecond / entryCount),
+        .unit = "MiB",
+        .size = entryCount,
+        .goal = "<= 48, the default bound" });
+    bench::report({ .name = "usage_outage_hour_memory_agent",
+        .value = megabytes(requestsPerSecond / agentCount),
+        .unit = "MiB",
+        .size = agentCount,
+        .goal = "<= 48, the default bound" });
+}
+
 void reportVerification()
 {
     for (const std::size_t entries : { 7U, 14U, 28U }) {
@@ -314,5 +364,7 @@
 int main()
 {
     reportHotPath();
+    reportStoreWrites();
+    reportOutage();
     reportVerification();
 }
--- /dev/null
+++ b/bench/usage_timers.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "store/scheduler.hpp"
+
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace chivewinch::bench {
+
+/** Runs timers when the benchmark says so; there is at most one per ledger. */
+class OneTimer final : public store::Scheduler {
+public:
+    store::TimerId after(std::chrono::nanoseconds, std::function<void()> callback) override
+    {
+        this->callback = std::move(callback);
+        return {};
+    }
+    void cancel(store::TimerId) override { this->callback = nullptr; }
+    void fire() { std::exchange(this->callback, nullptr)(); }
+
+private:
+    std::function<void()> callback;
+};
+
+/** Runs timers in the order of their due times while it moves the clock. */
+class TimerQueue final : public store::Scheduler {
+public:
+    explicit TimerQueue(base::ManualClock& clock)
+        : clock { clock }
+    {
+    }
+
+    store::TimerId after(std::chrono::nanoseconds delay, std::function<void()> callback) override
+    {
+        this->timers.emplace(this->clock.now() + delay, std::move(callback));
+        return {};
+    }
+    void cancel(store::TimerId) override { }
+
+    void runUntil(base::SteadyTime end)
+    {
+        while (!this->timers.empty() && this->timers.begin()->first <= end) {
+            auto timer = this->timers.extract(this->timers.begin());
+            this->clock.advance(timer.key() - this->clock.now());
+            timer.mapped()();
+        }
+    }
+
+private:
+    base::ManualClock& clock;
+    std::multimap<base::SteadyTime, std::function<void()>> timers;
+};
+
+} // namespace chivewinch::bench
