--- a/src/usage/collector.cpp
+++ b/src/usage/collector.cpp
@@ -36,8 +36,11 @@
     this->pumping = false;
     const bool failed = this->failure.code != ErrorCode::None;
     const bool finished = failed || (this->prefixes.empty() && this->names.empty());
-    if (finished && !this->listing && this->reads == 0 && this->onDone)
-        std::exchange(this->onDone, nullptr)(this->failure);
+    if (finished && !this->listing && this->reads == 0 && this->onDone) {
+        // The callback may destroy this object.
+        const auto reason = this->failure;
+        std::exchange(this->onDone, nullptr)(reason);
+    }
 }
 
 bool Collector::startNext()
--- a/tests/usage/compactor_test.cpp
+++ b/tests/usage/compactor_test.cpp
@@ -97,6 +97,46 @@
     EXPECT_TRUE(hasMismatch(this->compact()));
 }
 
+// Guards against findings for chains that begin before the compacted hour, and against a wrong set of prefixes.
+TEST(CompactorWindowTest, HourInTheMiddleOfChainsIsClean)
+{
+    World world { 21 };
+    const auto now = world.clock.wallNow().time_since_epoch();
+    const auto start = static_cast<base::Incarnation>(std::chrono::nanoseconds { now }.count());
+    const ProcessId entry { .instance = "entry-1", .incarnation = start };
+    const ProcessId agent { .instance = "agent-1", .incarnation = start };
+    auto entryLedger = world.ledger({ .side = Side::Entry, .process = entry });
+    auto agentLedger = world.ledger({ .side = Side::Agent, .process = agent, .segmentInterval = agentSegmentInterval });
+    entryLedger->start();
+    agentLedger->start();
+    for (int i = 0; i < 8 * 12; ++i) {
+        auto record = sampleRecord(world.random, world.now());
+        record.peerInstance = entry.instance;
+        record.peerIncarnation = entry.incarnation;
+        agentLedger->add(record);
+        record.peerInstance = agent.instance;
+        record.peerIncarnation = agent.incarnation;
+        entryLedger->add(record);
+        world.scheduler.runFor(5min);
+    }
+    KeyList keys;
+    keys.add("entry-1", Side::Entry, keyOf("entry-1").publicKey());
+    keys.add("agent-1", Side::Agent, keyOf("agent-1").publicKey());
+    const auto hour = hourOf(world.now()) - 3h;
+    Compactor compactor { {}, keys, keyOf("entry-1"), entry, world.memory };
+    std::optional<Report> report;
+    compactor.run(
+        hour, base::FencingNumber { 1 }, [&report](auto result, const Error&) { report = std::move(result); });
+    ASSERT_TRUE(report);
+    for (const auto& finding : report->findings)
+        ADD_FAILURE() << toString(finding);
+    Verifier verifier { {}, keys };
+    for (const auto& [name, bytes] : world.memory.all())
+        verifier.add(name, bytes);
+    EXPECT_TRUE(report->split == hourOfSplit(verifier.finish().split, hour));
+    EXPECT_FALSE(report->split.empty());
+}
+
 // Guards against a partial summary after a failed read.
 TEST_F(CompactorTest, StoreFailureWritesNothing)
 {
