Bill cancelled requests with the agent's prompt; accept lost refusals

The entry does not know the prompt of an attempt without a final frame, so a cancelled request was billed without it. An attempt that the agent refused and whose refusal was lost was reported as a mismatch of resumed tokens.

--- a/src/usage/request_rule.cpp
+++ b/src/usage/request_rule.cpp
@@ -26,14 +26,23 @@
     return nullptr;
 }
 
+/** The record that states what ran in the deciding attempt. */
+const AttemptSide& ranOf(const std::vector<AttemptPair>& attempts, const RequestVerdict& verdict) noexcept
+{
+    const auto found = std::find_if(attempts.begin(), attempts.end(),
+        [&verdict](const AttemptPair& attempt) { return &attempt.entry == verdict.final; });
+    return found == attempts.end() ? *verdict.final : found->ran();
+}
+
 std::uint64_t excess(std::uint64_t total, std::uint64_t part) noexcept { return total > part ? total - part : 0; }
 
-void bill(Totals& totals, const Counts& counts) noexcept
+/** Only the agent knows the prompt of an attempt without a final frame; only the entry knows what it delivered. */
+void bill(Totals& totals, const Counts& ran, const Counts& delivered) noexcept
 {
-    totals.promptTokens = counts.promptTokens;
-    totals.cachedTokens = counts.cachedTokens;
-    totals.generatedTokens = std::uint64_t { counts.resumedTokens } + counts.generatedTokens;
-    totals.serviceCalls = counts.serviceCalls;
+    totals.promptTokens = ran.promptTokens;
+    totals.cachedTokens = ran.cachedTokens;
+    totals.generatedTokens = std::uint64_t { delivered.resumedTokens } + delivered.generatedTokens;
+    totals.serviceCalls = ran.serviceCalls;
 }
 
 bool within(const Counts& part, const Counts& whole) noexcept
@@ -63,7 +72,7 @@
 {
     Totals totals;
     if (verdict.result == Result::Done || verdict.result == Result::Cancelled)
-        bill(totals, verdict.final->counts);
+        bill(totals, ranOf(attempts, verdict).counts, verdict.final->counts);
     totals.requests = verdict.result == Result::Done ? 1 : 0;
     totals.cancelled = verdict.result == Result::Cancelled ? 1 : 0;
     totals.unknown = verdict.result == Result::Unknown ? 1 : 0;
@@ -103,6 +112,9 @@
         return "the entry refused an attempt that the agent ran";
     if (entry.result == Result::Done && agent.result != Result::Done)
         return "the agent did not complete an answer that the entry delivered";
+    // The refusal may not have reached the entry, and what it would have run is in no count.
+    if (agent.result == Result::Refused)
+        return nullptr;
     if (entryCounts.resumedTokens != agentCounts.resumedTokens || entryCounts.spillOvers != agentCounts.spillOvers)
         return "resumption or spill-over differs";
     if (entry.result == Result::Done && entryCounts != agentCounts)
--- /dev/null
+++ b/tests/usage/request_rule_test.cpp
@@ -0,0 +1,65 @@
+#include "usage/request_rule.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chivewinch::usage::internal {
+
+class RequestRuleTest : public testing::Test {
+protected:
+    JoinItem entryItem { .number = 1, .side = Side::Entry };
+    JoinItem agentItem { .number = 1, .side = Side::Agent };
+
+    AttemptPair pair(Result entry, const Counts& entryCounts, Result agent, const Counts& agentCounts)
+    {
+        this->entryItem.result = entry;
+        this->agentItem.result = agent;
+        return { .entry = { .item = &this->entryItem, .counts = entryCounts },
+            .agent = { .item = &this->agentItem, .counts = agentCounts } };
+    }
+};
+
+// Guards against a cancelled request that is billed without its prompt, which the entry does not know.
+TEST_F(RequestRuleTest, CancelledTakesPromptFromAgentAndTokensFromEntry)
+{
+    const std::vector attempts { this->pair(Result::Cancelled, { .generatedTokens = 20 }, Result::Cancelled,
+        { .promptTokens = 100, .cachedTokens = 40, .generatedTokens = 30 }) };
+    const auto totals = totalsOf(attempts, judge(attempts, true));
+    EXPECT_EQ(totals,
+        (Totals { .cancelled = 1,
+            .promptTokens = 100,
+            .cachedTokens = 40,
+            .generatedTokens = 20,
+            .unbilledGeneratedTokens = 10 }));
+    EXPECT_EQ(difference(attempts[0]), nullptr);
+}
+
+// Guards against a mismatch for an attempt whose refusal did not reach the entry.
+TEST_F(RequestRuleTest, LostRefusalIsNoMismatch)
+{
+    const auto attempt = this->pair(Result::Broken, { .resumedTokens = 7, .spillOvers = 1 }, Result::Refused, {});
+    EXPECT_EQ(difference(attempt), nullptr);
+}
+
+// Guards against an answer that only one side calls complete, and against work behind a refusal.
+TEST_F(RequestRuleTest, ContradictingResultsAreMismatches)
+{
+    EXPECT_NE(difference(this->pair(Result::Done, {}, Result::Refused, {})), nullptr);
+    EXPECT_NE(difference(this->pair(Result::Done, {}, Result::Broken, {})), nullptr);
+    EXPECT_NE(difference(this->pair(Result::Refused, {}, Result::Done, {})), nullptr);
+}
+
+// Guards against a request that counts as run although every attempt was refused, or the other way round.
+TEST_F(RequestRuleTest, RefusedOnlyWhenNothingRan)
+{
+    const std::vector refused { this->pair(Result::Refused, {}, Result::Refused, {}) };
+    EXPECT_EQ(judge(refused, true).result, Result::Refused);
+    std::vector broken { this->pair(Result::Broken, {}, Result::Broken, { .promptTokens = 5 }) };
+    EXPECT_EQ(judge(broken, true).result, Result::Unknown);
+    EXPECT_EQ(totalsOf(broken, judge(broken, true)).unbilledPromptTokens, 5U);
+    broken[0].entry = {};
+    this->agentItem.result = Result::Done;
+    EXPECT_TRUE(judge(broken, true).fromAgent);
+    EXPECT_EQ(judge(broken, false).result, Result::Unknown);
+}
+
+} // namespace chivewinch::usage::internal
