--- a/tests/delivery/invariant_test.cpp
+++ b/tests/delivery/invariant_test.cpp
@@ -117,7 +117,7 @@
     std::uint64_t internal::Violations::*violation; ///< What the schedules find without it.
 };
 
-void PrintTo(const Mechanism& mechanism, std::ostream* output) { *output << mechanism.name; }
+std::ostream& operator<<(std::ostream& output, const Mechanism& mechanism) { return output << mechanism.name; }
 
 class DeliveryMechanismTest : public testing::TestWithParam<Mechanism> { };
 
