Clear the strikes of a lost agent whose target ran on

Cause: agents killed in quick succession gave two strikes to a request that had been in flight on both, although their engines ran on. A lost agent still gives a strike at once, since the target may have crashed with it, and the strike is cleared when the agent comes back and reports the same incarnation of its target.

--- a/app/agent/agent.cpp
+++ b/app/agent/agent.cpp
@@ -255,6 +255,7 @@
     heartbeat.set_sequence(++this->heartbeatSequence);
     const bool ready = this->targetMonitor.up();
     heartbeat.set_state(this->draining ? wire::PEER_LEAVING : ready ? wire::PEER_LIVE : wire::PEER_NOT_READY);
+    heartbeat.set_target_incarnation(static_cast<std::uint64_t>(this->targetMonitor.targetIncarnation()));
     *heartbeat.mutable_load() = this->loadReport();
     protocol::assignStrikes(heartbeat, this->strikes.report());
     return message;
--- a/app/agent/target_monitor.hpp
+++ b/app/agent/target_monitor.hpp
@@ -29,6 +29,11 @@
 
     /** False until the first successful probe and while the target cannot be reached. */
     [[nodiscard]] bool up() const noexcept { return this->incarnation.has_value(); }
+    /** Of the target; 0 while it cannot be reached. */
+    [[nodiscard]] base::Incarnation targetIncarnation() const noexcept
+    {
+        return this->incarnation.value_or(base::Incarnation {});
+    }
     [[nodiscard]] const wire::LoadReport& load() const noexcept { return this->report; }
 
 private:
--- a/app/entry/link_set.cpp
+++ b/app/entry/link_set.cpp
@@ -184,8 +184,10 @@
         .sequence = heartbeat.sequence(),
         .state = internal::stateOf(heartbeat.state()) });
     const auto strikes = protocol::toStrikes(heartbeat);
-    if (!strikes.empty())
-        this->tables.suspects.with([&strikes](Suspects& suspects) { suspects.strikes.merge(strikes); });
+    this->tables.suspects.with([&](Suspects& suspects) {
+        suspects.strikes.merge(strikes);
+        suspects.lostAgents.heard(suspects.strikes, target, base::Incarnation { heartbeat.target_incarnation() });
+    });
     const auto& load = heartbeat.load();
     this->tables.routing.with([&](Routing& routing) {
         routing.router.reported(target,
--- a/app/entry/request_run.cpp
+++ b/app/entry/request_run.cpp
@@ -2,14 +2,14 @@
 
 #include "logging/event.hpp"
 
-#include <array>
 #include <utility>
 
 namespace chivewinch::entry {
 
 namespace internal {
 
-constexpr std::uint32_t maxAttempts = 3;
+// Attempts that a busy or draining agent refuses count as well, so there is room for two failures beside them.
+constexpr std::uint32_t maxAttempts = 4;
 constexpr std::chrono::milliseconds defaultRetryAfter { 1000 };
 
 delivery::PlanOptions planOptions(const CallerRequest& request)
--- a/app/entry/tables.hpp
+++ b/app/entry/tables.hpp
@@ -3,6 +3,7 @@
 #include "base/guarded.hpp"
 #include "base/random.hpp"
 #include "bundle/snapshot.hpp"
+#include "entry/lost_agents.hpp"
 #include "entry/options.hpp"
 #include "entry/waiting_room.hpp"
 #include "limit/load_shedder.hpp"
@@ -24,6 +25,7 @@
 
     suspect::StrikeTable strikes;
     suspect::EntryGuard guard;
+    LostAgents lostAgents;
 };
 
 /** Limits of teams and load shedding. */
