Let only the current holder of the rollout lease confirm a version

A holder that was paused between its check and its transaction could confirm under an old fencing number. The transaction now has the lease row as a condition. With checkLease off, the exploration finds the late confirmation.

--- a/src/bundle/operations.hpp
+++ b/src/bundle/operations.hpp
@@ -10,13 +10,18 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chivewinch::bundle {
 
+/** Name of the lease for the duty to confirm rolling versions. */
+inline constexpr std::string_view rolloutLease { "rollout" };
+
 /** Switches of Operations; each is on except in tests that show what it is for. */
 struct OperationsOptions {
     bool compareBase = true; ///< Off: a version may roll over another one that rolled in between.
+    bool checkLease = true; ///< Off: a former holder of the rollout lease may confirm a version.
 };
 
 /**
@@ -53,7 +58,10 @@
      */
     void withdraw(base::BundleVersion version, RecordCallback callback);
 
-    /** Records that all live processes use the rolling version; for the holder of the rollout lease. */
+    /**
+     * Records that all live processes use the rolling version; for the holder of the rollout lease. The transaction
+     * requires that the lease row still has this fencing number.
+     */
     void confirm(base::BundleVersion version, base::FencingNumber fencing, RecordCallback callback);
 
     void head(HeadCallback callback);
@@ -94,7 +102,9 @@
         const Rows& rows, const std::optional<store::Row>& previous, int triesLeft, RecordCallback callback);
     void withdrawUnrolled(const Rows& rows, RecordCallback callback);
     void withdrawRolled(const Rows& rows, RecordCallback callback);
-    void update(const store::Row& row, VersionRecord record, RecordCallback callback);
+    void confirmRows(const Rows& rows, const store::Row& lease, base::FencingNumber fencing, RecordCallback callback);
+    void update(
+        const store::Row& row, VersionRecord record, std::vector<store::Condition> conditions, RecordCallback callback);
     /**
      * Result of a write that did not report success, after a re-read. before is a row that the write had as a
      * condition; answered is false if the store did not tell the outcome.
--- a/src/bundle/operations_roll.cpp
+++ b/src/bundle/operations_roll.cpp
@@ -1,4 +1,5 @@
 #include "bundle/operations.hpp"
+#include "lease/lease_record.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -140,7 +141,7 @@
         return;
     }
     record.state = *state;
-    this->update(rows.versionRow, std::move(record), std::move(callback));
+    this->update(rows.versionRow, std::move(record), {}, std::move(callback));
 }
 
 void Operations::withdrawRolled(const Rows& rows, RecordCallback callback)
@@ -180,23 +181,51 @@
             callback(std::nullopt, rows ? internal::missing(version) : error);
             return;
         }
-        auto record = *rows->version;
-        const auto state = next(record.state, Event::Confirm);
-        if (!state || fencing < record.fencing) {
-            callback(std::nullopt, internal::wrongState(record, "confirmed"));
+        const store::RowKey leaseKey { .table = std::string { lease::leaseTable },
+            .key = std::string { rolloutLease } };
+        this->tables.get(
+            { leaseKey }, [this, rows = *rows, fencing, callback](const auto& found, const store::Error& reason) {
+                if (found)
+                    this->confirmRows(rows, found->front(), fencing, callback);
+                else
+                    callback(std::nullopt, { .code = ErrorCode::StoreUnavailable, .detail = reason.detail });
+            });
+    });
+}
+
+void Operations::confirmRows(
+    const Rows& rows, const store::Row& lease, base::FencingNumber fencing, RecordCallback callback)
+{
+    auto record = *rows.version;
+    const auto state = next(record.state, Event::Confirm);
+    if (!state) {
+        callback(std::nullopt, internal::wrongState(record, "confirmed"));
+        return;
+    }
+    std::vector<store::Condition> conditions;
+    if (this->options.checkLease) {
+        const auto holder = lease::decode(lease.value);
+        if (!holder || holder->fencing != fencing) {
+            callback(std::nullopt,
+                { .code = ErrorCode::LostRace,
+                    .detail = "the rollout lease is no longer held under number "
+                        + std::to_string(static_cast<std::uint64_t>(fencing)) });
             return;
         }
-        record.state = *state;
-        record.fencing = fencing;
-        this->update(rows->versionRow, std::move(record), callback);
-    });
+        conditions.push_back({ .key = lease.key, .version = lease.version });
+    }
+    record.state = *state;
+    record.fencing = fencing;
+    this->update(rows.versionRow, std::move(record), std::move(conditions), std::move(callback));
 }
 
-void Operations::update(const store::Row& row, VersionRecord record, RecordCallback callback)
+void Operations::update(
+    const store::Row& row, VersionRecord record, std::vector<store::Condition> conditions, RecordCallback callback)
 {
     record.nonce = this->newNonce();
-    this->tables.transact({ .conditions = { { .key = row.key, .version = row.version } },
-                              .writes = { { .key = row.key, .value = encode(record) } } },
+    conditions.push_back({ .key = row.key, .version = row.version });
+    this->tables.transact(
+        { .conditions = std::move(conditions), .writes = { { .key = row.key, .value = encode(record) } } },
         [this, row, record, callback = std::move(callback)](const auto& result, const store::Error&) {
             if (result && result->committed)
                 callback(record, {});
