Write plot labels as SVG text

Text drawn by cairo needs either fontconfig, whose caches AddressSanitizer reports as leaks, or cairo's built-in font, in whose locks ThreadSanitizer reports a lock-order inversion.

--- a/src/expert/render_svg.cpp
+++ b/src/expert/render_svg.cpp
@@ -56,6 +56,13 @@
     return CAIRO_STATUS_SUCCESS;
 }
 
+/** Drawing surface and the labels on it. Labels become SVG text, so that no font of the machine is needed. */
+struct Canvas {
+    cairo_t* context = nullptr;
+    Colour colour;
+    std::string labels;
+};
+
 /** Cairo numbers the surfaces of a process; equal plots are to have equal text. */
 std::string withoutSurfaceNumbers(std::string_view svg)
 {
@@ -71,39 +78,64 @@
     return out;
 }
 
+std::string withLabels(std::string svg, const std::string& labels)
+{
+    const auto end = svg.rfind("</svg>");
+    return end == std::string::npos ? std::string {} : svg.insert(end, labels);
+}
+
 /** Runs the drawing on an SVG surface and returns its text. */
-std::string draw(const PlotOptions& options, const std::function<void(cairo_t*)>& drawing)
+std::string draw(const PlotOptions& options, const std::function<void(Canvas&)>& drawing)
 {
     std::string out;
     auto* surface = cairo_svg_surface_create_for_stream(appendBytes, &out, options.width, options.height);
-    auto* context = cairo_create(surface);
-    // Cairo's built-in font: equal output on machines with other fonts, and no use of fontconfig, whose caches are
-    // reported as leaks.
-    cairo_select_font_face(context, "@cairo:", CAIRO_FONT_SLANT_NORMAL, CAIRO_FONT_WEIGHT_NORMAL);
-    cairo_set_font_size(context, fontSize);
-    cairo_set_source_rgb(context, 1, 1, 1);
-    cairo_paint(context);
-    drawing(context);
-    const bool failed = cairo_status(context) != CAIRO_STATUS_SUCCESS;
-    cairo_destroy(context);
+    Canvas canvas { .context = cairo_create(surface), .colour = {}, .labels = {} };
+    cairo_set_source_rgb(canvas.context, 1, 1, 1);
+    cairo_paint(canvas.context);
+    drawing(canvas);
+    const bool failed = cairo_status(canvas.context) != CAIRO_STATUS_SUCCESS;
+    cairo_destroy(canvas.context);
     cairo_surface_finish(surface);
     const bool unfinished = cairo_surface_status(surface) != CAIRO_STATUS_SUCCESS;
     cairo_surface_destroy(surface);
-    return failed || unfinished ? std::string {} : withoutSurfaceNumbers(out);
+    return failed || unfinished ? std::string {} : withLabels(withoutSurfaceNumbers(out), canvas.labels);
+}
+
+void setColour(Canvas& canvas, const Colour& colour)
+{
+    canvas.colour = colour;
+    cairo_set_source_rgb(canvas.context, colour.red, colour.green, colour.blue);
 }
 
-void setColour(cairo_t* context, const Colour& colour)
+std::string escaped(std::string_view value)
 {
-    cairo_set_source_rgb(context, colour.red, colour.green, colour.blue);
+    std::string out;
+    for (const auto letter : value) {
+        if (letter == '&')
+            out += "&amp;";
+        else if (letter == '<')
+            out += "&lt;";
+        else
+            out += letter;
+    }
+    return out;
 }
 
-/** Text whose anchor (0 left to 1 right) lies at x. */
-void text(cairo_t* context, double x, double y, double anchor, const std::string& value)
+enum class Anchor : std::uint8_t { Start, Middle, End };
+
+/** Text whose anchor lies at x. */
+void text(Canvas& canvas, double x, double y, Anchor anchor, const std::string& value)
 {
-    cairo_text_extents_t extents;
-    cairo_text_extents(context, value.c_str(), &extents);
-    cairo_move_to(context, x - anchor * extents.x_advance, y);
-    cairo_show_text(context, value.c_str());
+    constexpr std::array<const char*, 3> anchors { "start", "middle", "end" };
+    constexpr double maxLevel = 255;
+    const auto level = [](double part) { return static_cast<unsigned>(std::lround(part * maxLevel)); };
+    std::array<char, 256> buffer {};
+    std::snprintf(buffer.data(), buffer.size(),
+        "<text x=\"%.2f\" y=\"%.2f\" text-anchor=\"%s\" font-family=\"sans-serif\" font-size=\"%g\" "
+        "fill=\"#%02x%02x%02x\">",
+        x, y, anchors[static_cast<std::size_t>(anchor)], fontSize, level(canvas.colour.red), level(canvas.colour.green),
+        level(canvas.colour.blue));
+    canvas.labels += buffer.data() + escaped(value) + "</text>\n";
 }
 
 std::string number(double value)
@@ -115,8 +147,8 @@
 
 class Plot {
 public:
-    Plot(cairo_t* context, const PlotOptions& options, Axis x, Axis y)
-        : context { context }
+    Plot(Canvas& canvas, const PlotOptions& options, Axis x, Axis y)
+        : canvas { canvas }
         , options { options }
         , x { x }
         , y { y }
@@ -136,10 +168,11 @@
 
     void frame() const
     {
-        setColour(this->context, { 0.2, 0.2, 0.2 });
-        text(this->context, this->options.width / 2, marginTop / 2, 0.5, this->options.title);
-        text(this->context, this->options.width / 2, this->options.height - fontSize, 0.5, this->options.xLabel);
-        text(this->context, fontSize, marginTop - fontSize / 2, 0, this->options.yLabel);
+        setColour(this->canvas, { 0.2, 0.2, 0.2 });
+        text(this->canvas, this->options.width / 2, marginTop / 2, Anchor::Middle, this->options.title);
+        text(this->canvas, this->options.width / 2, this->options.height - fontSize, Anchor::Middle,
+            this->options.xLabel);
+        text(this->canvas, fontSize, marginTop - fontSize / 2, Anchor::Start, this->options.yLabel);
         for (int tick = 0; tick <= ticks; ++tick) {
             const auto fraction = static_cast<double>(tick) / ticks;
             this->xTick(this->x.at(fraction));
@@ -149,15 +182,15 @@
 
     void line(const Series& series, const Colour& colour) const
     {
-        setColour(this->context, colour);
-        cairo_set_line_width(this->context, 1.5);
-        cairo_new_path(this->context);
+        setColour(this->canvas, colour);
+        cairo_set_line_width(this->canvas.context, 1.5);
+        cairo_new_path(this->canvas.context);
         for (std::size_t i = 0; i < series.x.size(); ++i)
-            cairo_line_to(this->context, this->left(series.x[i]), this->top(series.y[i]));
-        cairo_stroke(this->context);
+            cairo_line_to(this->canvas.context, this->left(series.x[i]), this->top(series.y[i]));
+        cairo_stroke(this->canvas.context);
         for (std::size_t i = 0; i < series.x.size() && series.x.size() <= maxMarkers; ++i) {
-            cairo_arc(this->context, this->left(series.x[i]), this->top(series.y[i]), markerRadius, 0, 2 * M_PI);
-            cairo_fill(this->context);
+            cairo_arc(this->canvas.context, this->left(series.x[i]), this->top(series.y[i]), markerRadius, 0, 2 * M_PI);
+            cairo_fill(this->canvas.context);
         }
     }
 
@@ -165,21 +198,21 @@
     void xTick(double value) const
     {
         const auto shown = this->options.logarithmicX ? std::pow(10, value) : value;
-        text(
-            this->context, this->left(value), this->options.height - marginBottom + 1.5 * fontSize, 0.5, number(shown));
+        text(this->canvas, this->left(value), this->options.height - marginBottom + 1.5 * fontSize, Anchor::Middle,
+            number(shown));
     }
 
     void yTick(double value) const
     {
         const auto height = this->top(value);
-        text(this->context, marginLeft - fontSize / 2, height + fontSize / 3, 1, number(value));
-        cairo_set_line_width(this->context, 0.3);
-        cairo_move_to(this->context, marginLeft, height);
-        cairo_line_to(this->context, this->options.width - marginRight, height);
-        cairo_stroke(this->context);
+        text(this->canvas, marginLeft - fontSize / 2, height + fontSize / 3, Anchor::End, number(value));
+        cairo_set_line_width(this->canvas.context, 0.3);
+        cairo_move_to(this->canvas.context, marginLeft, height);
+        cairo_line_to(this->canvas.context, this->options.width - marginRight, height);
+        cairo_stroke(this->canvas.context);
     }
 
-    cairo_t* context;
+    Canvas& canvas;
     const PlotOptions& options;
     Axis x;
     Axis y;
@@ -213,16 +246,17 @@
         std::ranges::for_each(each.x, [&](double value) { x.include(value); });
         std::ranges::for_each(each.y, [&](double value) { y.include(value); });
     }
-    return internal::draw(options, [&](cairo_t* context) {
+    return internal::draw(options, [&](internal::Canvas& canvas) {
         if (shown.empty() || x.high < x.low)
             return;
-        const internal::Plot plot { context, options, x, y };
+        const internal::Plot plot { canvas, options, x, y };
         plot.frame();
         for (std::size_t i = 0; i < shown.size(); ++i) {
             const auto& colour = internal::palette[i % internal::palette.size()];
             plot.line(shown[i], colour);
             const auto height = internal::marginTop + internal::fontSize * (1.5 * static_cast<double>(i) + 1);
-            internal::text(context, options.width - internal::marginRight, height, 1, shown[i].label);
+            internal::text(
+                canvas, options.width - internal::marginRight, height, internal::Anchor::End, shown[i].label);
         }
     });
 }
@@ -232,20 +266,21 @@
     internal::Axis x { 0, static_cast<double>(std::max<std::size_t>(loads.size(), 1)) };
     internal::Axis y { 0, 1 };
     std::ranges::for_each(loads, [&](double value) { y.include(value); });
-    return internal::draw(options, [&](cairo_t* context) {
-        const internal::Plot plot { context, options, x, y };
+    return internal::draw(options, [&](internal::Canvas& canvas) {
+        const internal::Plot plot { canvas, options, x, y };
         plot.frame();
-        internal::setColour(context, internal::palette[0]);
+        internal::setColour(canvas, internal::palette[0]);
         for (std::size_t rank = 0; rank < loads.size(); ++rank) {
             const auto left = plot.left(static_cast<double>(rank));
             const auto width = plot.left(static_cast<double>(rank + 1)) - left;
-            cairo_rectangle(context, left, plot.top(loads[rank]), 0.9 * width, plot.top(0) - plot.top(loads[rank]));
+            cairo_rectangle(
+                canvas.context, left, plot.top(loads[rank]), 0.9 * width, plot.top(0) - plot.top(loads[rank]));
         }
-        cairo_fill(context);
-        internal::setColour(context, internal::palette[1]);
-        cairo_move_to(context, plot.left(x.low), plot.top(1));
-        cairo_line_to(context, plot.left(x.high), plot.top(1));
-        cairo_stroke(context);
+        cairo_fill(canvas.context);
+        internal::setColour(canvas, internal::palette[1]);
+        cairo_move_to(canvas.context, plot.left(x.low), plot.top(1));
+        cairo_line_to(canvas.context, plot.left(x.high), plot.top(1));
+        cairo_stroke(canvas.context);
     });
 }
 
--- a/tests/expert/render_test.cpp
+++ b/tests/expert/render_test.cpp
@@ -15,10 +15,11 @@
 TEST(RenderSvgTest, IsACompleteDocumentAndRepeatable)
 {
     const std::vector<Series> series { { .label = "ours", .x = { 0, 1, 10 }, .y = { 3, 2, 1 } } };
-    const PlotOptions options { .title = "t", .xLabel = "x", .yLabel = "y", .logarithmicX = true };
+    const PlotOptions options { .title = "a < b & c", .xLabel = "x", .yLabel = "y", .logarithmicX = true };
     const auto svg = renderSvg(series, options);
     EXPECT_TRUE(svg.starts_with("<?xml"));
-    EXPECT_NE(svg.find("</svg>"), std::string::npos);
+    EXPECT_TRUE(svg.ends_with("</svg>\n"));
+    EXPECT_NE(svg.find(">a &lt; b &amp; c</text>"), std::string::npos);
     EXPECT_TRUE(svg == renderSvg(series, options));
     const std::vector<double> loads { 1, 2 };
     EXPECT_NE(renderSvg(loads, options).find("</svg>"), std::string::npos);
