Ignore markers of instances whose names begin with another name

The list of markers under usage/open/entry-1/ also contains those of entry-1/b, whose incarnation a process took for its own previous life. The new test fails without the check.

--- a/src/usage/ledger.cpp
+++ b/src/usage/ledger.cpp
@@ -54,7 +54,11 @@
     }
     for (const auto& name : *names) {
         const auto incarnation = parseOpenName(name);
-        if (incarnation && *incarnation < this->options.process.incarnation)
+        const auto& own = this->options.process;
+        // An instance name may begin with another one and a slash.
+        const bool ofInstance
+            = incarnation && name == openName({ .instance = own.instance, .incarnation = *incarnation });
+        if (ofInstance && *incarnation < own.incarnation)
             this->next.replaces = std::max(this->next.replaces, *incarnation);
     }
     if (names->size() == internal::lookupPageSize) {
--- a/tests/usage/ledger_test.cpp
+++ b/tests/usage/ledger_test.cpp
@@ -94,6 +94,21 @@
     EXPECT_EQ(this->segments().back().header.replaces, static_cast<base::Incarnation>(100));
 }
 
+// Guards against taking a life of "entry-1/b" for one of "entry-1".
+TEST_F(LedgerTest, IgnoresMarkersOfLongerInstanceNames)
+{
+    this->options.process.instance = "entry-1/b";
+    auto other = this->world.ledger(this->options);
+    other->start();
+    this->world.scheduler.runFor(1s);
+    this->options.process = { .instance = "entry-1", .incarnation = static_cast<base::Incarnation>(200) };
+    auto ledger = this->world.ledger(this->options);
+    ledger->start();
+    this->world.scheduler.runFor(1s);
+    for (const auto& segment : this->segments())
+        EXPECT_EQ(segment.header.replaces, base::Incarnation {});
+}
+
 // Guards against unbounded memory, and against acceptance of work that could not be counted.
 TEST_F(LedgerTest, RefusesBeyondMemoryBound)
 {
