Decide whether a lost agent's target crashed before it gives a strike

Cause: a strike for a lost agent spreads to the whole zone at once, so a request that was in flight on two killed agents was stopped at every entry although no engine had crashed. The loss is now decided by the incarnation of the target when the agent returns, or after 3 s of absence; until then a request with two such losses waits.

--- a/app/entry/entry.cpp
+++ b/app/entry/entry.cpp
@@ -101,6 +101,7 @@
         .droppedFrames
         = this->registry.counter("chivewinch_frames_dropped_total", "Frames that did not match the open attempt"),
         .linkOf = [this](const base::TargetId& target) { return this->links.find(target); },
+        .disconnectedTargets = [this] { return this->links.disconnected(); },
         .countUsage = [this](const usage::Record& record) { this->countUsage(record); },
         .agentInstanceOf = [this](const base::TargetId& target) { return this->links.agentInstance(target); },
     };
@@ -198,6 +199,7 @@
     const auto now = this->clock.now();
     this->tables.membership.with([now](membership::TargetTable& table) { table.advance(now); });
     this->tables.refreshTargets();
+    this->tables.suspects.with([](Suspects& suspects) { suspects.lostAgents.advance(suspects.strikes); });
     const auto waiting = this->tables.routing.with([now](Routing& routing) {
         routing.waiting.advance(routing.router, now);
         return routing.waiting.size();
--- a/app/entry/link_set.cpp
+++ b/app/entry/link_set.cpp
@@ -101,8 +101,10 @@
             entry.link->start();
             next.emplace(target->id, std::move(entry));
         }
-        for (const auto& [id, entry] : current)
+        for (const auto& [id, entry] : current) {
             entry.link->stop();
+            this->lost.with([&id = id](auto& targets) { targets.erase(id); });
+        }
         current = std::move(next);
     });
 }
@@ -131,6 +133,13 @@
     });
 }
 
+std::vector<base::TargetId> LinkSet::disconnected()
+{
+    return this->lost.with([](const auto& targets) {
+        return std::vector<base::TargetId> { targets.begin(), targets.end() };
+    });
+}
+
 std::string LinkSet::agentInstance(const base::TargetId& target)
 {
     return this->links.with([&target](Links& links) -> std::string {
--- a/app/entry/link_set.hpp
+++ b/app/entry/link_set.hpp
@@ -13,7 +13,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace chivewinch::entry {
 
@@ -26,6 +28,8 @@
     /** Opens links to the targets of the bundle that this entry may use and closes the others. */
     void adopt(const bundle::Snapshot& snapshot);
     [[nodiscard]] std::shared_ptr<Link> find(const base::TargetId& target);
+    /** Targets whose agents were connected before and are not now. */
+    [[nodiscard]] std::vector<base::TargetId> disconnected();
     /** Instance of the agent behind a target; empty before its hello. */
     [[nodiscard]] std::string agentInstance(const base::TargetId& target);
     void stop();
@@ -44,6 +48,7 @@
     const base::Clock& clock;
     HeartbeatSource& heartbeats;
     base::Guarded<Links> links;
+    base::Guarded<std::set<base::TargetId>> lost;
 
     [[nodiscard]] std::shared_ptr<Link> makeLink(const bundle::Target& target);
     void handleControl(const base::TargetId& target, const base::ZoneId& zone, const wire::Control& message);
--- a/app/entry/lost_agents.cpp
+++ b/app/entry/lost_agents.cpp
@@ -1,23 +1,39 @@
 #include "entry/lost_agents.hpp"
 
+#include "logging/event.hpp"
+
+#include <algorithm>
 #include <array>
 
 namespace chivewinch::entry {
 
 namespace internal {
 
-// Later strikes of one lost agent simply stay until they expire.
-constexpr std::size_t maxOpenStrikes = 256;
+// Bounds the memory of one lost agent.
+constexpr std::size_t maxLosses = 256;
+
+// An agent that stays away for longer is taken to have been lost with its target.
+constexpr std::chrono::seconds decisionTime { 3 };
+
+void record(suspect::StrikeTable& strikes, const suspect::Strike& strike, const char* cause)
+{
+    logging::Event { "strike" }
+        .field("fingerprint", strike.fingerprint)
+        .field("target", strike.target)
+        .field("cause", cause)
+        .warning();
+    strikes.recordCrash(strike.target, strike.incarnation, std::array { strike.fingerprint });
+}
 
 } // namespace internal
 
-void LostAgents::lost(
-    suspect::StrikeTable& strikes, const base::TargetId& target, base::Incarnation agent, std::uint64_t fingerprint)
+void LostAgents::lost(const base::TargetId& target, base::Incarnation agent, std::uint64_t fingerprint)
 {
-    strikes.recordCrash(target, agent, std::array { fingerprint });
-    auto& open = this->targets[target].open;
-    if (open.size() < internal::maxOpenStrikes)
-        open.push_back({ .fingerprint = fingerprint, .target = target, .incarnation = agent });
+    auto& losses = this->targets[target].losses;
+    if (losses.size() < internal::maxLosses) {
+        losses.push_back({ .strike = { .fingerprint = fingerprint, .target = target, .incarnation = agent },
+            .at = this->clock.now() });
+    }
 }
 
 void LostAgents::heard(suspect::StrikeTable& strikes, const base::TargetId& target, base::Incarnation targetIncarnation)
@@ -25,14 +41,35 @@
     if (targetIncarnation == base::Incarnation {})
         return;
     auto& known = this->targets[target];
-    if (known.incarnation == targetIncarnation) {
-        suspect::StrikeList cleared;
-        for (const auto& strike : known.open)
-            cleared.push_back({ .strike = strike, .age = {}, .cleared = true });
-        strikes.merge(cleared);
+    if (known.incarnation != targetIncarnation) {
+        for (const auto& loss : known.losses)
+            internal::record(strikes, loss.strike, "target_restarted");
     }
     known.incarnation = targetIncarnation;
-    known.open.clear();
+    known.losses.clear();
+}
+
+void LostAgents::advance(suspect::StrikeTable& strikes)
+{
+    const auto before = this->clock.now() - internal::decisionTime;
+    for (auto& [id, target] : this->targets) {
+        std::erase_if(target.losses, [&](const Loss& loss) {
+            if (loss.at > before)
+                return false;
+            internal::record(strikes, loss.strike, "agent_stayed_away");
+            return true;
+        });
+    }
+}
+
+std::size_t LostAgents::undecided(std::uint64_t fingerprint) const
+{
+    std::size_t count = 0;
+    for (const auto& [id, target] : this->targets) {
+        count += static_cast<std::size_t>(std::ranges::count_if(
+            target.losses, [fingerprint](const Loss& loss) { return loss.strike.fingerprint == fingerprint; }));
+    }
+    return count;
 }
 
 } // namespace chivewinch::entry
--- a/app/entry/request_run.cpp
+++ b/app/entry/request_run.cpp
@@ -76,9 +76,10 @@
         const auto action = co_await this->runAttempt(*choice);
         if (const auto* end = std::get_if<delivery::Finish>(&action))
             co_return co_await this->finish(*end);
-        if (!this->prepareNext(action))
+        if (!this->mayRetry(action))
             co_return co_await this->finish(
                 this->plan.giveUp(base::RefusalReason::RetryBudget, this->checker.delivered()));
+        this->prepareNext(action);
     }
 }
 
@@ -104,18 +105,26 @@
     co_return this->plan.giveUp(base::RefusalReason::NoTarget, this->checker.delivered());
 }
 
-bool RequestRun::prepareNext(const delivery::Action& action)
+bool RequestRun::mayRetry(const delivery::Action& action)
 {
-    const bool allowed = this->services.tables.routing.with([this](Routing& routing) {
+    const auto* retry = std::get_if<delivery::Retry>(&action);
+    const bool unsent = retry != nullptr
+        && (retry->reason == base::RetryReason::ConnectFailed || retry->reason == base::RetryReason::NotWritten);
+    // An attempt that was never sent put no load on any target.
+    if (unsent)
+        return true;
+    return this->services.tables.routing.with([this](Routing& routing) {
         return routing.router.allowRetry(this->request.pool(), this->services.clock.now());
     });
-    if (!allowed)
-        return false;
+}
+
+void RequestRun::prepareNext(const delivery::Action& action)
+{
     if (const auto* resume = std::get_if<delivery::Resume>(&action)) {
         this->services.metrics.retried(resume->reason);
         this->answerStart = delivery::AnswerStart::Resumed;
         this->fromToken = resume->fromToken;
-        return true;
+        return;
     }
     const auto& retry = std::get<delivery::Retry>(action);
     this->services.metrics.retried(retry.reason);
@@ -123,7 +132,6 @@
     this->fromToken = 0;
     if (!retry.replay)
         this->sink.restart();
-    return true;
 }
 
 void RequestRun::closeAttempt(const Attempt& attempt, const delivery::AttemptEvent& event)
--- a/app/entry/request_run.hpp
+++ b/app/entry/request_run.hpp
@@ -47,8 +47,9 @@
     void closeAttempt(const Attempt& attempt, const delivery::AttemptEvent& event);
     void noteSuspects(const Attempt& attempt, const delivery::AttemptEvent& event);
     void noteTarget(const Attempt& attempt, const delivery::AttemptEvent& event);
-    /** Prepares the next attempt; false if the retry budget is spent. */
-    [[nodiscard]] bool prepareNext(const delivery::Action& action);
+    /** False if the retry budget is spent. */
+    [[nodiscard]] bool mayRetry(const delivery::Action& action);
+    void prepareNext(const delivery::Action& action);
     [[nodiscard]] http::Task<Result> finish(delivery::Finish finish);
 };
 
--- a/app/entry/services.hpp
+++ b/app/entry/services.hpp
@@ -10,6 +10,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace chivewinch::entry {
 
@@ -25,6 +27,8 @@
 
     /** Link to the agent of a target, or null. */
     std::function<std::shared_ptr<Link>(const base::TargetId&)> linkOf;
+    /** Targets whose agents this entry has no connection to at the moment. */
+    std::function<std::vector<base::TargetId>()> disconnectedTargets;
     /** Counts an attempt for usage. */
     std::function<void(const usage::Record&)> countUsage;
     /** Identity of the agent process behind a target, for usage records. */
--- a/app/entry/tables.cpp
+++ b/app/entry/tables.cpp
@@ -57,6 +57,7 @@
 Suspects::Suspects(const base::Clock& clock)
     : strikes { clock }
     , guard { clock, this->strikes, internal::guardOptions() }
+    , lostAgents { clock }
 {
 }
 
--- a/app/entry/target_chooser.cpp
+++ b/app/entry/target_chooser.cpp
@@ -10,6 +10,9 @@
 // Shortest pause before a suspect that cannot run yet is tried again.
 constexpr std::chrono::milliseconds minSuspicionWait { 20 };
 
+// As many as the strikes that stop a request.
+constexpr std::size_t maxUndecidedLosses = 2;
+
 std::uint8_t queuePriority(std::uint32_t priority)
 {
     // Bundles have priorities 0 to 9, the queue has 0 to 7.
@@ -56,8 +59,13 @@
 TargetChooser::Suspicion TargetChooser::checkSuspicion() const
 {
     const auto targets = this->candidates();
-    const auto placement = this->services.tables.suspects.with(
-        [&](Suspects& suspects) { return suspects.guard.place(this->request.fingerprint, targets, targets); });
+    const auto placement = this->services.tables.suspects.with([&](Suspects& suspects) {
+        auto result = suspects.guard.place(this->request.fingerprint, targets, targets);
+        // Two more instances may have crashed under the request; whether they did is known soon.
+        if (suspects.lostAgents.undecided(this->request.fingerprint) >= internal::maxUndecidedLosses)
+            result.refusal = base::RefusalReason::SuspectBusy;
+        return result;
+    });
     Suspicion suspicion { .refusal = placement.refusal, .wait = placement.retryAfter, .excluded = this->excluded };
     for (const auto& target : targets) {
         if (std::ranges::find(placement.targets, target) == placement.targets.end())
@@ -66,9 +74,11 @@
     return suspicion;
 }
 
-std::optional<routing::Choice> TargetChooser::tryRouter(
-    std::uint32_t attempt, const std::vector<base::TargetId>& without)
+std::optional<routing::Choice> TargetChooser::tryRouter(std::uint32_t attempt, std::vector<base::TargetId> without)
 {
+    // An attempt on a lost connection would fail at once and cost one of the request's attempts.
+    for (auto& target : this->services.disconnectedTargets())
+        without.push_back(std::move(target));
     const routing::RouteRequest route {
         .pool = this->request.pool(), .prefixHash = this->request.prefixHash, .attempt = attempt, .excluded = without
     };
--- a/app/entry/target_chooser.hpp
+++ b/app/entry/target_chooser.hpp
@@ -47,8 +47,7 @@
 
     [[nodiscard]] std::vector<base::TargetId> candidates() const;
     [[nodiscard]] Suspicion checkSuspicion() const;
-    [[nodiscard]] std::optional<routing::Choice> tryRouter(
-        std::uint32_t attempt, const std::vector<base::TargetId>& without);
+    [[nodiscard]] std::optional<routing::Choice> tryRouter(std::uint32_t attempt, std::vector<base::TargetId> without);
     [[nodiscard]] http::Task<bool> waitForSuspicion(std::chrono::nanoseconds wait);
     [[nodiscard]] http::Task<std::optional<routing::Choice>> waitForTarget(std::uint32_t attempt);
     [[nodiscard]] base::RefusalReason enterWaitingRoom(std::uint32_t attempt);
