--- a/tests/bundle/parse_test.cpp
+++ b/tests/bundle/parse_test.cpp
@@ -1,3 +1,4 @@
+#include "base/random.hpp"
 #include "bundle/canonical.hpp"
 #include "bundle/parse.hpp"
 #include "bundle/schema.hpp"
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 namespace chivewinch::bundle {
@@ -121,6 +123,32 @@
     EXPECT_TRUE(hasPath(errors, "target.assistant-03.port"));
 }
 
+// Guards against text that ends the process instead of being reported.
+TEST(ParsePropertyTest, DamagedTextIsReportedOrRead)
+{
+    const auto text = readFile("examples/bundles/lepelgilde.toml");
+    constexpr std::uint64_t firstSeed = 1;
+    constexpr std::uint64_t texts = 300;
+    std::cout << "seeds " << firstSeed << " to " << firstSeed + texts - 1 << std::endl;
+    for (auto seed = firstSeed; seed < firstSeed + texts; ++seed) {
+        base::SeededRandom random { seed };
+        auto damaged = text;
+        for (std::uint64_t i = 0; i <= random.below(4); ++i) {
+            const auto at = random.below(damaged.size());
+            if (random.below(2) == 0)
+                damaged[at] = static_cast<char>(random.below(256));
+            else
+                damaged.erase(at, random.below(30));
+        }
+        std::vector<ConfigError> errors;
+        const auto bundle = parse(damaged, errors);
+        ASSERT_EQ(bundle.has_value(), errors.empty()) << "seed " << seed;
+        ASSERT_TRUE(!bundle || check(*bundle).empty()) << "seed " << seed;
+        for (const auto& error : errors)
+            ASSERT_FALSE(error.path.empty() || error.fix.empty()) << "seed " << seed;
+    }
+}
+
 class SnapshotTest : public testing::Test {
 protected:
     Snapshot snapshot { example("kilat-lilin.toml"), base::BundleVersion { 7 }, "hash" };
