--- a/scripts/installation.py
+++ b/scripts/installation.py
@@ -75,7 +75,9 @@
 
     def start(self):
         with open(self.log, "ab") as log:
-            self.child = subprocess.Popen(self.arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+            # Ctrl-C reaches the whole group of a terminal; the processes must outlive it until they are stopped in order.
+            self.child = subprocess.Popen(self.arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                          start_new_session=True)
         return self
 
     @property
