Fix faults found while trying the programs

- The watch for a caller's disconnect received with a blocking call; on spurious readiness it held a worker thread and the finished answer.
It now waits again.
- A cancelled or overdue attempt ends also before the answer's head has arrived.
- A draining entry says goodbye to its peers and releases the rollout lease.
- Log times are UTC whatever the time zone of the process.
- A caller's short deadline no longer counts as a failure of the target.
- Entries name the agents that they meet in their usage chain; the public key of a generated usage key is logged.

--- a/app/agent/attempt_run.cpp
+++ b/app/agent/attempt_run.cpp
@@ -75,6 +75,7 @@
 {
     this->isCancelled = true;
     this->writable.cancel();
+    this->cancellation.cancel();
     if (this->upstream)
         this->upstream->cancel();
 }
@@ -152,6 +153,7 @@
         showUsage = internal::requestUsage(request.body());
     http::SendOptions options;
     options.freshConnection = !this->message.repeatable();
+    options.cancellation = &this->cancellation;
     http::Error reason;
     this->upstream = co_await this->agent.target().open(std::move(request), options, reason);
     if (!this->upstream)
--- a/app/agent/attempt_run.hpp
+++ b/app/agent/attempt_run.hpp
@@ -39,6 +39,7 @@
     wire::AttemptStart message;
     delivery::AttemptKey key;
     base::SteadyTime deadline;
+    http::Cancellation cancellation;
     std::unique_ptr<http::ResponseStream> upstream;
     boost::asio::steady_timer writable;
     boost::asio::steady_timer deadlineTimer;
--- a/app/agent/main.cpp
+++ b/app/agent/main.cpp
@@ -13,8 +13,13 @@
 
 std::optional<usage::SigningKey> usageKey(const AgentOptions& options)
 {
-    if (options.usageKey.empty())
-        return usage::SigningKey::generate();
+    if (options.usageKey.empty()) {
+        auto fresh = usage::SigningKey::generate();
+        const auto& bytes = fresh.publicKey();
+        const std::string_view raw { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
+        logging::Event { "usage_key_generated" }.field("public_key", usage::toHex(raw)).warning();
+        return fresh;
+    }
     usage::Error reason;
     auto key = usage::SigningKey::fromHex(options.usageKey, reason);
     if (!key)
--- a/app/entry/bundle_feed.cpp
+++ b/app/entry/bundle_feed.cpp
@@ -38,9 +38,9 @@
     , replica { keys }
     , operations { dependencies.store.tables(), dependencies.store.objects(), dependencies.random, keys,
         dependencies.options.instance }
-    , rolloutLease { bundle::rolloutLease, internal::holderName(dependencies.options, dependencies.incarnation),
-        dependencies.store.tables(), dependencies.scheduler, dependencies.clock, dependencies.random,
-        &internal::logLease }
+    , rolloutLease { std::string { bundle::rolloutLease },
+        internal::holderName(dependencies.options, dependencies.incarnation), dependencies.store.tables(),
+        dependencies.scheduler, dependencies.clock, dependencies.random, &internal::logLease }
     , rollout { this->operations, this->rolloutLease }
     , distributor { { .id = dependencies.options.instance, .zone = dependencies.options.zone }, this->replica,
         dependencies.store.tables(), dependencies.store.objects(), dependencies.peers, dependencies.scheduler,
--- a/app/entry/entry.cpp
+++ b/app/entry/entry.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::seconds rolloutCheckInterval { 1 };
 constexpr std::chrono::milliseconds drainCheckInterval { 20 };
 constexpr std::chrono::milliseconds flushTime { 200 };
+constexpr std::chrono::seconds noBundleRetryAfter { 1 };
 
 base::Incarnation startIncarnation(const base::Clock& clock)
 {
@@ -69,7 +70,8 @@
     , ledger { internal::ledgerOptions(this->options, this->incarnation), std::move(key), this->objects,
         this->scheduler, this->clock, this->controlRandom }
     , heartbeats { this->options, this->tables, this->incarnation }
-    , links { context.get_executor(), this->options, this->tables, this->clock, this->heartbeats }
+    , links { context.get_executor(), this->options, this->tables, this->clock, this->heartbeats,
+        [this](const std::string& instance, base::Incarnation agent) { this->witness(instance, agent); } }
     , peers { this->control, context.get_executor(), this->options, this->tables, this->clock, this->heartbeats,
         this->peerHandlers() }
     , bundles { { .options = this->options,
@@ -183,6 +185,13 @@
     asio::post(this->control, [this, record] { this->ledger.add(record); });
 }
 
+void Entry::witness(const std::string& instance, base::Incarnation agent)
+{
+    asio::post(this->control, [this, instance, agent] {
+        this->ledger.witness({ .instance = instance, .incarnation = agent }, usage::Side::Agent);
+    });
+}
+
 void Entry::scheduleTick()
 {
     this->tickTimer.expires_after(internal::tickInterval);
@@ -267,6 +276,7 @@
     auto snapshot = this->tables.snapshot.load();
     ApiError error;
     error.reason = base::RefusalReason::NoBundle;
+    error.retryAfter = internal::noBundleRetryAfter;
     std::optional<CallerRequest> caller;
     const RequestLimits limits { .defaultDeadline = this->options.defaultDeadline,
         .maxDeadline = this->options.maxDeadline };
@@ -422,8 +432,12 @@
         return;
     logging::Event { "draining" }.field("open_requests", this->server->openRequests()).info();
     this->server->drain();
-    asio::dispatch(
-        this->control, [this] { this->finishDrainWhenIdle(this->clock.now() + this->options.drainTimeout); });
+    this->heartbeats.setLeaving();
+    asio::dispatch(this->control, [this] {
+        this->bundles.stop();
+        this->peers.sayGoodbye();
+        this->finishDrainWhenIdle(this->clock.now() + this->options.drainTimeout);
+    });
 }
 
 void Entry::finishDrainWhenIdle(base::SteadyTime deadline)
--- a/app/entry/entry.hpp
+++ b/app/entry/entry.hpp
@@ -80,6 +80,7 @@
     void noteMembership();
     void adopt(const std::shared_ptr<const bundle::Snapshot>& snapshot);
     void countUsage(const usage::Record& record);
+    void witness(const std::string& instance, base::Incarnation agent);
     void scheduleTick();
     void tick();
     void finishDrainWhenIdle(base::SteadyTime deadline);
--- a/app/entry/link_set.cpp
+++ b/app/entry/link_set.cpp
@@ -74,12 +74,13 @@
 } // namespace internal
 
 LinkSet::LinkSet(boost::asio::any_io_executor executor, const EntryOptions& options, Tables& tables,
-    const base::Clock& clock, HeartbeatSource& heartbeats)
+    const base::Clock& clock, HeartbeatSource& heartbeats, WitnessHandler onWitness)
     : executor { std::move(executor) }
     , options { options }
     , tables { tables }
     , clock { clock }
     , heartbeats { heartbeats }
+    , onWitness { std::move(onWitness) }
 {
 }
 
@@ -179,6 +180,7 @@
         if (const auto found = links.find(target); found != links.end())
             found->second.agent = hello.instance();
     });
+    this->onWitness(hello.instance(), base::Incarnation { hello.incarnation() });
     this->apply({ .kind = membership::EventKind::Hello,
         .target = target,
         .zone = zone,
--- a/app/entry/link_set.hpp
+++ b/app/entry/link_set.hpp
@@ -22,8 +22,11 @@
 /** Links to the agents of the targets that this entry uses. */
 class LinkSet {
 public:
+    /** Called with the process of each agent that says hello, on any thread. */
+    using WitnessHandler = std::function<void(const std::string& instance, base::Incarnation incarnation)>;
+
     LinkSet(boost::asio::any_io_executor executor, const EntryOptions& options, Tables& tables,
-        const base::Clock& clock, HeartbeatSource& heartbeats);
+        const base::Clock& clock, HeartbeatSource& heartbeats, WitnessHandler onWitness);
 
     /** Opens links to the targets of the bundle that this entry may use and closes the others. */
     void adopt(const bundle::Snapshot& snapshot);
@@ -47,6 +50,7 @@
     Tables& tables;
     const base::Clock& clock;
     HeartbeatSource& heartbeats;
+    WitnessHandler onWitness;
     base::Guarded<Links> links;
     base::Guarded<std::set<base::TargetId>> lost;
 
--- a/app/entry/request_run.cpp
+++ b/app/entry/request_run.cpp
@@ -23,8 +23,11 @@
     return options;
 }
 
-routing::Result routingResult(const delivery::AttemptEvent& event)
+routing::Result routingResult(const delivery::AttemptEvent& event, bool deadlinePassed)
 {
+    // A caller with a short deadline says nothing about the target.
+    if (event.kind == delivery::EventKind::TimedOut && deadlinePassed)
+        return routing::Result::Cancelled;
     switch (event.kind) {
     case delivery::EventKind::Complete:
         return routing::Result::Success;
@@ -170,7 +173,8 @@
     if (event.kind == delivery::EventKind::Complete)
         this->services.tables.limits.with([now](Limits& limits) { limits.shedder.served(now); });
     this->services.tables.routing.with([&](Routing& routing) {
-        routing.router.finished(attempt.target(), internal::routingResult(event), toRoutingLoad(attempt.load()), now);
+        routing.router.finished(attempt.target(), internal::routingResult(event, now >= this->request.deadline),
+            toRoutingLoad(attempt.load()), now);
         routing.waiting.served(this->request.pool(), now);
         routing.waiting.advance(routing.router, now);
     });
@@ -191,7 +195,9 @@
     ApiError error;
     error.outcome = end.outcome;
     error.reason = end.reason;
-    error.retryAfter = end.retryAfter;
+    // A request that crashes targets must not be sent again.
+    if (end.reason != base::RefusalReason::SuspectRequest)
+        error.retryAfter = end.retryAfter;
     co_await this->sink.fail(error);
     co_return result;
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -137,15 +137,25 @@
     current.pool = this->pool;
     current.parser.body_limit(this->options.maxBodyBytes);
 
+    Cancellation none;
+    auto& cancellation = sendOptions.cancellation != nullptr ? *sendOptions.cancellation : none;
+    if (cancellation.isCancelled) {
+        reason = { .code = ErrorCode::NotSent, .detail = "cancelled" };
+        co_return nullptr;
+    }
+    cancellation.stream = stream.get();
+    const auto withdraw = [&cancellation] { cancellation.stream = nullptr; };
     stream->expires_after(current.readTimeout);
     const auto [writeError, written] = co_await beast::http::async_write(*stream, request, internal::awaitResult);
     if (writeError) {
+        withdraw();
         reason = { .code = written == 0 ? ErrorCode::NotSent : ErrorCode::NoAnswer,
             .detail = "write: " + writeError.message() };
         co_return nullptr;
     }
     const auto [readError, read]
         = co_await beast::http::async_read_header(*stream, current.buffer, current.parser, internal::awaitResult);
+    withdraw();
     if (readError) {
         reason = { .code = ErrorCode::NoAnswer, .detail = "read: " + readError.message() };
         co_return nullptr;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -40,6 +40,22 @@
     std::uint64_t maxBodyBytes = 64U << 20;
 };
 
+/** Ends a request from outside, also before its answer has begun. Used on the client's executor only. */
+class Cancellation {
+public:
+    void cancel() noexcept
+    {
+        this->isCancelled = true;
+        if (this->stream != nullptr)
+            this->stream->close();
+    }
+
+private:
+    friend class Client;
+    boost::beast::tcp_stream* stream = nullptr; ///< Set while the request is sent and its head is read.
+    bool isCancelled = false;
+};
+
 struct SendOptions {
     /** Overrides the read time-out of the client. */
     std::optional<std::chrono::milliseconds> readTimeout;
@@ -48,6 +64,8 @@
      * may run only once cannot be sent again then.
      */
     bool freshConnection = false;
+    /** Must outlive the call; nullptr for none. */
+    Cancellation* cancellation = nullptr;
 };
 
 /** Reads one answer piece by piece. */
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -114,12 +114,18 @@
 Task<void> ResponseWriter::waitForDisconnect()
 {
     auto& socket = this->stream.socket();
-    const auto [waitError] = co_await socket.async_wait(asio::ip::tcp::socket::wait_read, internal::useTuple);
-    if (waitError)
-        co_return;
-    std::array<char, 1> byte {};
     beast::error_code error;
-    const auto count = socket.receive(asio::buffer(byte), asio::ip::tcp::socket::message_peek, error);
+    std::size_t count = 0;
+    // A socket can be reported as readable without being so. A blocking receive would then hold the thread.
+    socket.non_blocking(true, error);
+    error = asio::error::would_block;
+    while (error == asio::error::would_block) {
+        const auto [waitError] = co_await socket.async_wait(asio::ip::tcp::socket::wait_read, internal::useTuple);
+        if (waitError)
+            co_return;
+        std::array<char, 1> byte {};
+        count = socket.receive(asio::buffer(byte), asio::ip::tcp::socket::message_peek, error);
+    }
     if (error || count == 0)
         co_return;
     // A pipelined request is waiting; the connection is watched again once it is read.
--- a/src/logging/event.cpp
+++ b/src/logging/event.cpp
@@ -52,7 +52,7 @@
 {
     static log4cplus::Initializer initializer;
     log4cplus::SharedAppenderPtr appender { new log4cplus::ConsoleAppender(true, true) };
-    const auto pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p program=" + options.program
+    const auto pattern = "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p program=" + options.program
         + " instance=" + options.instance + " %m%n";
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_STRING_TO_TSTRING(pattern)));
     auto root = log4cplus::Logger::getRoot();
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -1,6 +1,9 @@
 #include "http/client.hpp"
 #include "http/server.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
@@ -146,6 +149,48 @@
     EXPECT_FALSE(this->request(makeRequest("GET", "/")));
 }
 
+// Guards against a watch that blocks its thread when a socket is reported as readable without being so. Before the
+// watch used a non-blocking receive, 5 of 12,533 requests on kept connections hung.
+TEST_F(ServerTest, WatchedRequestsOnKeptConnectionsAllEnd)
+{
+    constexpr int connections = 3;
+    constexpr int requestsPerConnection = 3000;
+    this->serve([](const Request&, ResponseWriter& writer) -> Task<void> {
+        const auto executor = co_await asio::this_coro::executor;
+        asio::cancellation_signal signal;
+        asio::steady_timer ended { executor, asio::steady_timer::time_point::max() };
+        bool running = true;
+        asio::co_spawn(executor, writer.waitForDisconnect(),
+            asio::bind_cancellation_slot(signal.slot(), [&running, &ended](const std::exception_ptr&) {
+                running = false;
+                ended.cancel();
+            }));
+        Response answer { .body = "ok" };
+        (void)co_await writer.send(std::move(answer));
+        signal.emit(asio::cancellation_type::all);
+        while (running)
+            co_await ended.async_wait(asio::as_tuple(asio::use_awaitable));
+    });
+    auto callMany = [this]() -> Task<int> {
+        const auto executor = co_await asio::this_coro::executor;
+        Client client { executor, ClientOptions { .server = this->endpoint } };
+        SendOptions options;
+        options.readTimeout = 5s;
+        int answered = 0;
+        for (int i = 0; i < requestsPerConnection; ++i) {
+            Error reason;
+            const auto response = co_await client.send(makeRequest("GET", "/"), options, reason);
+            answered += response ? 1 : 0;
+        }
+        co_return answered;
+    };
+    std::vector<std::future<int>> results;
+    for (int i = 0; i < connections; ++i)
+        results.push_back(asio::co_spawn(asio::make_strand(this->context), callMany, asio::use_future));
+    for (auto& result : results)
+        EXPECT_EQ(result.get(), requestsPerConnection);
+}
+
 TEST_F(ServerTest, NoticesDisconnectedCaller)
 {
     std::atomic<bool> noticed { false };
