--- a/bench/scale_bench.py
+++ b/bench/scale_bench.py
@@ -3,7 +3,8 @@
 
 Memory is VmRSS of /proc/<pid>/status. CPU is utime + stime of /proc/<pid>/stat, which counts in ticks of 10 ms, as a
 share of one core over the idle window. Control bytes are the bytes_sent of each established TCP connection in
-`ss -tiHOnp` (payload with HTTP/2 framing, without TCP/IP headers); segs_out gives the headers, 52 bytes a segment.
+`ss -tinpHO` (payload with HTTP/2 framing, without TCP/IP headers); segs_out gives the headers, 52 bytes a segment.
+bytes_received is the other direction.
 The time to force runs from just before the start of `bundle roll` to the log line bundle_in_force of each entry
 (resolution 1 ms, same clock).
 """
@@ -26,6 +27,7 @@
 from installation import ADDRESS, Installation, http, wait_until  # noqa: E402
 
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+CONNECTION_FIELDS = ("bytes_sent", "segs_out", "bytes_received")
 HEADER_BYTES = 52  # IPv4 and TCP with timestamps
 SETTLE_SECONDS = 4
 IDLE_SECONDS = 12
@@ -75,7 +77,7 @@
 
 
 def connections(pids):
-    """Established connections of the processes: (pid, local port, remote port) to (bytes sent, segments sent)."""
+    """Established connections of the processes: (pid, local port, remote port) to the connection fields."""
     output = subprocess.run(["ss", "-tinpHO", "state", "established"], capture_output=True, text=True, check=True)
     found = {}
     for line in output.stdout.splitlines():
@@ -83,7 +85,7 @@
         if not owner or int(owner.group(1)) not in pids:
             continue
         ports = [int(word.rpartition(":")[2]) for word in line.split()[2:4]]
-        counts = [re.search(rf"\b{field}:(\d+)", line) for field in ("bytes_sent", "segs_out")]
+        counts = [re.search(rf"\b{field}:(\d+)", line) for field in CONNECTION_FIELDS]
         found[(int(owner.group(1)), *ports)] = tuple(int(count.group(1)) if count else 0 for count in counts)
     return found
 
@@ -130,13 +132,16 @@
         self.links = collections.Counter()
         self.bytes = collections.Counter()
         self.segments = collections.Counter()
-        for key, (sent, segments) in last["connections"].items():
+        self.received = collections.Counter()
+        for key, counts in last["connections"].items():
             pid, local, remote = key
-            before = first["connections"].get(key, (0, 0))
+            before = first["connections"].get(key, (0,) * len(CONNECTION_FIELDS))
+            sent, segments, received = [(count - old) / self.seconds for count, old in zip(counts, before)]
             kind = kind_of(installation, local, remote)
             self.links[pid, kind] += 1
-            self.bytes[pid, kind] += (sent - before[0]) / self.seconds
-            self.segments[pid, kind] += (segments - before[1]) / self.seconds
+            self.bytes[pid, kind] += sent
+            self.segments[pid, kind] += segments
+            self.received[pid, kind] += received
 
     def mean(self, counter, pids, kinds):
         return sum(counter[pid, kind] for pid in pids for kind in kinds) / len(pids)
@@ -147,6 +152,7 @@
     for kind in kinds:
         report(f"{prefix}.links_{kind}", idle.mean(idle.links, pids, [kind]), "links", size)
         report(f"{prefix}.bytes_{kind}", idle.mean(idle.bytes, pids, [kind]), "bytes/s", size)
+        report(f"{prefix}.received_{kind}", idle.mean(idle.received, pids, [kind]), "bytes/s", size)
     report(f"{prefix}.control_bytes", idle.mean(idle.bytes, pids, kinds), "bytes/s", size, goal="<= 5000")
     report(f"{prefix}.control_bytes_max", max(sum(idle.bytes[pid, kind] for kind in kinds) for pid in pids), "bytes/s",
            size, goal="<= 5000")
