--- a/scripts/capacity_rows.py
+++ b/scripts/capacity_rows.py
@@ -23,7 +23,7 @@
 MEMORY = 128e6 / 2**20  # MiB
 STORE_READS, STORE_WRITES = 200, 30  # a tenth of 2,000 reads/s and of 300 writes/s ("several hundred")
 
-RUNS = (("scale", "scale."), ("usage", "usage_"), ("bundle", "bundle_"), ("routing", "routing."),
+RUNS = (("scale", "scale."), ("serve", "serve."), ("usage", "usage_"), ("bundle", "bundle_"), ("routing", "routing."),
         ("limit", "limit."), ("membership", "membership."), ("delivery", "delivery_"), ("suspect", "suspect_"),
         ("claim", "claim_"), ("store", "store_known"), ("expert", "expert."))
 
@@ -42,7 +42,6 @@
     against: typing.Optional[tuple] = None
     budget: typing.Optional[float] = None
     carrier: str = ""
-    scale: float = 1
     bench: str = "scale"
 
 
@@ -86,6 +85,9 @@
              "links", "bytes/s", "`agent::Agent`, `protocol::ControlStream`", AGENT_LINK_AXIS, CONTROL, HEARTBEATS),
     Measured("agent_received_entries", "bytes received by an agent from entries", "scale.agent.received_entry",
              LINKS_PER_AGENT, "links", "bytes/s", "`entry::LinkSet`", AGENT_LINK_AXIS, CONTROL, HEARTBEATS),
+    Measured("agent_bytes_max", "bytes sent by the agent with the most links", "scale.agent.control_bytes_max",
+             LINKS_PER_AGENT, "links in the mean", "bytes/s", "`agent::Agent`, `routing::chooseSubset`", AGENT_LINK_AXIS,
+             CONTROL, HEARTBEATS),
     Measured("store_reads", "table reads, idle", "scale.store_reads", ENTRIES, "entries", "1/s",
              "`bundle::Distributor` (2 readers per zone), `lease::Lease` (every entry)", None, STORE_READS,
              "reading the lease row only at the readers"),
@@ -167,13 +169,21 @@
 class Context:
     """Formatted values for the rows of text."""
 
-    def __init__(self, results, values, number):
+    def __init__(self, results, raw, number):
         self.results = results
-        self.values = values
+        self.raw = raw
         self.number = number
 
     def at_scale(self, key):
-        return self.values[key]
+        return self.number(self.raw[key])
+
+    def verdict(self, budget, *keys):
+        """Result for the largest of several values."""
+        values = [self.raw[key] for key in keys]
+        if None in values:
+            return "not measured"
+        share = 100 * max(values) / budget
+        return f"{'**does not fit yet**' if share > 100 else 'fits'} ({share:.0f}% of the budget)"
 
     def bench(self, name, size=None):
         return self.number(self.results.value(name, size))
@@ -200,21 +210,23 @@
         ("16,000 accelerators", "one group of 256 ranks measured; 62 groups at once **not measured**",
          f"62 groups × {bench('expert.planning_equal_memory.time', 256)} s of planning on one core per planning round",
          run("expert"), "`expert::Planner`; no daemon runs it yet"),
-        ("18,000 requests/s", "decisions measured; real processes under this load **not measured**",
-         f"{REQUESTS_PER_SECOND / ENTRIES:.1f} requests/s per entry, {REQUESTS_PER_SECOND / ENGINES:.0f} per agent; "
+        ("18,000 requests/s", "decisions measured; 3 entries at the load of one entry each; all 350 at once **not measured**",
+         f"CPU by requests/s per entry: entry {sizes('serve.entry.cpu')}%, agent {sizes('serve.agent.cpu')}%; share "
+         f"completed {sizes('serve.completed_share')}; {REQUESTS_PER_SECOND / ENTRIES:.1f} requests/s per entry, {REQUESTS_PER_SECOND / ENGINES:.0f} per agent; "
          f"routing {bench('routing.decision')} ns, limits {bench('limit.team_decision')} ns, admission at the agent "
          f"{bench('delivery_admit_and_finish')} ns, usage {bench('usage_cpu_per_request_entry')} ns (entry) and "
          f"{bench('usage_cpu_per_request_agent')} ns (agent) per request",
-         f"{run('routing')}, {run('limit')}, {run('delivery')}, {run('usage')}",
+         f"{run('serve')}, {run('routing')}, {run('limit')}, {run('delivery')}, {run('usage')}",
          "`routing::Router`, `limit::TeamLimiter`, `delivery::Gate`, `usage::Ledger`"),
-        ("3.8 million tokens/s", "frame check measured; relay by sockets at this rate **not measured**",
-         f"{TOKENS_PER_SECOND / ENTRIES:,.0f} tokens/s per entry, {TOKENS_PER_SECOND / ENGINES:,.0f} per agent; check of "
+        ("3.8 million tokens/s", "frame check measured; relay at the rate of 3 entries; 350 at once **not measured**",
+         f"tokens/s of 3 entries by requests/s per entry: {sizes('serve.tokens_per_second')}; {TOKENS_PER_SECOND / ENTRIES:,.0f} tokens/s per entry, {TOKENS_PER_SECOND / ENGINES:,.0f} per agent; check of "
          f"one frame, by bytes: {sizes('delivery_frame_check')} ns", run("delivery"),
          "`delivery::AnswerChecker`, `agent::AnswerRelay`"),
-        ("p95 0.95 s to first token", "**not measured** at this load; queueing simulated",
-         f"p99 queueing delay by requests/s in the model of docs/routing.md: {queueing(context)}", run("routing"),
+        ("p95 0.95 s to first token", "3 entries at the load of one entry each, idle stand-in engines; queueing simulated",
+         f"p95 by requests/s per entry: {sizes('serve.first_token_p95')} ms (no prompt processing); p99 queueing delay by requests/s in the model of docs/routing.md: {queueing(context)}", run("routing"),
          "`routing::Router`, `entry::WaitingRoom`"),
-        ("36 ms between tokens", "**not measured** on real processes", "-", "-",
+        ("36 ms between tokens", "3 entries at the load of one entry each; engines send every 30 ms",
+         f"p95 by requests/s per entry: {sizes('serve.between_tokens_p95')} ms", run("serve"),
          "`agent::AnswerRelay`, `entry::RequestRun`"),
         ("256 ranks a group, 128 experts", "measured at 32 to 256 ranks, 60 layers; not wired into a daemon",
          f"planning time by ranks: {sizes('expert.planning_equal_memory.time')} s; step header during a change "
@@ -230,20 +242,23 @@
          f"{AGENT_LINKS:.0f} links", run("routing"), "`routing::chooseSubset`, `entry::LinkSet`"),
         ("3 regions, 6 zones", "3 zones of one region measured; network delay between zones **not measured**",
          f"readers of the store at the design scale: {2 * ZONES}", run("scale"), "`bundle::Distributor`, `routing::Router`"),
-        ("3,100 changes a day in force within 8 s", "single rolls measured; extended",
-         f"slowest entry of 350: {scale('roll_max')} s; at 12,000 teams and 3 entries: "
+        ("3,100 changes a day in force within 8 s", "single rolls measured; extended. **A cold start does not fit yet**",
+         f"share of entries with a bundle 8 s after a start of all entries, by teams: "
+         f"{sizes('scale.cold_start_in_force')} (the store client's operation budget; main continues an interrupted load "
+         f"since 90d98d4, not measured here); slowest entry of 350: {scale('roll_max')} s; at 12,000 teams and 3 entries: "
          f"{bench('scale.roll_by_teams_max', TEAMS)} s; 350 entries with 12,000 teams and 2,000 targets at once "
          "**not measured**", run("scale"), "`bundle::Distributor`, `bundle::RolloutDuty`"),
         ("99.9% within 2 s inside a region (goal)", "measured share, by entries",
          f"{sizes('scale.roll_within_2s')}; samples {sizes('scale.roll_samples')} (too few to prove 99.9%)", run("scale"),
          "`bundle::Distributor`"),
         ("1.4% of a core per daemon", "idle measured and extended; under load **not measured**",
-         f"entry {scale('entry_cpu')}%, agent {scale('agent_cpu')}%", run("scale"), "`entry::LinkSet`, `agent::Agent`"),
+         f"{context.verdict(CPU, 'entry_cpu', 'agent_cpu')}; entry {scale('entry_cpu')}%, agent {scale('agent_cpu')}%", run("scale"), "`entry::LinkSet`, `agent::Agent`"),
         ("128 MB per daemon", "idle measured and extended; under load **not measured**",
-         f"entry {scale('entry_memory')} MiB by links, {scale('entry_memory_all')} MiB with teams and a full usage "
+         f"{context.verdict(MEMORY, 'entry_memory_all', 'agent_memory')}; entry {scale('entry_memory')} MiB by links, {scale('entry_memory_all')} MiB with teams and a full usage "
          f"buffer; agent {scale('agent_memory')} MiB", run("scale"), "`entry::Tables`, `usage::Ledger`"),
         ("5 KB/s of control traffic per daemon", "idle measured and extended",
-         f"entry {scale('entry_control')} bytes/s sent, {scale('entry_control_both')} in both directions; agent "
+         f"{context.verdict(CONTROL, 'entry_control', 'agent_control')}, sent bytes alone; entry "
+         f"{scale('entry_control')} bytes/s sent, {scale('entry_control_both')} in both directions; agent "
          f"{scale('agent_control')} sent, {scale('agent_control_both')} in both; without TCP/IP headers and strikes",
          f"{run('scale')}, {run('usage')}, {run('bundle')}", "`entry::HeartbeatSource`, `agent::Agent`"),
         ("37 failures a day", "behaviour tested by scripts/system-test; rate **not measured**",
@@ -262,10 +277,10 @@
         ("loss of a region link", "**not measured**; regions are not modelled beyond `zone.region`", "-", "-",
          "`bundle::Distributor`, `membership::TargetTable`"),
         ("several hundred store writes/s, under 10% used", "measured and extended; 300/s assumed",
-         f"{scale('writes_all')}/s without claims; claims up to {scale('writes_claims')}/s",
+         f"{context.verdict(STORE_WRITES, 'writes_all', 'writes_claims')}; {scale('writes_all')}/s without claims; claims up to {scale('writes_claims')}/s",
          f"{run('scale')}, {run('usage')}, {run('bundle')}", "`lease::Lease`, `usage::SegmentWriter`, `claim::GroupCommit`"),
         ("2,000 store reads/s, under 10% used", "measured and extended",
-         f"{scale('store_reads')}/s idle, by entries {sizes('scale.store_reads')}; repeats of claims **not measured**",
+         f"{context.verdict(STORE_READS, 'store_reads')}; {scale('store_reads')}/s idle, by entries {sizes('scale.store_reads')}; repeats of claims **not measured**",
          run("scale"), "`bundle::Distributor`, `lease::Lease`"),
     ]
 
@@ -275,6 +290,13 @@
     return "; ".join(f"{name.removesuffix('.queueing_delay_p99')} {context.sizes(name)}" for name in names) or "not measured"
 
 
+def usage_verdict(context):
+    minutes = context.results.value("usage_verify_day_at_peak")
+    if minutes is None:
+        return "not measured"
+    return "fits 10 min" if minutes < 10 else "**does not fit yet** (goal 10 min): verifying hours in parallel would carry it"
+
+
 def role_rows(context):
     """One row for each role: processes, leased duties, operator's tool and platform."""
     bench, scale = context.bench, context.at_scale
@@ -298,7 +320,8 @@
          f"{bench('expert.planning_equal_memory.time', 256)} s per group and plan", "not measured",
          "`expert::Planner`, `expert::WeightPacer` (libraries)", run("expert")),
         ("duty: usage summaries", "segments of one hour", "**not built** into a daemon",
-         f"a day at peak load verified in {bench('usage_verify_day_at_peak')} min on one core", "not measured",
+         f"a day at peak load verified in {bench('usage_verify_day_at_peak')} min on one core; {usage_verdict(context)}",
+         "not measured",
          "`usage::Compactor`, `usage::Verifier` (libraries)", run("usage")),
         ("operator's tool", "one bundle file",
          f"{bench('bundle_bytes_per_change')} bytes per change of one team", f"parse {bench('bundle_parse_toml')} ms, "
