--- a/bench/serve_bench.py
+++ b/bench/serve_bench.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Measures entries and agents of a small installation on loopback under streamed answers; prints JSON lines.
 
-The size is the request rate per entry in requests/s; the largest covers the design load of one entry (18,000 / 350 = 51.4), at
+The size is the request rate per entry in requests/s; the largest covers the design load of one entry (18,000 / 350), at
 which each agent of the model serves 8.7 requests/s. Each answer has 211 tokens (3.8 million / 18,000), which the
 stand-in engine sends every 30 ms. CPU and memory are read as in bench/scale_bench.py, in the middle of each run.
 """
@@ -53,7 +53,8 @@
     report("serve.completed_share", result["completed"] / result["requests"], "share", rate, goal="1")
     report("serve.acceptable", int(result["acceptable"]), "yes or no", rate, goal="1")
     report("serve.tokens_per_second", result["tokens"] / result["seconds"], "tokens/s", rate)
-    for name, field, goal in (("first_token", "first_token_ms", "<= 950"), ("between_tokens", "between_tokens_ms", "<= 36")):
+    for name, field, goal in (("first_token", "first_token_ms", "<= 950"),
+                              ("between_tokens", "between_tokens_ms", "<= 36")):
         report(f"serve.{name}_p95", result[field]["p95"], "ms", rate, goal=goal)
 
 
