--- a/scripts/capacity_rows.py
+++ b/scripts/capacity_rows.py
@@ -243,7 +243,7 @@
          f"{bench('routing.memory_per_target')} bytes per target", f"{run('routing')}, {run('membership')}",
          "`routing::chooseSubset`, `routing::Router`, `membership::TargetTable`"),
         ("16,000 accelerators", "one group of 256 ranks measured; 62 groups at once **not measured**",
-         f"62 groups × {bench('expert.planning_equal_memory.time', 256)} s of planning on one core per planning round",
+         f"62 groups × {bench('expert.planning_scarce_memory.time', 256)} s (scarce memory) of planning on one core per planning round",
          run("expert"), "`expert::Planner`; no daemon runs it yet"),
         ("18,000 requests/s", "decisions measured; 3 entries at the load of one entry each; all 350 at once **not measured**",
          f"CPU by requests/s per entry: entry {sizes('serve.entry.cpu')}%, agent {sizes('serve.agent.cpu')}%; share "
@@ -268,7 +268,10 @@
          f"p95 by requests/s per entry: {sizes('serve.between_tokens_p95')} ms", run("serve"),
          "`agent::AnswerRelay`, `entry::RequestRun`"),
         ("256 ranks a group, 128 experts", "measured at 32 to 256 ranks, 60 layers; not wired into a daemon",
-         f"planning time by ranks: {sizes('expert.planning_equal_memory.time')} s; step header during a change "
+         f"planning time by ranks: {sizes('expert.planning_equal_memory.time')} s, with scarce memory "
+         f"{sizes('expert.planning_scarce_memory.time')} s (goal 1 s) for {sizes('expert.planning_scarce_memory.moves')} "
+         f"moves; growth from 32 to 256 ranks "
+         f"{growth_verdict(context)}; step header during a change "
          f"{bench('expert.header_time_during_change')} us", run("expert"),
          "`expert::Planner`, `expert::Decider`, `expert::RankAgent`"),
         ("12,000 teams", "measured at 12,000",
@@ -336,6 +339,18 @@
     return "; ".join(f"{name.removesuffix('.queueing_delay_p99')} {context.sizes(name)}" for name in names) or "not measured"
 
 
+def growth_verdict(context):
+    texts = []
+    for case in ("equal", "scarce"):
+        name = f"expert.planning_{case}_memory.growth"
+        value, limit = context.results.value(name), context.results.baseline(name)
+        if value is None:
+            return "not measured"
+        verdict = "fits" if value <= limit else "**does not fit yet**; fewer or cheaper moves per plan would carry it"
+        texts.append(f"with {case} memory {context.number(value)} of {context.number(limit)} (n log n): {verdict}")
+    return "; ".join(texts)
+
+
 def usage_verdict(context):
     minutes = context.results.value("usage_verify_day_at_peak")
     if minutes is None:
@@ -363,7 +378,8 @@
          f"one change {bench('bundle_apply_one_change')} ms; not separable from the entry's idle CPU", "in the entry",
          "`bundle::RolloutDuty`, `lease::Lease`", f"{run('scale')}, {run('bundle')}"),
         ("duty: expert planning", "loads of 256 ranks × 128 experts × 60 layers per group", "**not built** into a daemon",
-         f"{bench('expert.planning_equal_memory.time', 256)} s per group and plan", "not measured",
+         f"{bench('expert.planning_equal_memory.time', 256)} s per group and plan, "
+         f"{bench('expert.planning_scarce_memory.time', 256)} s with scarce memory", "not measured",
          "`expert::Planner`, `expert::WeightPacer` (libraries)", run("expert")),
         ("duty: usage summaries", "segments of one hour", "**not built** into a daemon",
          f"a day at peak load verified in {bench('usage_verify_day_at_peak')} min on one core; {usage_verdict(context)}",
@@ -387,5 +403,6 @@
          "-", "-"),
         ("weight store", "transfers in the pacer's queue",
          f"paced in the library; **no daemon loads it**. Moved experts of one plan at 256 ranks: "
-         f"{bench('expert.planning_equal_memory.moves', 256)}", "-", "-", "`expert::WeightPacer`", run("expert")),
+         f"{bench('expert.planning_equal_memory.moves', 256)}, with scarce memory "
+         f"{bench('expert.planning_scarce_memory.moves', 256)}; the size of an expert is not stated", "-", "-", "`expert::WeightPacer`", run("expert")),
     ]
