--- a/scripts/capacity_rows.py
+++ b/scripts/capacity_rows.py
@@ -360,7 +360,7 @@
 
 def role_rows(context):
     """One row for each role: processes, leased duties, operator's tool and platform."""
-    bench, scale = context.bench, context.at_scale
+    bench, scale, sizes = context.bench, context.at_scale, context.sizes
     run = "`scripts/bench --only {}`".format
     return [
         ("entry", f"{AGENT_LINKS + PEER_CONNECTIONS:.0f} links, 12,000 teams, 2,000 targets, open requests",
@@ -382,7 +382,8 @@
          f"{bench('expert.planning_scarce_memory.time', 256)} s with scarce memory", "not measured",
          "`expert::Planner`, `expert::WeightPacer` (libraries)", run("expert")),
         ("duty: usage summaries", "segments of one hour", "**not built** into a daemon",
-         f"a day at peak load verified in {bench('usage_verify_day_at_peak')} min on one core; {usage_verdict(context)}",
+         f"a day at peak load verified on one core, by records read: {sizes('usage_verify_day_at_peak')} min; largest: "
+         f"{usage_verdict(context)}",
          "not measured",
          "`usage::Compactor`, `usage::Verifier` (libraries)", run("usage")),
         ("operator's tool", "one bundle file",
--- a/tests/capacity/capacity_test.py
+++ b/tests/capacity/capacity_test.py
@@ -60,6 +60,14 @@
         self.assertIn("**does not fit yet**; a carrier", cells)
         self.assertIn("fits", capacity.measured_row(results, row(1.01))[0])
 
+    def test_budget_within_the_error_is_said(self):
+        """Guards against a verdict that the fit cannot carry."""
+        results = capacity.Results([line("figure", value, size) for size, value in ((3, 3), (12, 15), (30, 30))])
+        fit = capacity.Fit(results.points("figure"))
+        for offset, said in ((0.5, True), (2, False)):
+            cells, _ = capacity.measured_row(results, row(fit.at(350) + offset * fit.error_at(350)))
+            self.assertEqual("fits (budget within the error of the fit)" in cells, said)
+
     def test_falling_line_is_not_extended(self):
         """Guards against a value below zero, or below every measured one, at the design scale."""
         results = capacity.Results([line("figure", 60 / size, size) for size in (3, 12, 30)])
