--- a/bench/scale_bench.py
+++ b/bench/scale_bench.py
@@ -34,6 +34,7 @@
 LOCAL_LINKS, REMOTE_LINKS = 16, 4  # app/entry/link_set.cpp
 SIZES = ((1, 1), (4, 3), (10, 6), (20, 12))  # entries and engines per zone and owner
 TEAM_SIZES = (2, 3000, 6000, 12000)
+READER_BYTES = 90  # bytes/s to the store; a reader of the head row sends over 120, another entry under 50
 COLD_START_SECONDS = 8  # a configuration is in force everywhere within 8 s
 
 
@@ -257,6 +258,8 @@
         idle = Idle(installation, {**entries, **agents})
         report_role("entry", idle, entries, ("agent", "peer", "store"), size)
         report_role("agent", idle, agents, ("entry", "store"), size)
+        report("scale.readers", sum(idle.bytes[pid, "store"] > READER_BYTES for pid in entries), "entries", size,
+               goal="<= 6")
         report("scale.store_reads", idle.store["table_reads"], "1/s", size, goal="< 200")
         report("scale.store_writes", idle.store["table_writes"], "1/s", size, goal="< 30")
         report("scale.object_reads", idle.store["object_reads"], "1/s", size)
--- a/scripts/capacity_rows.py
+++ b/scripts/capacity_rows.py
@@ -191,7 +191,7 @@
                ("control bytes/s sent per agent", "scale.agent.control_bytes"),
                ("largest", "scale.agent.control_bytes_max"),
                ("with TCP/IP headers", "scale.agent.control_bytes_with_headers"),
-               ("table reads/s", "scale.store_reads"), ("table writes/s", "scale.store_writes"),
+               ("entries that read the head row each second", "scale.readers"), ("table reads/s", "scale.store_reads"), ("table writes/s", "scale.store_writes"),
                ("object reads/s", "scale.object_reads"), ("object writes/s", "scale.object_writes"),
                ("roll to force, p50, s", "scale.roll_p50"), ("p99, s", "scale.roll_p99"), ("max, s", "scale.roll_max"),
                ("share within 2 s", "scale.roll_within_2s"), ("samples", "scale.roll_samples"),
