--- a/scripts/capacity_rows.py
+++ b/scripts/capacity_rows.py
@@ -373,7 +373,7 @@
          "target", f"idle {scale('agent_cpu')}% of a core", f"{scale('agent_memory')} MiB",
          "`app/agent`: `Agent`, `TargetMonitor`; `delivery::Gate`", f"{run('scale')}, {run('delivery')}"),
         ("duty: rollout", "one lease row; versions of all peers",
-         f"lease reads by every entry, in {scale('store_reads')} reads/s; "
+         f"lease reads by every entry, {ENTRIES / LEASE_READ_SECONDS:.0f} reads/s; "
          f"{bench('store_writes_per_second', ENTRIES)} writes/s with 3,100 changes a day",
          f"one change {bench('bundle_apply_one_change')} ms; not separable from the entry's idle CPU", "in the entry",
          "`bundle::RolloutDuty`, `lease::Lease`", f"{run('scale')}, {run('bundle')}"),
@@ -392,7 +392,7 @@
          f"`bundle roll` {bench('scale.roll_command', 60)} s", "not measured", "`app/ctl`, `bundle::Operations`",
          f"{run('bundle')}, {run('scale')}"),
         ("table service", "head, versions, leases, claims",
-         f"{scale('store_reads')} reads/s of 200; {scale('writes_all')} writes/s of 30 with object writes of usage; "
+         f"{scale('reads_rule')} reads/s of 200 by the rules of the code; {scale('writes_all')} writes/s of 30 with object writes of usage; "
          f"claims up to {scale('writes_claims')}/s", "platform's", "platform's", "`store::Client`",
          f"{run('scale')}, {run('bundle')}"),
         ("object store", "bundle parts, usage segments, stored answers",
