Split the entry: callers' requests and gauges are parts of their own

New metrics: bundle version, live targets and peers, waiting and open requests, usage and claim backlogs, rollout lease. Only readers of the store compete for the rollout lease, since each competitor reads its row.

--- a/app/ctl/command.hpp
+++ b/app/ctl/command.hpp
@@ -21,7 +21,6 @@
 };
 
 [[nodiscard]] std::vector<Command> bundleCommands();
-[[nodiscard]] std::vector<Command> expertCommands();
 [[nodiscard]] std::vector<Command> keyCommands();
 [[nodiscard]] std::vector<Command> statusCommands();
 [[nodiscard]] std::vector<Command> usageCommands();
--- a/app/entry/bundle_feed.cpp
+++ b/app/entry/bundle_feed.cpp
@@ -52,7 +52,24 @@
 {
     this->onMembership();
     this->distributor.start();
-    this->rolloutLease.start();
+}
+
+void BundleFeed::stop()
+{
+    this->stopped = true;
+    this->rolloutLease.stop();
+}
+
+void BundleFeed::updateLease()
+{
+    const bool wanted = this->distributor.isReader() && !this->stopped;
+    if (wanted == this->competing)
+        return;
+    this->competing = wanted;
+    if (wanted)
+        this->rolloutLease.start();
+    else
+        this->rolloutLease.stop();
 }
 
 void BundleFeed::onVersion(const std::string& peer, const base::ZoneId& zone, base::BundleVersion version)
@@ -65,6 +82,7 @@
     auto live = this->peers.liveIn(this->options.zone);
     live.push_back(this->options.instance);
     this->distributor.setLiveEntries(std::move(live));
+    this->updateLease();
 }
 
 void BundleFeed::advanceRollout() { this->rollout.update(this->replica.version(), this->peers.versions()); }
--- a/app/entry/bundle_feed.hpp
+++ b/app/entry/bundle_feed.hpp
@@ -37,7 +37,7 @@
 
     void start();
     /** Gives up the lease, so that another entry can take it at once. */
-    void stop() { this->rolloutLease.stop(); }
+    void stop();
 
     void onVersion(const std::string& peer, const base::ZoneId& zone, base::BundleVersion version);
     void onPeerGone(const std::string& peer) { this->distributor.onPeerGone(peer); }
@@ -56,6 +56,9 @@
     [[nodiscard]] bool holdsRolloutLease() const noexcept { return this->rolloutLease.held(); }
 
 private:
+    /** Lets the readers of the store, and no other entry, compete for the lease: each competitor reads its row. */
+    void updateLease();
+
     const EntryOptions& options;
     PeerSet& peers;
     bundle::Replica replica;
@@ -63,6 +66,8 @@
     lease::Lease rolloutLease;
     bundle::RolloutDuty rollout;
     bundle::Distributor distributor;
+    bool competing = false;
+    bool stopped = false;
 };
 
 } // namespace chivewinch::entry
--- a/app/entry/entry.cpp
+++ b/app/entry/entry.cpp
@@ -19,7 +19,6 @@
 constexpr std::chrono::seconds rolloutCheckInterval { 1 };
 constexpr std::chrono::milliseconds drainCheckInterval { 20 };
 constexpr std::chrono::milliseconds flushTime { 200 };
-constexpr std::chrono::seconds noBundleRetryAfter { 1 };
 
 base::Incarnation startIncarnation(const base::Clock& clock)
 {
@@ -83,12 +82,28 @@
                     .incarnation = this->incarnation },
         ownerKeys, [this](const std::shared_ptr<const bundle::Snapshot>& snapshot) { this->adopt(snapshot); } }
     , services { this->makeServices() }
+    , callers { this->services, this->claimDesk }
     , tickTimer { this->control }
     , drainTimer { this->control }
-    , completed { this->registry.counter("chivewinch_requests_done_total", "Requests answered completely") }
+    , gauges { this->registry }
 {
 }
 
+void Entry::updateGauges(std::size_t waiting)
+{
+    const auto snapshot = this->tables.snapshot.load();
+    const auto live = this->tables.membership.with(
+        [](const membership::TargetTable& table) { return table.count(membership::TargetState::Live); });
+    this->gauges.bundleVersion.Set(snapshot ? static_cast<double>(snapshot->version()) : 0);
+    this->gauges.liveTargets.Set(static_cast<double>(live));
+    this->gauges.livePeers.Set(static_cast<double>(this->peers.liveCount()));
+    this->gauges.waitingRequests.Set(static_cast<double>(waiting));
+    this->gauges.openRequests.Set(static_cast<double>(this->server->openRequests()));
+    this->gauges.usageBufferedBytes.Set(static_cast<double>(this->ledger.status().bufferedBytes));
+    this->gauges.unsettledClaimBytes.Set(static_cast<double>(this->claims.unsettledBytes()));
+    this->gauges.rolloutLease.Set(this->bundles.holdsRolloutLease() ? 1 : 0);
+}
+
 Services Entry::makeServices()
 {
     return {
@@ -214,11 +229,12 @@
         return routing.waiting.size();
     });
     this->tables.limits.with([waiting](Limits& limits) { limits.shedder.setQueued(waiting); });
-    this->usageAccepts = this->ledger.canAccept();
+    this->callers.setUsageAccepts(this->ledger.canAccept());
     this->peers.advance();
     if (now >= this->nextRolloutCheck) {
         this->nextRolloutCheck = now + internal::rolloutCheckInterval;
         this->bundles.advanceRollout();
+        this->updateGauges(waiting);
     }
 }
 
@@ -229,7 +245,7 @@
         (void)co_await writer.send(std::move(*admin));
         co_return;
     }
-    co_await this->serveCaller(request, writer);
+    co_await this->callers.serve(request, writer);
 }
 
 std::optional<http::Response> Entry::adminResponse(std::string_view path)
@@ -270,162 +286,6 @@
     return status.dump();
 }
 
-http::Task<void> Entry::serveCaller(const http::Request& request, http::ResponseWriter& writer)
-{
-    const auto id = this->requestIds.with([](base::SeededRandom& random) { return base::randomRequestId(random); });
-    auto snapshot = this->tables.snapshot.load();
-    ApiError error;
-    error.reason = base::RefusalReason::NoBundle;
-    error.retryAfter = internal::noBundleRetryAfter;
-    std::optional<CallerRequest> caller;
-    const RequestLimits limits { .defaultDeadline = this->options.defaultDeadline,
-        .maxDeadline = this->options.maxDeadline };
-    if (snapshot)
-        caller = readCallerRequest(request, std::move(snapshot), limits, this->clock, id, error);
-    if (!caller) {
-        co_await this->sendError(writer, error, base::toString(id));
-        co_return;
-    }
-    const auto refused = this->admit(*caller);
-    if (refused) {
-        co_await this->sendError(writer, *refused, caller->shownId);
-        co_return;
-    }
-    co_await this->runAdmitted(*caller, writer);
-    this->tables.limits.with([&](Limits& state) { state.teams.finished(caller->team->id, this->clock.now()); });
-}
-
-std::optional<ApiError> Entry::admit(const CallerRequest& request)
-{
-    if (!this->usageAccepts)
-        return ApiError { .reason = base::RefusalReason::UsageBacklog, .retryAfter = std::chrono::seconds { 5 } };
-    const auto decision = this->tables.limits.with([&](Limits& limits) {
-        const auto now = this->clock.now();
-        const auto priority = static_cast<std::uint8_t>(request.priority * (limit::priorityCount - 1) / 9);
-        auto decision = limits.teams.tryStart(request.team->id, now);
-        if (!decision.admitted())
-            return decision;
-        decision = limits.shedder.admit(request.team->owner, priority, now);
-        if (!decision.admitted())
-            limits.teams.cancelStart(request.team->id);
-        return decision;
-    });
-    if (decision.admitted())
-        return std::nullopt;
-    return ApiError { .reason = decision.reason, .retryAfter = decision.retryAfter };
-}
-
-http::Task<void> Entry::sendError(http::ResponseWriter& writer, const ApiError& error, const std::string& shownId)
-{
-    this->registry.refused(error.reason);
-    auto response = toResponse(error);
-    response.headers.emplace_back("X-Request-Id", shownId);
-    (void)co_await writer.send(std::move(response));
-}
-
-http::Task<void> Entry::sendAnswer(const CallerRequest& request, http::ResponseWriter& writer, http::Response answer)
-{
-    answer.headers.emplace_back("X-Request-Id", request.shownId);
-    answer.headers.emplace_back("X-Chivewinch-Outcome", base::toString(base::Outcome::Done));
-    (void)co_await writer.send(std::move(answer));
-}
-
-http::Task<void> Entry::runAdmitted(const CallerRequest& request, http::ResponseWriter& writer)
-{
-    const auto executor = co_await asio::this_coro::executor;
-    const auto channel = std::make_shared<RequestChannel>(executor);
-    DisconnectWatch watch { executor };
-    watch.start(writer, channel);
-    if (needsClaim(request)) {
-        co_await this->runClaimed(request, writer, channel);
-    } else {
-        RequestRun run { this->services, request, writer, channel };
-        auto result = co_await run.run();
-        this->noteEnd(request, result);
-        if (result.outcome == base::Outcome::Done && !writer.started())
-            co_await this->sendAnswer(request, writer, std::move(result.answer));
-    }
-    co_await watch.stop();
-}
-
-http::Task<void> Entry::runClaimed(
-    const CallerRequest& request, http::ResponseWriter& writer, std::shared_ptr<RequestChannel> channel)
-{
-    const auto claimed = co_await this->claimDesk.claim(request, channel);
-    if (const auto* granted = std::get_if<claim::Granted>(&claimed)) {
-        co_await this->runGranted(request, writer, std::move(channel), granted->nonce);
-        co_return;
-    }
-    if (const auto* repeat = std::get_if<claim::Repeat>(&claimed)) {
-        co_await this->sendRepeat(request, writer, *repeat);
-        co_return;
-    }
-    ApiError error;
-    error.retryAfter = std::chrono::seconds { 1 };
-    error.reason = base::RefusalReason::ClaimUnavailable;
-    if (std::holds_alternative<claim::Conflict>(claimed)) {
-        error.reason = base::RefusalReason::ClaimConflict;
-        error.retryAfter = {};
-    } else if (std::holds_alternative<claim::InProgress>(claimed)) {
-        error.outcome = base::Outcome::Unknown;
-        error.reason = base::RefusalReason::ClaimInProgress;
-    }
-    co_await this->sendError(writer, error, request.shownId);
-}
-
-http::Task<void> Entry::runGranted(const CallerRequest& request, http::ResponseWriter& writer,
-    std::shared_ptr<RequestChannel> channel, std::uint64_t nonce)
-{
-    RequestRun run { this->services, request, writer, std::move(channel) };
-    auto result = co_await run.run();
-    this->noteEnd(request, result);
-    claim::Settlement settlement;
-    settlement.outcome = result.outcome;
-    if (result.outcome == base::Outcome::Done)
-        settlement.answer = encodeAnswer(result.answer);
-    this->claimDesk.settle(request, nonce, std::move(settlement));
-    if (result.outcome == base::Outcome::Done)
-        co_await this->sendAnswer(request, writer, std::move(result.answer));
-}
-
-http::Task<void> Entry::sendRepeat(
-    const CallerRequest& request, http::ResponseWriter& writer, const claim::Repeat& repeat)
-{
-    std::optional<http::Response> answer;
-    if (repeat.outcome == base::Outcome::Done && repeat.answer)
-        answer = decodeAnswer(*repeat.answer);
-    if (answer) {
-        answer->headers.emplace_back("X-Chivewinch-Replayed", "true");
-        co_await this->sendAnswer(request, writer, std::move(*answer));
-        co_return;
-    }
-    ApiError error;
-    error.outcome = repeat.outcome;
-    error.reason = base::RefusalReason::ClaimInProgress;
-    error.message = repeat.outcome == base::Outcome::Done
-        ? "the first request with this idempotency key was done, but its answer was not retained"
-        : "the outcome of the first request with this idempotency key is unknown; it may have run";
-    co_await this->sendError(writer, error, request.shownId);
-}
-
-void Entry::noteEnd(const CallerRequest& request, const RequestRun::Result& result)
-{
-    const std::chrono::duration<double> elapsed = this->clock.wallNow() - request.arrived;
-    this->services.requestTime.Observe(elapsed.count());
-    if (result.outcome == base::Outcome::Done)
-        this->completed.Increment();
-    else
-        this->registry.refused(result.reason);
-    logging::Event { "request_ended" }
-        .field("request", base::toString(request.id))
-        .field("team", request.team->id)
-        .field("pool", request.pool())
-        .field("outcome", base::toString(result.outcome))
-        .field("reason", base::toString(result.reason))
-        .field("seconds", elapsed.count())
-        .debug();
-}
-
 void Entry::drain()
 {
     if (this->draining.exchange(true))
--- a/app/entry/entry.hpp
+++ b/app/entry/entry.hpp
@@ -4,15 +4,14 @@
 #include "base/random.hpp"
 #include "claim/claim_keeper.hpp"
 #include "entry/bundle_feed.hpp"
+#include "entry/caller_service.hpp"
 #include "entry/claim_desk.hpp"
-#include "entry/disconnect_watch.hpp"
+#include "entry/gauges.hpp"
 #include "entry/heartbeat_source.hpp"
 #include "entry/link_set.hpp"
 #include "entry/options.hpp"
 #include "entry/peer_set.hpp"
-#include "entry/request_run.hpp"
 #include "entry/services.hpp"
-#include "entry/stored_answer.hpp"
 #include "entry/tables.hpp"
 #include "http/server.hpp"
 #include "metrics/registry.hpp"
@@ -48,7 +47,6 @@
     boost::asio::io_context& context;
     EntryOptions options;
     base::SystemClock clock;
-    base::Guarded<base::SeededRandom> requestIds { base::entropySeed() };
     base::SeededRandom controlRandom { base::entropySeed() };
     base::Incarnation incarnation;
     metrics::Registry registry;
@@ -66,16 +64,17 @@
     PeerSet peers;
     BundleFeed bundles;
     Services services;
+    CallerService callers;
     std::shared_ptr<http::Server> server;
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer drainTimer;
-    prometheus::Counter& completed;
+    Gauges gauges;
     std::atomic<bool> draining { false };
-    std::atomic<bool> usageAccepts { true };
     std::string reason;
     base::SteadyTime nextRolloutCheck {};
 
     [[nodiscard]] Services makeServices();
+    void updateGauges(std::size_t waiting);
     [[nodiscard]] PeerHandlers peerHandlers();
     void noteMembership();
     void adopt(const std::shared_ptr<const bundle::Snapshot>& snapshot);
@@ -89,20 +88,6 @@
     [[nodiscard]] http::Task<void> handle(const http::Request& request, http::ResponseWriter& writer);
     [[nodiscard]] std::optional<http::Response> adminResponse(std::string_view path);
     [[nodiscard]] std::string statusJson();
-    [[nodiscard]] http::Task<void> serveCaller(const http::Request& request, http::ResponseWriter& writer);
-    [[nodiscard]] std::optional<ApiError> admit(const CallerRequest& request);
-    [[nodiscard]] http::Task<void> runAdmitted(const CallerRequest& request, http::ResponseWriter& writer);
-    [[nodiscard]] http::Task<void> runClaimed(
-        const CallerRequest& request, http::ResponseWriter& writer, std::shared_ptr<RequestChannel> channel);
-    [[nodiscard]] http::Task<void> runGranted(const CallerRequest& request, http::ResponseWriter& writer,
-        std::shared_ptr<RequestChannel> channel, std::uint64_t nonce);
-    [[nodiscard]] http::Task<void> sendRepeat(
-        const CallerRequest& request, http::ResponseWriter& writer, const claim::Repeat& repeat);
-    [[nodiscard]] http::Task<void> sendAnswer(
-        const CallerRequest& request, http::ResponseWriter& writer, http::Response answer);
-    [[nodiscard]] http::Task<void> sendError(
-        http::ResponseWriter& writer, const ApiError& error, const std::string& shownId);
-    void noteEnd(const CallerRequest& request, const RequestRun::Result& result);
 };
 
 } // namespace chivewinch::entry
--- /dev/null
+++ b/app/entry/gauges.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "metrics/registry.hpp"
+
+namespace chivewinch::entry {
+
+/** Values of an entry that are copied to the metrics once a second. */
+struct Gauges {
+    explicit Gauges(metrics::Registry& registry);
+
+    prometheus::Gauge& bundleVersion;
+    prometheus::Gauge& liveTargets;
+    prometheus::Gauge& livePeers;
+    prometheus::Gauge& waitingRequests;
+    prometheus::Gauge& openRequests;
+    prometheus::Gauge& usageBufferedBytes;
+    prometheus::Gauge& unsettledClaimBytes;
+    prometheus::Gauge& rolloutLease;
+};
+
+} // namespace chivewinch::entry
