Show expert plans and rank loads from recorded reports; report a target's return at once

chivewinch-ctl experts plan and show apply the planner to a bundle's map and a file of load reports. An agent sends a heartbeat as soon as its target answers, so that entries need not wait for the next interval.

--- a/app/agent/agent.cpp
+++ b/app/agent/agent.cpp
@@ -70,7 +70,9 @@
         [this](const delivery::AttemptStart& start) { return this->checkAttempt(start); } }
     , targetClient { context.get_executor(), internal::clientOptions(this->options.targetEndpoint) }
     , targetMonitor { this->targetClient, this->options.probeInterval,
-        [this](base::Incarnation ended) { this->targetCrashed(ended); } }
+        [this](base::Incarnation ended) { this->targetCrashed(ended); },
+        // Sent at once: entries wait for it to send work and to judge requests that were lost with an earlier agent.
+        [this] { this->sendHeartbeat(); } }
     , scheduler { context.get_executor() }
     , objects { context.get_executor(), internal::clientOptions(this->options.objectStore) }
     , usageLedger { internal::ledgerOptions(this->options, this->incarnation), std::move(key), this->objects,
--- a/app/agent/target_monitor.cpp
+++ b/app/agent/target_monitor.cpp
@@ -21,10 +21,12 @@
 
 } // namespace internal
 
-TargetMonitor::TargetMonitor(http::Client& client, std::chrono::milliseconds interval, CrashHandler onCrash)
+TargetMonitor::TargetMonitor(
+    http::Client& client, std::chrono::milliseconds interval, CrashHandler onCrash, UpHandler onUp)
     : client { client }
     , interval { interval }
     , onCrash { std::move(onCrash) }
+    , onUp { std::move(onUp) }
 {
 }
 
@@ -73,12 +75,15 @@
     const auto reported = static_cast<base::Incarnation>(json.value("incarnation", std::uint64_t { 0 }));
     if (this->incarnation && *this->incarnation != reported)
         this->crashed();
-    if (!this->incarnation)
-        logging::Event { "target_up" }.field("target_incarnation", static_cast<std::uint64_t>(reported)).info();
+    const bool isNew = !this->incarnation;
     this->incarnation = reported;
     this->report.set_in_flight(json.value("running", 0U));
     this->report.set_queued(json.value("queued", 0U));
     this->report.set_capacity(json.value("capacity", 0U));
+    if (isNew) {
+        logging::Event { "target_up" }.field("target_incarnation", static_cast<std::uint64_t>(reported)).info();
+        this->onUp();
+    }
     return true;
 }
 
--- a/app/agent/target_monitor.hpp
+++ b/app/agent/target_monitor.hpp
@@ -18,8 +18,9 @@
 public:
     /** Called with the incarnation of the target that ended. */
     using CrashHandler = std::function<void(base::Incarnation)>;
+    using UpHandler = std::function<void()>;
 
-    TargetMonitor(http::Client& client, std::chrono::milliseconds interval, CrashHandler onCrash);
+    TargetMonitor(http::Client& client, std::chrono::milliseconds interval, CrashHandler onCrash, UpHandler onUp);
 
     /** Probes forever. */
     [[nodiscard]] http::Task<void> run();
@@ -40,6 +41,7 @@
     http::Client& client;
     std::chrono::milliseconds interval;
     CrashHandler onCrash;
+    UpHandler onUp;
     std::optional<base::Incarnation> incarnation;
     wire::LoadReport report;
     std::uint32_t failures = 0;
--- a/app/ctl/bundle_commands.cpp
+++ b/app/ctl/bundle_commands.cpp
@@ -3,17 +3,15 @@
 #include "bundle/key_setting.hpp"
 #include "bundle/life_cycle.hpp"
 #include "bundle/operations.hpp"
-#include "bundle/parse.hpp"
+#include "ctl/bundle_file.hpp"
 #include "ctl/command.hpp"
 #include "ctl/platform.hpp"
 #include "ctl/table.hpp"
 
 #include <nlohmann/json.hpp>
 
-#include <fstream>
 #include <functional>
 #include <iostream>
-#include <sstream>
 #include <utility>
 
 namespace chivewinch::ctl {
@@ -95,25 +93,6 @@
     std::cout << renderTable(rows);
 }
 
-/** Bundle of a file, or nullopt after all its errors have been printed. */
-std::optional<bundle::Bundle> readBundle(const std::string& path)
-{
-    std::ifstream file { path };
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        std::cerr << "file " << path << " cannot be read\n";
-        return std::nullopt;
-    }
-    std::vector<bundle::ConfigError> errors;
-    auto parsed = bundle::parse(text.str(), errors);
-    for (const auto& error : errors) {
-        const auto value = error.value.empty() ? std::string {} : " (found " + error.value + ")";
-        std::cerr << error.path << value << ": " << error.fix << "\n";
-    }
-    return parsed;
-}
-
 /** Services and operations of one bundle command. */
 struct Session {
     explicit Session(const settings::Values& values, bundle::TrustedKeys keys)
--- a/app/ctl/command.hpp
+++ b/app/ctl/command.hpp
@@ -21,6 +21,7 @@
 };
 
 [[nodiscard]] std::vector<Command> bundleCommands();
+[[nodiscard]] std::vector<Command> expertCommands();
 [[nodiscard]] std::vector<Command> keyCommands();
 [[nodiscard]] std::vector<Command> statusCommands();
 [[nodiscard]] std::vector<Command> usageCommands();
--- /dev/null
+++ b/app/ctl/expert_commands.cpp
@@ -0,0 +1,132 @@
+#include "ctl/bundle_file.hpp"
+#include "ctl/command.hpp"
+#include "ctl/expert_input.hpp"
+#include "expert/planner.hpp"
+#include "expert/render.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iostream>
+
+namespace chivewinch::ctl {
+
+namespace {
+
+using settings::ValueType;
+
+constexpr std::uint64_t bytesPerMib = 1ULL << 20;
+
+/** A group with the load that its reports show. */
+struct Situation {
+    bundle::Bundle content;
+    GroupInput input;
+    expert::LoadEstimator estimator;
+};
+
+std::optional<Situation> readSituation(const settings::Values& values)
+{
+    auto content = readBundle(values.text("file"));
+    if (!content)
+        return std::nullopt;
+    std::string reason;
+    auto input = groupOf(*content, values.text("group"), reason);
+    if (!input) {
+        std::cerr << "setting group: " << reason << "\n";
+        return std::nullopt;
+    }
+    expert::LoadEstimator estimator { input->map.shape() };
+    if (!readReports(values.text("reports"), input->map, estimator, reason)) {
+        std::cerr << "setting reports: " << reason << "\n";
+        return std::nullopt;
+    }
+    return Situation { .content = std::move(*content), .input = std::move(*input), .estimator = std::move(estimator) };
+}
+
+/** Weights of the owners that share the group; each counts the same use, since a file of reports has none. */
+std::vector<expert::OwnerPolicy> policiesOf(const Situation& situation)
+{
+    std::vector<expert::OwnerPolicy> policies;
+    for (const auto& owner : situation.content.owners) {
+        const auto& only = situation.input.group.owner;
+        if (only.empty() || only == owner.id) {
+            policies.push_back({ .owner = owner.id,
+                .skewWeight = static_cast<std::uint32_t>(owner.skewWeight),
+                .costWeight = static_cast<std::uint32_t>(owner.rebalancingWeight) });
+        }
+    }
+    return policies;
+}
+
+nlohmann::ordered_json toJson(const expert::Decision& decision)
+{
+    auto charges = nlohmann::ordered_json::array();
+    for (const auto& charge : decision.charges)
+        charges.push_back({ { "owner", charge.owner }, { "bytes", charge.bytes } });
+    return { { "reason", expert::toString(decision.reason) }, { "skew_now", decision.skewNow },
+        { "skew_proposed", decision.skewProposed }, { "gain", decision.gain }, { "cost", decision.cost },
+        { "moves", decision.moves }, { "bytes", decision.bytes },
+        { "transfer_seconds", std::chrono::duration<double>(decision.transferTime).count() }, { "charges", charges } };
+}
+
+int plan(const settings::Values& values)
+{
+    const auto situation = readSituation(values);
+    if (!situation)
+        return settings::exitWrongUse;
+    expert::PlannerOptions plannerOptions;
+    plannerOptions.bytesPerExpert = situation->input.group.expertSizeMib * bytesPerMib;
+    expert::WeightPacer pacer { { .bytesPerSecond
+        = static_cast<std::uint64_t>(values.integer("weight-store-mib")) * bytesPerMib } };
+    const auto decision = expert::Planner { plannerOptions }.decide(
+        situation->input.map, situation->estimator, policiesOf(*situation), pacer, base::SteadyTime {});
+    if (values.text("output") == "json")
+        std::cout << toJson(decision).dump(2) << "\n";
+    else
+        std::cout << expert::planReport(decision);
+    return settings::exitDone;
+}
+
+int show(const settings::Values& values)
+{
+    const auto situation = readSituation(values);
+    if (!situation)
+        return settings::exitWrongUse;
+    const auto loads = expert::rankLoads(situation->input.map, situation->estimator);
+    std::cout << expert::renderBars(loads);
+    if (values.text("svg").empty())
+        return settings::exitDone;
+    const expert::PlotOptions options {
+        .title = "Load per rank of " + values.text("group"), .xLabel = "rank", .yLabel = "load / mean"
+    };
+    std::ofstream file { values.text("svg") };
+    file << expert::renderSvg(loads, options);
+    if (file.flush())
+        return settings::exitDone;
+    std::cerr << "setting svg: file " << values.text("svg") << " cannot be written\n";
+    return settings::exitFailed;
+}
+
+} // namespace
+
+std::vector<Command> expertCommands()
+{
+    const std::vector<settings::Setting> common {
+        { "file", "Bundle in TOML", ValueType::text(), std::nullopt },
+        { "group", "Model group", ValueType::text(), std::nullopt },
+        { "reports", "Load reports, one JSON object per line", ValueType::text(), std::nullopt },
+    };
+    auto planSettings = common;
+    planSettings.push_back({ "weight-store-mib", "MiB per second that rebalancing may read from the weight store",
+        ValueType::integer(1, 1'000'000), "1000" });
+    planSettings.push_back(outputSetting());
+    auto showSettings = common;
+    showSettings.push_back({ "svg", "File for the chart as SVG; empty for none", ValueType::text(), "" });
+    return {
+        { "experts plan", "shows what a new expert map would gain and cost, without changing anything", planSettings,
+            &plan },
+        { "experts show", "draws the load per rank under the map of a bundle", showSettings, &show },
+    };
+}
+
+} // namespace chivewinch::ctl
--- a/app/ctl/main.cpp
+++ b/app/ctl/main.cpp
@@ -15,7 +15,7 @@
 std::vector<Command> allCommands()
 {
     std::vector<Command> all;
-    for (const auto& group : { keyCommands(), bundleCommands(), statusCommands(), usageCommands() })
+    for (const auto& group : { keyCommands(), bundleCommands(), statusCommands(), usageCommands(), expertCommands() })
         all.insert(all.end(), group.begin(), group.end());
     return all;
 }
