--- a/app/agent/agent.cpp
+++ b/app/agent/agent.cpp
@@ -1,5 +1,7 @@
 #include "agent/agent.hpp"
 
+#include "daemon/identity.hpp"
+#include "http/listen.hpp"
 #include "logging/event.hpp"
 #include "protocol/convert.hpp"
 
@@ -20,12 +22,6 @@
 // Lets the last answers and the goodbye leave before the sockets are closed.
 constexpr std::chrono::milliseconds flushTime { 200 };
 
-base::Incarnation startIncarnation(const base::Clock& clock)
-{
-    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::nanoseconds>(clock.wallNow().time_since_epoch());
-    return base::Incarnation { static_cast<std::uint64_t>(sinceEpoch.count()) };
-}
-
 http::ClientOptions clientOptions(const settings::Endpoint& server)
 {
     http::ClientOptions options;
@@ -63,7 +59,7 @@
 Agent::Agent(asio::io_context& context, AgentOptions agentOptions, usage::SigningKey key)
     : context { context }
     , options { std::move(agentOptions) }
-    , incarnation { internal::startIncarnation(this->systemClock) }
+    , incarnation { daemon::startIncarnation(this->systemClock) }
     , strikes { this->systemClock }
     , targetGuard { this->strikes, this->options.target, internal::guardOptions() }
     , attemptGate { this->systemClock, this->incarnation, internal::gateOptions(this->options),
@@ -85,7 +81,7 @@
 
 bool Agent::start()
 {
-    if (!this->listen())
+    if (!http::listen(this->acceptor, this->options.listen, this->reason))
         return false;
     http::ServerOptions serverOptions;
     serverOptions.listen = this->options.httpListen;
@@ -110,22 +106,6 @@
     return true;
 }
 
-bool Agent::listen()
-{
-    boost::system::error_code error;
-    const Tcp::endpoint endpoint { asio::ip::make_address(this->options.listen.address), this->options.listen.port };
-    this->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        this->acceptor.set_option(asio::socket_base::reuse_address { true }, error);
-    if (!error)
-        this->acceptor.bind(endpoint, error);
-    if (!error)
-        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        this->reason = "cannot listen on " + settings::toString(this->options.listen) + ": " + error.message();
-    return !error;
-}
-
 void Agent::accept()
 {
     this->acceptor.async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
--- a/app/agent/agent.hpp
+++ b/app/agent/agent.hpp
@@ -82,7 +82,6 @@
     bool draining = false;
     bool closing = false;
 
-    [[nodiscard]] bool listen();
     void accept();
     void adopt(boost::asio::ip::tcp::socket socket);
     [[nodiscard]] std::shared_ptr<transport::StreamObserver> acceptStream(
--- a/app/agent/main.cpp
+++ b/app/agent/main.cpp
@@ -1,4 +1,5 @@
 #include "agent/agent.hpp"
+#include "daemon/identity.hpp"
 #include "logging/event.hpp"
 #include "settings/program.hpp"
 
@@ -11,31 +12,18 @@
 
 namespace {
 
-std::optional<usage::SigningKey> usageKey(const AgentOptions& options)
-{
-    if (options.usageKey.empty()) {
-        auto fresh = usage::SigningKey::generate();
-        const auto& bytes = fresh.publicKey();
-        const std::string_view raw { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
-        logging::Event { "usage_key_generated" }.field("public_key", usage::toHex(raw)).warning();
-        return fresh;
-    }
-    usage::Error reason;
-    auto key = usage::SigningKey::fromHex(options.usageKey, reason);
-    if (!key)
-        std::cerr << "setting usage-key: " << reason.detail << "\n";
-    return key;
-}
-
 int run(const settings::Values& values)
 {
     const auto options = agentOptions(values);
     logging::configure({ .level = logging::parseLevel(values.text("log-level")),
         .program = "chivewinch-agent",
         .instance = options.instance });
-    auto key = usageKey(options);
-    if (!key)
+    std::string reason;
+    auto key = daemon::usageKey(options.usageKey, reason);
+    if (!key) {
+        std::cerr << reason << "\n";
         return settings::exitWrongUse;
+    }
     boost::asio::io_context context { 1 };
     Agent agent { context, options, std::move(*key) };
     if (!agent.start()) {
--- a/app/entry/entry.cpp
+++ b/app/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry.hpp"
 
+#include "daemon/identity.hpp"
 #include "logging/event.hpp"
 
 #include <boost/asio/bind_executor.hpp>
@@ -20,12 +21,6 @@
 constexpr std::chrono::milliseconds drainCheckInterval { 20 };
 constexpr std::chrono::milliseconds flushTime { 200 };
 
-base::Incarnation startIncarnation(const base::Clock& clock)
-{
-    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::nanoseconds>(clock.wallNow().time_since_epoch());
-    return base::Incarnation { static_cast<std::uint64_t>(sinceEpoch.count()) };
-}
-
 http::ClientOptions clientOptions(const settings::Endpoint& server)
 {
     http::ClientOptions options;
@@ -56,7 +51,7 @@
     asio::io_context& context, EntryOptions entryOptions, usage::SigningKey key, const bundle::TrustedKeys& ownerKeys)
     : context { context }
     , options { std::move(entryOptions) }
-    , incarnation { internal::startIncarnation(this->clock) }
+    , incarnation { daemon::startIncarnation(this->clock) }
     , tables { this->options, this->clock }
     , control { asio::make_strand(context) }
     , scheduler { this->control }
--- a/app/entry/main.cpp
+++ b/app/entry/main.cpp
@@ -1,4 +1,5 @@
 #include "bundle/key_setting.hpp"
+#include "daemon/identity.hpp"
 #include "entry/entry.hpp"
 #include "logging/event.hpp"
 #include "settings/program.hpp"
@@ -14,20 +15,14 @@
 
 namespace {
 
-std::optional<usage::SigningKey> usageKey(const EntryOptions& options)
+std::optional<bundle::TrustedKeys> readOwnerKeys(const std::string& text, std::string& reason)
 {
-    if (options.usageKey.empty()) {
-        auto fresh = usage::SigningKey::generate();
-        const auto& bytes = fresh.publicKey();
-        const std::string_view raw { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
-        logging::Event { "usage_key_generated" }.field("public_key", usage::toHex(raw)).warning();
-        return fresh;
-    }
-    usage::Error reason;
-    auto key = usage::SigningKey::fromHex(options.usageKey, reason);
-    if (!key)
-        std::cerr << "setting usage-key: " << reason.detail << "\n";
-    return key;
+    bundle::Error error { .code = bundle::ErrorCode::Invalid, .detail = "no key is given" };
+    auto keys = bundle::parseTrustedKeys(text, error);
+    if (keys && !keys->empty())
+        return keys;
+    reason = "setting owner-keys: " + error.detail;
+    return std::nullopt;
 }
 
 void runWorkers(boost::asio::io_context& context, std::size_t count)
@@ -44,12 +39,11 @@
     logging::configure({ .level = logging::parseLevel(values.text("log-level")),
         .program = "chivewinch-entry",
         .instance = options.instance });
-    auto key = usageKey(options);
-    bundle::Error reason;
-    const auto ownerKeys = bundle::parseTrustedKeys(options.ownerKeys, reason);
-    if (!key || !ownerKeys || ownerKeys->empty()) {
-        if (key)
-            std::cerr << "setting owner-keys: " << (ownerKeys ? "no key is given" : reason.detail) << "\n";
+    std::string reason;
+    auto key = daemon::usageKey(options.usageKey, reason);
+    const auto ownerKeys = readOwnerKeys(options.ownerKeys, reason);
+    if (!key || !ownerKeys) {
+        std::cerr << reason << "\n";
         return settings::exitWrongUse;
     }
     boost::asio::io_context context { static_cast<int>(options.workers) };
--- a/app/entry/peer_set.cpp
+++ b/app/entry/peer_set.cpp
@@ -63,23 +63,6 @@
 {
 }
 
-bool PeerSet::listen()
-{
-    boost::system::error_code error;
-    const auto& address = this->options.peerListen;
-    const Tcp::endpoint endpoint { asio::ip::make_address(address.address), address.port };
-    this->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        this->acceptor.set_option(asio::socket_base::reuse_address { true }, error);
-    if (!error)
-        this->acceptor.bind(endpoint, error);
-    if (!error)
-        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        this->reason = "cannot listen on " + settings::toString(address) + ": " + error.message();
-    return !error;
-}
-
 void PeerSet::start()
 {
     this->accept();
--- a/app/entry/peer_set.hpp
+++ b/app/entry/peer_set.hpp
@@ -3,6 +3,7 @@
 #include "bundle/peer_exchange.hpp"
 #include "entry/heartbeat_source.hpp"
 #include "entry/link.hpp"
+#include "http/listen.hpp"
 #include "membership/target_table.hpp"
 #include "protocol/control_stream.hpp"
 #include "transport/session.hpp"
@@ -39,7 +40,7 @@
         PeerHandlers handlers);
 
     /** False with a last reason if the address cannot be bound. */
-    [[nodiscard]] bool listen();
+    [[nodiscard]] bool listen() { return http::listen(this->acceptor, this->options.peerListen, this->reason); }
     [[nodiscard]] const std::string& lastReason() const noexcept { return this->reason; }
     void start();
     void stop();
--- /dev/null
+++ b/src/daemon/fwd.hpp
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "base/fwd.hpp"
+#include "usage/fwd.hpp"
--- /dev/null
+++ b/src/http/listen.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "settings/value_type.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+
+namespace chivewinch::http {
+
+/** Opens, binds and starts an acceptor; false and a reason if the address cannot be used. */
+[[nodiscard]] bool listen(
+    boost::asio::ip::tcp::acceptor& acceptor, const settings::Endpoint& address, std::string& reason);
+
+} // namespace chivewinch::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.hpp"
 
+#include "http/listen.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -84,19 +86,8 @@
 
 std::optional<settings::Endpoint> Server::start()
 {
-    beast::error_code error;
-    const Tcp::endpoint endpoint { asio::ip::make_address(this->options.listen.address), this->options.listen.port };
-    this->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        this->acceptor.set_option(asio::socket_base::reuse_address { true }, error);
-    if (!error)
-        this->acceptor.bind(endpoint, error);
-    if (!error)
-        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        this->reason = "cannot listen on " + settings::toString(this->options.listen) + ": " + error.message();
+    if (!listen(this->acceptor, this->options.listen, this->reason))
         return std::nullopt;
-    }
     const auto bound = this->acceptor.local_endpoint();
     asio::co_spawn(
         this->acceptor.get_executor(), [self = this->shared_from_this()] { return self->accept(); }, asio::detached);
