Survive malformed usage options and failing handlers

Cause: a stream_options.include_usage that is no boolean made the JSON library throw in the agent's coroutine, which then never ended: the attempt kept its place at the gate. Found by reading. The option is checked, an exception ends the attempt as broken, and a handler that throws ends its request.

--- a/app/agent/attempt_run.cpp
+++ b/app/agent/attempt_run.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace chivewinch::agent {
@@ -35,11 +36,11 @@
     auto& options = json["stream_options"];
     if (!options.is_object())
         options = nlohmann::ordered_json::object();
-    const bool asked = options.value("include_usage", false);
-    if (asked)
+    const auto asked = options.find("include_usage");
+    if (asked != options.end() && asked->is_boolean() && asked->get<bool>())
         return true;
     options["include_usage"] = true;
-    body = json.dump();
+    body = json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
     return false;
 }
 
@@ -128,7 +129,13 @@
     (void)self;
     this->armDeadline();
     std::optional<AnswerRelay> relay;
-    const auto ending = co_await this->runOnTarget(relay);
+    Ending ending;
+    try {
+        ending = co_await this->runOnTarget(relay);
+    } catch (const std::exception& error) {
+        // Without an end the attempt would keep its place at the gate.
+        ending.detail = error.what();
+    }
     this->deadlineTimer.cancel();
     this->conclude(ending, relay ? &*relay : nullptr);
     this->agent.removeRun(this->key.attempt);
--- a/app/agent/target_monitor.cpp
+++ b/app/agent/target_monitor.cpp
@@ -69,17 +69,21 @@
 bool TargetMonitor::noteAnswer(const std::string& body)
 {
     const auto json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object())
+    if (!json.is_object() || !json.contains("incarnation") || !json["incarnation"].is_number_unsigned())
         return false;
     this->failures = 0;
-    const auto reported = static_cast<base::Incarnation>(json.value("incarnation", std::uint64_t { 0 }));
+    const auto count = [&json](const char* name) {
+        const auto found = json.find(name);
+        return found != json.end() && found->is_number_unsigned() ? found->get<std::uint32_t>() : 0U;
+    };
+    const auto reported = static_cast<base::Incarnation>(json["incarnation"].get<std::uint64_t>());
     if (this->incarnation && *this->incarnation != reported)
         this->crashed();
     const bool isNew = !this->incarnation;
     this->incarnation = reported;
-    this->report.set_in_flight(json.value("running", 0U));
-    this->report.set_queued(json.value("queued", 0U));
-    this->report.set_capacity(json.value("capacity", 0U));
+    this->report.set_in_flight(count("running"));
+    this->report.set_queued(count("queued"));
+    this->report.set_capacity(count("capacity"));
     if (isNew) {
         logging::Event { "target_up" }.field("target_incarnation", static_cast<std::uint64_t>(reported)).info();
         this->onUp();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <array>
+#include <exception>
 #include <utility>
 
 namespace chivewinch::http {
@@ -41,6 +42,7 @@
     { "body_too_large", 413, "the request body is too large" },
     { "too_slow", 0, "" },
     { "too_many_connections", 503, "too many connections" },
+    { "handler_failed", 500, "" },
 } };
 
 BadInput classify(const beast::error_code& error)
@@ -183,7 +185,13 @@
         if (this->draining)
             writer.closeAfter();
         connection->stream.expires_never();
-        co_await this->handler(*request, writer);
+        try {
+            co_await this->handler(*request, writer);
+        } catch (const std::exception&) {
+            // The caller sees a cut connection; the count of open requests must stay right for a drain.
+            this->onBadInput(BadInput::HandlerFailed);
+            writer.abort();
+        }
         --this->requests;
         reusable = writer.reusable() && !this->draining;
     }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -33,8 +33,16 @@
     std::chrono::milliseconds writeTimeout { std::chrono::seconds { 30 } };
 };
 
-/** Kinds of input that are refused before a handler sees the request. */
-enum class BadInput : std::uint8_t { Malformed, HeaderTooLarge, BodyTooLarge, TooSlow, TooManyConnections, Count };
+/** Why a request was not served: refused before a handler saw it, or its handler failed. */
+enum class BadInput : std::uint8_t {
+    Malformed,
+    HeaderTooLarge,
+    BodyTooLarge,
+    TooSlow,
+    TooManyConnections,
+    HandlerFailed, ///< The handler threw an exception, which is a fault of the program.
+    Count
+};
 
 [[nodiscard]] std::string_view toString(BadInput kind) noexcept;
 
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <stdexcept>
 #include <thread>
 
 namespace chivewinch::http {
@@ -191,6 +192,20 @@
         EXPECT_EQ(result.get(), requestsPerConnection);
 }
 
+// Guards against a count of open requests that stays above zero and delays every drain to its time-out.
+TEST_F(ServerTest, FailedHandlerEndsItsRequest)
+{
+    this->serve([](const Request&, ResponseWriter&) -> Task<void> {
+        throw std::runtime_error { "fault" };
+        co_return;
+    });
+    EXPECT_FALSE(this->request(makeRequest("GET", "/")));
+    EXPECT_EQ(this->bad(BadInput::HandlerFailed), 1);
+    for (int i = 0; i < 200 && this->server->openRequests() > 0; ++i)
+        std::this_thread::sleep_for(5ms);
+    EXPECT_EQ(this->server->openRequests(), 0U);
+}
+
 TEST_F(ServerTest, NoticesDisconnectedCaller)
 {
     std::atomic<bool> noticed { false };
