--- a/app/entry/entry.cpp
+++ b/app/entry/entry.cpp
@@ -297,9 +297,15 @@
 
 void Entry::finishDrainWhenIdle(base::SteadyTime deadline)
 {
-    if (this->server->openRequests() == 0 || this->clock.now() >= deadline) {
-        if (this->server->openRequests() > 0)
-            logging::Event { "drain_timeout" }.field("open_requests", this->server->openRequests()).warning();
+    // A claim that is not settled would answer later repeats with an unknown outcome.
+    const bool idle = this->server->openRequests() == 0 && this->claims.keys() == 0;
+    if (idle || this->clock.now() >= deadline) {
+        if (!idle) {
+            logging::Event { "drain_timeout" }
+                .field("open_requests", this->server->openRequests())
+                .field("unsettled_claims", this->claims.keys())
+                .warning();
+        }
         this->closeLedger();
         return;
     }
