Skip the comparison of candidates that are all allowed; remove an unused function

Each request compared every candidate with every allowed target, although nearly always all are allowed: the square of the zone's targets. Registry::refusedCount had no caller. Checked: metrics and entry tests, crashing-request, kill-agents and drain-entries.

--- a/app/entry/target_chooser.cpp
+++ b/app/entry/target_chooser.cpp
@@ -67,6 +67,9 @@
         return result;
     });
     Suspicion suspicion { .refusal = placement.refusal, .wait = placement.retryAfter, .excluded = this->excluded };
+    // Nearly every request may run on all candidates; comparing them would cost the square of their number.
+    if (placement.targets.size() == targets.size())
+        return suspicion;
     for (const auto& target : targets) {
         if (std::ranges::find(placement.targets, target) == placement.targets.end())
             suspicion.excluded.push_back(target);
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -34,11 +34,6 @@
     }
 }
 
-double Registry::refusedCount(base::RefusalReason reason) const
-{
-    return this->refusals[static_cast<std::size_t>(reason)]->Value();
-}
-
 prometheus::Counter& Registry::counter(
     const std::string& name, const std::string& help, const prometheus::Labels& labels)
 {
--- a/src/metrics/registry.hpp
+++ b/src/metrics/registry.hpp
@@ -22,7 +22,6 @@
 
     void refused(base::RefusalReason reason) { this->refusals[static_cast<std::size_t>(reason)]->Increment(); }
     void retried(base::RetryReason reason) { this->retries[static_cast<std::size_t>(reason)]->Increment(); }
-    [[nodiscard]] double refusedCount(base::RefusalReason reason) const;
 
     [[nodiscard]] prometheus::Counter& counter(
         const std::string& name, const std::string& help, const prometheus::Labels& labels = {});
