Plan evenly shared experts and activate maps behind a held step

Engines that divide an expert's tokens evenly between its ranks, obey orders late and compare no maps need a planner and an activation of their own. The exploration visits all states of 3 ranks with lost and late orders, a restarted agent and a new epoch, and finds mixed maps when the hold, the armed check or the completion of a begun change is switched off.

--- /dev/null
+++ b/src/expert/even_plan.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace chivewinch::expert {
+
+/**
+ * Experts of one layer by rank, for engines whose ranks divide the tokens of an expert evenly between the ranks that
+ * hold it. Experts of a rank are in ascending order.
+ */
+using LayerHolding = std::vector<std::vector<std::uint16_t>>;
+
+struct EvenPlanOptions {
+    std::uint32_t slotsPerRank = 0;
+    std::uint32_t maxNewPerRank = 0; ///< Experts that a rank may load beside those that it has.
+    std::uint32_t maxChanges = 48; ///< Bound on the search.
+    /** Least relative improvement of the objective for one more loaded expert; a dropped one costs nothing. */
+    double minImprovement = 0.01;
+
+    bool operator==(const EvenPlanOptions&) const = default;
+};
+
+struct EvenPlan {
+    LayerHolding holding;
+    double skewBefore = 1; ///< Largest rank load divided by the mean.
+    double skewAfter = 1;
+    std::uint32_t loaded = 0; ///< Experts that ranks must load.
+
+    bool operator==(const EvenPlan&) const = default;
+};
+
+/** Largest rank load divided by the mean; 1 without any load. */
+[[nodiscard]] double evenSkew(const LayerHolding& holding, std::span<const double> loads);
+
+/** Searches for replicas that make the ranks even, one change at a time. Every expert keeps at least one rank. */
+[[nodiscard]] EvenPlan improveEvenly(
+    const LayerHolding& holding, std::span<const double> loads, const EvenPlanOptions& options);
+
+} // namespace chivewinch::expert
--- /dev/null
+++ b/src/expert/held_activation.cpp
@@ -0,0 +1,183 @@
+#include "expert/held_activation.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace chivewinch::expert {
+
+namespace internal {
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(MapOrderKind::Count)> orderNames { "prepare", "hold",
+    "arm", "release" };
+constexpr std::array<std::string_view, static_cast<std::size_t>(ActivationPhase::Count)> phaseNames { "idle",
+    "preparing", "holding", "arming", "releasing" };
+
+} // namespace internal
+
+std::string_view toString(MapOrderKind kind) noexcept { return internal::orderNames[static_cast<std::size_t>(kind)]; }
+
+std::string_view toString(ActivationPhase phase) noexcept
+{
+    return internal::phaseNames[static_cast<std::size_t>(phase)];
+}
+
+void HeldActivation::enter(ActivationPhase phase, base::SteadyTime now) noexcept
+{
+    this->current = phase;
+    this->phaseSince = now;
+}
+
+void HeldActivation::begin(std::uint64_t version, std::uint64_t groupEpoch, base::SteadyTime now) noexcept
+{
+    this->target = version;
+    this->epoch = groupEpoch;
+    this->step = 0;
+    this->enter(ActivationPhase::Preparing, now);
+}
+
+MapOrder HeldActivation::order(std::uint32_t rank, MapOrderKind kind) const noexcept
+{
+    const bool needsVersion = kind == MapOrderKind::Prepare || kind == MapOrderKind::Arm;
+    return { .rank = rank,
+        .kind = kind,
+        .epoch = this->epoch,
+        .version = needsVersion ? this->target : 0,
+        .step = kind == MapOrderKind::Prepare ? 0 : this->step };
+}
+
+bool HeldActivation::isOver(const States& ranks) const
+{
+    // The engines forget everything in a new epoch and refuse what was ordered in the earlier one.
+    return std::ranges::any_of(ranks, [this](const auto& rank) { return rank && rank->epoch > this->epoch; });
+}
+
+void HeldActivation::recover(const States& ranks, base::SteadyTime now)
+{
+    if (!ranks.front() || !ranks.front()->held)
+        return;
+    const auto& first = *ranks.front();
+    this->epoch = first.epoch;
+    this->step = *first.held;
+    this->largestStep = std::max(this->largestStep, this->step);
+    const bool allKnown
+        = std::ranges::all_of(ranks, [&first](const auto& rank) { return rank && rank->epoch == first.epoch; });
+    if (!allKnown)
+        return;
+    // Ranks are armed only after all of them have loaded the same map. Otherwise no rank can have been armed for the
+    // held step, and it can be released. If they may have been, only the completion of the change is safe.
+    const bool samePrepared = first.prepared
+        && std::ranges::all_of(ranks, [&first](const auto& rank) { return rank->prepared == first.prepared; });
+    const bool mayBeArmed = samePrepared && *first.prepared != first.version;
+    this->target = first.prepared.value_or(0);
+    this->enter(
+        mayBeArmed && this->options.checks.pushForward ? ActivationPhase::Arming : ActivationPhase::Releasing, now);
+}
+
+HeldActivation::States HeldActivation::ofThisEpoch(States ranks) const
+{
+    for (auto& rank : ranks) {
+        if (rank && rank->epoch != this->epoch)
+            rank.reset();
+    }
+    return ranks;
+}
+
+std::vector<MapOrder> HeldActivation::advance(States reported, base::SteadyTime now)
+{
+    if (reported.empty())
+        return {};
+    if (this->current != ActivationPhase::Idle && this->isOver(reported))
+        this->enter(ActivationPhase::Idle, now);
+    if (this->current == ActivationPhase::Idle)
+        this->recover(reported, now);
+    const auto ranks = this->ofThisEpoch(std::move(reported));
+    switch (this->current) {
+    case ActivationPhase::Idle:
+        return {};
+    case ActivationPhase::Preparing:
+        return this->prepare(ranks, now);
+    case ActivationPhase::Holding:
+        return this->hold(ranks, now);
+    case ActivationPhase::Arming:
+        return this->arm(ranks, now);
+    case ActivationPhase::Releasing:
+        return this->release(ranks, now);
+    case ActivationPhase::Count:
+        break;
+    }
+    return {};
+}
+
+std::vector<MapOrder> HeldActivation::prepare(const States& ranks, base::SteadyTime now)
+{
+    std::vector<MapOrder> orders;
+    for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
+        if (!ranks[rank] || ranks[rank]->prepared != this->target)
+            orders.push_back(this->order(rank, MapOrderKind::Prepare));
+    }
+    if (orders.empty()) {
+        this->enter(ActivationPhase::Holding, now);
+        return this->hold(ranks, now);
+    }
+    // Only a loaded map is left behind, which the next change replaces.
+    if (now - this->phaseSince >= this->options.prepareTimeout)
+        this->enter(ActivationPhase::Idle, now);
+    return orders;
+}
+
+std::vector<MapOrder> HeldActivation::hold(const States& ranks, base::SteadyTime now)
+{
+    if (!ranks.front())
+        return {};
+    const auto& first = *ranks.front();
+    if (this->step != 0 && first.held == this->step) {
+        this->enter(ActivationPhase::Arming, now);
+        return this->arm(ranks, now);
+    }
+    if (first.held) {
+        // Late order of a predecessor. No rank is armed yet, so the step can go on.
+        auto orders = std::vector { this->order(0, MapOrderKind::Release) };
+        orders.front().step = *first.held;
+        this->largestStep = std::max(this->largestStep, *first.held);
+        return orders;
+    }
+    if (this->step == 0 || first.step >= this->step) {
+        // A step is never held twice: a late order to release it could meet the second hold.
+        this->step = std::max(first.step, this->largestStep) + this->options.lead;
+        this->largestStep = this->step;
+    }
+    if (!this->options.checks.holdFirst)
+        this->enter(ActivationPhase::Arming, now);
+    return { this->order(0, MapOrderKind::Hold) };
+}
+
+std::vector<MapOrder> HeldActivation::arm(const States& ranks, base::SteadyTime now)
+{
+    std::vector<MapOrder> orders;
+    const ArmedMap wanted { .version = this->target, .step = this->step };
+    for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
+        if (!ranks[rank] || ranks[rank]->armed != wanted)
+            orders.push_back(this->order(rank, MapOrderKind::Arm));
+    }
+    if (!orders.empty() && this->options.checks.allArmed)
+        return orders;
+    this->enter(ActivationPhase::Releasing, now);
+    auto releases = this->release(ranks, now);
+    orders.insert(orders.end(), releases.begin(), releases.end());
+    return orders;
+}
+
+std::vector<MapOrder> HeldActivation::release(const States& ranks, base::SteadyTime now)
+{
+    if (!ranks.front())
+        return {};
+    if (ranks.front()->held == this->step)
+        return { this->order(0, MapOrderKind::Release) };
+    // Released, and the group has begun the step: the change is complete.
+    if (ranks.front()->step >= this->step)
+        this->enter(ActivationPhase::Idle, now);
+    return {};
+}
+
+} // namespace chivewinch::expert
--- /dev/null
+++ b/tests/expert/held_activation_exploration_test.cpp
@@ -0,0 +1,322 @@
+#include "expert/held_activation.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <iostream>
+#include <set>
+#include <string>
+#include <unordered_set>
+
+namespace chivewinch::expert {
+namespace {
+
+using base::SteadyTime;
+
+/** What one run of the exploration may contain. */
+struct Bounds {
+    std::uint32_t ranks = 3;
+    std::uint64_t steps = 5;
+    std::uint32_t changes = 2;
+    std::uint32_t restarts = 1;
+    std::uint32_t crashes = 1;
+    std::size_t maxStates = 12'000'000;
+};
+
+/** Engine of one rank: obeys orders as the platform's pages say, and never compares maps or planners. */
+struct Engine {
+    std::uint64_t version = 0;
+    std::uint64_t largestVersion = 0;
+    std::uint64_t prepared = 0;
+    ArmedMap armed;
+    std::uint64_t held = 0;
+
+    auto operator<=>(const Engine&) const = default;
+};
+
+/** The whole system: three engines, orders on their way, and the agent of the first rank. */
+struct World {
+    std::vector<Engine> engines;
+    std::uint64_t epoch = 1;
+    std::uint64_t step = 0;
+    std::set<MapOrder> onTheWay;
+    HeldActivation activation;
+    SteadyTime now;
+    std::uint32_t changes = 0;
+    std::uint32_t restarts = 0;
+    std::uint32_t crashes = 0;
+    bool mixed = false;
+
+    World(const HeldActivationOptions& options, std::uint32_t ranks, SteadyTime start)
+        : engines(ranks)
+        , activation { options }
+        , now { start }
+    {
+    }
+
+    [[nodiscard]] std::vector<std::optional<RankMapState>> reports(std::uint32_t silent) const
+    {
+        std::vector<std::optional<RankMapState>> all;
+        for (std::uint32_t rank = 0; rank < this->engines.size(); ++rank) {
+            const auto& engine = this->engines[rank];
+            RankMapState state { .epoch = this->epoch, .open = true, .step = this->step, .version = engine.version };
+            if (engine.prepared != 0)
+                state.prepared = engine.prepared;
+            if (engine.armed.version != 0)
+                state.armed = engine.armed;
+            if (engine.held != 0)
+                state.held = engine.held;
+            all.emplace_back(rank == silent ? std::nullopt : std::optional { state });
+        }
+        return all;
+    }
+
+    void execute(const MapOrder& order)
+    {
+        auto& engine = this->engines[order.rank];
+        if (order.epoch != this->epoch)
+            return;
+        const bool begun = order.step <= this->step;
+        if (order.kind == MapOrderKind::Prepare) {
+            if (engine.armed.version == 0 && order.version > engine.largestVersion)
+                engine.prepared = engine.largestVersion = order.version;
+        } else if (order.kind == MapOrderKind::Hold) {
+            if (engine.held == 0 && !begun)
+                engine.held = order.step;
+        } else if (order.kind == MapOrderKind::Arm) {
+            if (engine.prepared == order.version && !begun)
+                engine.armed = { .version = order.version, .step = order.step };
+        } else if (engine.held == order.step) {
+            engine.held = 0;
+        }
+    }
+
+    [[nodiscard]] bool canStep() const
+    {
+        return std::ranges::none_of(
+            this->engines, [this](const auto& engine) { return engine.held == this->step + 1; });
+    }
+
+    void beginStep()
+    {
+        ++this->step;
+        for (auto& engine : this->engines) {
+            if (engine.armed.step == this->step && engine.armed.version != 0) {
+                engine.version = engine.armed.version;
+                engine.armed = {};
+            }
+            this->mixed = this->mixed || engine.version != this->engines.front().version;
+        }
+    }
+
+    void crash()
+    {
+        ++this->epoch;
+        ++this->crashes;
+        for (auto& engine : this->engines)
+            engine = { .largestVersion = engine.largestVersion };
+    }
+
+    [[nodiscard]] std::string key(const Bounds& bounds) const
+    {
+        std::string text;
+        const auto add = [&text](std::uint64_t value) { text += static_cast<char>(value); };
+        for (const auto& engine : this->engines) {
+            add(engine.version);
+            add(engine.largestVersion);
+            add(engine.prepared);
+            add(engine.armed.version);
+            add(engine.armed.step);
+            add(engine.held);
+        }
+        add(this->epoch);
+        add(this->step);
+        for (const auto& order : this->onTheWay) {
+            add(order.rank * 8 + static_cast<std::uint64_t>(order.kind));
+            add(order.epoch);
+            add(order.version);
+            add(order.step);
+        }
+        add(0xFF);
+        add(static_cast<std::uint64_t>(this->activation.phase()));
+        add(this->activation.version());
+        add(this->activation.heldStep());
+        add(this->activation.idle() ? 1 : 0);
+        add(this->changes + this->restarts * (bounds.changes + 1));
+        add(this->crashes);
+        return text;
+    }
+};
+
+struct Result {
+    std::size_t states = 0;
+    bool complete = true;
+    bool mixed = false;
+    bool changed = false; ///< Some run brought a new map into use everywhere.
+};
+
+/** Visits all states that are reachable within the bounds. */
+class Exploration {
+public:
+    Exploration(HeldActivationOptions options, Bounds bounds)
+        : options { options }
+        , bounds { bounds }
+    {
+    }
+
+    Result run()
+    {
+        const SteadyTime start { std::chrono::hours { 1 } };
+        World first { this->options, this->bounds.ranks, start };
+        this->add(std::move(first));
+        while (!this->open.empty() && !this->result.mixed) {
+            const auto world = std::move(this->open.front());
+            this->open.pop_front();
+            this->expand(world);
+        }
+        this->result.states = this->seen.size();
+        return this->result;
+    }
+
+private:
+    HeldActivationOptions options;
+    Bounds bounds;
+    std::deque<World> open;
+    std::unordered_set<std::string> seen;
+    Result result;
+
+    void add(World world)
+    {
+        this->result.mixed = this->result.mixed || world.mixed;
+        this->result.changed = this->result.changed
+            || std::ranges::all_of(world.engines, [](const auto& engine) { return engine.version != 0; });
+        if (this->seen.size() >= this->bounds.maxStates) {
+            this->result.complete = false;
+            return;
+        }
+        if (this->seen.insert(world.key(this->bounds)).second)
+            this->open.push_back(std::move(world));
+    }
+
+    void expand(const World& world)
+    {
+        this->advanceAgent(world);
+        for (const auto& order : world.onTheWay) {
+            auto lost = world;
+            lost.onTheWay.erase(order);
+            auto executed = lost;
+            executed.execute(order);
+            this->add(std::move(lost));
+            this->add(std::move(executed));
+        }
+        if (world.step < this->bounds.steps && world.canStep()) {
+            auto next = world;
+            next.beginStep();
+            this->add(std::move(next));
+        }
+        this->disturb(world);
+    }
+
+    void advanceAgent(const World& world)
+    {
+        // Without a silent rank, and with each rank silent in turn.
+        for (std::uint32_t silent = 0; silent <= this->bounds.ranks; ++silent) {
+            auto next = world;
+            for (const auto& order : next.activation.advance(next.reports(silent), next.now))
+                next.onTheWay.insert(order);
+            this->add(std::move(next));
+        }
+        if (world.changes < this->bounds.changes && world.activation.idle()) {
+            auto next = world;
+            ++next.changes;
+            next.activation.begin(next.changes, next.epoch, next.now);
+            this->add(std::move(next));
+        }
+    }
+
+    void disturb(const World& world)
+    {
+        if (world.restarts < this->bounds.restarts) {
+            auto next = world;
+            ++next.restarts;
+            next.activation = HeldActivation { this->options };
+            this->add(std::move(next));
+        }
+        if (world.crashes < this->bounds.crashes) {
+            auto next = world;
+            next.crash();
+            this->add(std::move(next));
+        }
+    }
+};
+
+HeldActivationOptions exploredOptions() { return { .lead = 1 }; }
+
+Result explore(const std::string& name, const HeldActivationOptions& options, const Bounds& bounds)
+{
+    const auto result = Exploration { options, bounds }.run();
+    std::cout << name << ": " << result.states << " states" << (result.complete ? "" : " (bound reached)")
+              << (result.mixed ? ", mixed maps found" : "") << std::endl;
+    return result;
+}
+
+// Guards against ranks of one group running a step with different maps, whatever happens to orders and processes.
+TEST(HeldActivationExploration, NoStepMixesMapsInOneChange)
+{
+    const auto result = explore("3 ranks, one change, restart of the agent, new epoch", exploredOptions(),
+        { .ranks = 3, .steps = 3, .changes = 1 });
+    EXPECT_FALSE(result.mixed);
+    EXPECT_TRUE(result.complete);
+    EXPECT_TRUE(result.changed);
+}
+
+// Guards against late orders of the first change that take effect during the second one.
+TEST(HeldActivationExploration, NoStepMixesMapsInTwoChanges)
+{
+    const auto result = explore("2 ranks, two changes, restart of the agent", exploredOptions(),
+        { .ranks = 2, .steps = 4, .changes = 2, .crashes = 0 });
+    EXPECT_FALSE(result.mixed);
+    EXPECT_TRUE(result.complete);
+    EXPECT_TRUE(result.changed);
+}
+
+// Guards against orders of an earlier epoch that take effect in the next one.
+TEST(HeldActivationExploration, NoStepMixesMapsAfterANewEpoch)
+{
+    const auto result = explore(
+        "2 ranks, two changes, new epoch", exploredOptions(), { .ranks = 2, .steps = 4, .changes = 2, .restarts = 0 });
+    EXPECT_FALSE(result.mixed);
+    EXPECT_TRUE(result.complete);
+    EXPECT_TRUE(result.changed);
+}
+
+// Guards against a mechanism that protects nothing: without it the exploration must find mixed maps.
+TEST(HeldActivationExploration, TheHoldIsNeeded)
+{
+    auto options = exploredOptions();
+    options.checks.holdFirst = false;
+    EXPECT_TRUE(
+        explore("no hold", options, { .ranks = 2, .steps = 3, .changes = 1, .restarts = 0, .crashes = 0 }).mixed);
+}
+
+TEST(HeldActivationExploration, AllRanksMustBeArmed)
+{
+    auto options = exploredOptions();
+    options.checks.allArmed = false;
+    EXPECT_TRUE(explore(
+        "release before all are armed", options, { .ranks = 2, .steps = 3, .changes = 1, .restarts = 0, .crashes = 0 })
+                    .mixed);
+}
+
+TEST(HeldActivationExploration, ABegunChangeMustBeCompleted)
+{
+    auto options = exploredOptions();
+    options.checks.pushForward = false;
+    EXPECT_TRUE(
+        explore("release instead of completion", options, { .ranks = 2, .steps = 3, .changes = 1, .crashes = 0 })
+            .mixed);
+}
+
+} // namespace
+} // namespace chivewinch::expert
