Keep the expert map of a group even from the agent of its first rank

Cause: passes of the 16 ranks took as long as the rank with 3.0 to 3.4 times the mean expert load, so streams were late and the group was full. Change: agents read their engine's counts; the first rank's agent plans and activates maps.

--- /dev/null
+++ b/src/group/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace chivewinch::group {
+
+class CountWindow;
+class GroupAgent;
+class GroupPort;
+struct Member;
+struct MemberReport;
+
+} // namespace chivewinch::group
--- /dev/null
+++ b/src/group/group_agent.cpp
@@ -0,0 +1,355 @@
+#include "group/group_agent.hpp"
+
+#include "group/codec.hpp"
+#include "group/run_all.hpp"
+#include "logging/event.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewinch::group {
+
+namespace asio = boost::asio;
+using expert::ActivationPhase;
+
+namespace internal {
+
+constexpr const char* countsPath = "/counts";
+constexpr const char* expertsPath = "/experts";
+constexpr std::size_t maxConnections = 64;
+
+// An agent answers from its own machine's engine; a missing answer only makes the popularity less exact.
+constexpr std::chrono::milliseconds peerTimeout { 300 };
+
+// The version is the wall time in milliseconds followed by random bits: two processes never give one version to two
+// maps, and a later process gives a larger one.
+constexpr std::uint64_t randomVersions = 1'024;
+
+} // namespace internal
+
+GroupAgent::GroupAgent(asio::io_context& context, GroupAgentOptions given, const base::Clock& clock,
+    base::RandomSource& random, GroupPort& port)
+    : context { context }
+    , options { std::move(given) }
+    , clock { clock }
+    , random { random }
+    , port { port }
+    , changes { this->registry.counter("chivewinch_map_changes_total", "Expert maps brought into use") }
+    , activation { this->options.activation }
+    , timer { context }
+{
+}
+
+GroupAgent::~GroupAgent() = default;
+
+std::shared_ptr<http::Server> GroupAgent::makeServer(const settings::Endpoint& listen)
+{
+    auto made = std::make_shared<http::Server>(
+        this->context.get_executor(),
+        http::ServerOptions { .listen = listen, .maxConnections = internal::maxConnections },
+        [this](const http::Request& request, http::ResponseWriter& writer) { return this->serve(request, writer); },
+        [](http::BadInput kind) { logging::Event { "bad_input" }.field("reason", http::toString(kind)).info(); });
+    if (made->start())
+        return made;
+    this->reason = made->lastReason();
+    return nullptr;
+}
+
+bool GroupAgent::start()
+{
+    this->server = this->makeServer(this->options.listen);
+    if (!this->server)
+        return false;
+    if (this->options.metrics) {
+        this->metricsServer = this->makeServer(*this->options.metrics);
+        if (!this->metricsServer)
+            return false;
+    }
+    logging::Event { "start" }
+        .field("engine", settings::toString(this->options.engine))
+        .field("listen", settings::toString(this->options.listen))
+        .info();
+    asio::co_spawn(this->context, this->run(), asio::detached);
+    return true;
+}
+
+void GroupAgent::drain()
+{
+    this->isDraining = true;
+    logging::Event { "drain" }.field("phase", expert::toString(this->activation.phase())).info();
+    this->timer.cancel();
+}
+
+http::Task<void> GroupAgent::run()
+{
+    while (!this->isDraining || !this->activation.idle()) {
+        const auto pause = co_await this->step();
+        if (this->isDraining && this->activation.idle())
+            break;
+        this->timer.expires_after(pause);
+        (void)co_await this->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    logging::Event { "stop" }.info();
+    this->context.stop();
+}
+
+http::Task<std::chrono::milliseconds> GroupAgent::step()
+{
+    const auto own = co_await this->port.report(this->options.engine);
+    if (!own || own->rank != 0 || own->size < 2 || !own->maps.open) {
+        if (this->group && (!own || own->rank != 0))
+            this->group.reset();
+        co_return this->options.otherRankInterval;
+    }
+    const bool joined = co_await this->joinGroup(*own);
+    if (!joined)
+        co_return this->options.interval;
+    if (!this->activation.idle() || own->maps.held) {
+        co_await this->activate(*own);
+        co_return this->options.busyInterval;
+    }
+    this->noteEnd(*own);
+    if (!this->group)
+        co_return this->options.busyInterval;
+    co_await this->readCounts();
+    this->planChange();
+    co_return this->activation.idle() ? this->options.interval : std::chrono::milliseconds { 1 };
+}
+
+http::Task<bool> GroupAgent::joinGroup(const MemberReport& own)
+{
+    if (this->group && this->group->name == own.group && this->group->epoch == own.maps.epoch)
+        co_return true;
+    this->group.reset();
+    this->planned.reset();
+    if (!this->limits) {
+        this->limits = co_await this->port.limits();
+        if (!this->limits)
+            co_return false;
+    }
+    auto members = co_await this->port.members(own.group);
+    if (!members)
+        co_return false;
+    std::erase_if(*members, [&own](const auto& member) { return member.epoch != own.maps.epoch; });
+    std::ranges::sort(*members, {}, &Member::rank);
+    for (std::uint32_t rank = 0; rank < own.size; ++rank) {
+        if (members->size() != own.size || (*members)[rank].rank != rank)
+            co_return false;
+    }
+    this->group.emplace(Group { .name = own.group,
+        .epoch = own.maps.epoch,
+        .members = std::move(*members),
+        .map = {},
+        .window = CountWindow { own.size, *this->limits, this->options.halfLife } });
+    logging::Event { "group" }.field("group", own.group).field("epoch", own.maps.epoch).field("ranks", own.size).info();
+    const bool known = co_await this->readMap();
+    if (!known)
+        this->group.reset();
+    co_return known;
+}
+
+http::Task<std::optional<std::string>> GroupAgent::askPeer(const Member& member, const char* path)
+{
+    auto& client = this->peers[member.endpoint.address];
+    if (!client) {
+        client = std::make_shared<http::Client>(this->context.get_executor(),
+            http::ClientOptions { .server = { .address = member.endpoint.address, .port = this->options.listen.port },
+                .connectTimeout = internal::peerTimeout,
+                .readTimeout = internal::peerTimeout,
+                .maxIdleConnections = 1 });
+    }
+    const auto kept = client;
+    http::Error error;
+    const http::SendOptions send;
+    const auto response = co_await kept->send(http::makeRequest("GET", path), send, error);
+    if (!response || response->status != 200)
+        co_return std::nullopt;
+    co_return response->body;
+}
+
+http::Task<bool> GroupAgent::readMap()
+{
+    const auto ranks = this->group->members.size();
+    std::vector<std::optional<RankExperts>> found(ranks);
+    std::vector<http::Task<void>> tasks;
+    const auto read = [this](const Member& member, std::optional<RankExperts>& result) -> http::Task<void> {
+        const auto body = co_await this->askPeer(member, internal::expertsPath);
+        if (body)
+            result = decodeExperts(*body);
+    };
+    for (std::size_t rank = 0; rank < ranks; ++rank)
+        tasks.push_back(read(this->group->members[rank], found[rank]));
+    co_await runAll(this->context.get_executor(), std::move(tasks));
+    GroupMap map(this->limits->layers, expert::LayerHolding(ranks));
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        const auto& experts = found[rank];
+        if (!experts || experts->epoch != this->group->epoch || experts->version != found.front()->version
+            || experts->layers.size() != this->limits->layers) {
+            logging::Event { "map_unknown" }.field("rank", rank).info();
+            co_return false;
+        }
+        for (std::size_t layer = 0; layer < experts->layers.size(); ++layer) {
+            map[layer][rank] = experts->layers[layer];
+            std::ranges::sort(map[layer][rank]);
+        }
+    }
+    this->group->map = std::move(map);
+    co_return true;
+}
+
+http::Task<void> GroupAgent::readCounts()
+{
+    std::vector<http::Task<void>> tasks;
+    const auto read = [this](const Member& member) -> http::Task<void> {
+        const auto body = co_await this->askPeer(member, internal::countsPath);
+        const auto counts = body ? decodeCounts(*body) : std::nullopt;
+        if (counts && this->group && counts->epoch == this->group->epoch)
+            this->group->window.add(member.rank, *counts, this->clock.now());
+    };
+    for (const auto& member : this->group->members)
+        tasks.push_back(read(member));
+    co_await runAll(this->context.get_executor(), std::move(tasks));
+}
+
+std::uint64_t GroupAgent::nextVersion(std::uint64_t inUse)
+{
+    const auto wall = std::chrono::floor<std::chrono::milliseconds>(this->clock.wallNow().time_since_epoch()).count();
+    const auto fromClock
+        = static_cast<std::uint64_t>(wall) * internal::randomVersions + this->random.below(internal::randomVersions);
+    // The wall clock can jump back.
+    return std::max({ fromClock, this->lastVersion + 1, inUse + 1 });
+}
+
+void GroupAgent::planChange()
+{
+    const auto now = this->clock.now();
+    if (this->isDraining || now - this->lastChange < this->options.minBetweenChanges)
+        return;
+    auto plan = planMap(this->group->map, this->group->window, *this->limits, this->options.planner);
+    if (!plan)
+        return;
+    this->lastVersion = this->nextVersion(this->lastVersion);
+    this->lastChange = now;
+    logging::Event { "map_change" }
+        .field("version", this->lastVersion)
+        .field("epoch", this->group->epoch)
+        .field("skew", plan->skewBefore)
+        .field("skew_planned", plan->skewAfter)
+        .field("copies", plan->loaded)
+        .info();
+    this->planned = std::move(plan);
+    this->accepted.clear();
+    this->activation.begin(this->lastVersion, this->group->epoch, now);
+}
+
+http::Task<void> GroupAgent::readState(const Member& member, std::vector<std::optional<expert::RankMapState>>& states)
+{
+    const auto report = co_await this->port.report(member.endpoint);
+    if (report && report->group == this->group->name && report->rank == member.rank)
+        states[member.rank] = report->maps;
+}
+
+http::Task<void> GroupAgent::activate(const MemberReport& own)
+{
+    std::vector<std::optional<expert::RankMapState>> states(this->group->members.size());
+    std::vector<http::Task<void>> reads;
+    for (const auto& member : this->group->members) {
+        if (member.rank != 0)
+            reads.push_back(this->readState(member, states));
+    }
+    co_await runAll(this->context.get_executor(), std::move(reads));
+    // Read before the others: a step that had not begun then may have begun by now, never the other way round.
+    states.front() = own.maps;
+    this->isChanging = true;
+    const auto orders = this->activation.advance(states, this->clock.now());
+    this->logPhase();
+    static const GroupMap noMap;
+    const auto& map = this->planned ? this->planned->map : noMap;
+    std::vector<http::Task<void>> tasks;
+    for (const auto& order : orders) {
+        if (this->isDue(order))
+            tasks.push_back(this->sendOrder(order, map));
+    }
+    co_await runAll(this->context.get_executor(), std::move(tasks));
+}
+
+bool GroupAgent::isDue(const expert::MapOrder& order) const
+{
+    const auto found = this->accepted.find(order);
+    return found == this->accepted.end() || this->clock.now() - found->second >= this->options.repeatAfter;
+}
+
+http::Task<void> GroupAgent::sendOrder(expert::MapOrder order, const GroupMap& map)
+{
+    const bool isAccepted = co_await this->port.order(this->group->members[order.rank], order, map);
+    if (isAccepted)
+        this->accepted[order] = this->clock.now();
+    logging::Event { "map_order" }
+        .field("kind", expert::toString(order.kind))
+        .field("rank", order.rank)
+        .field("version", order.version)
+        .field("step", order.step)
+        .field("accepted", isAccepted)
+        .info();
+}
+
+void GroupAgent::logPhase()
+{
+    const auto phase = this->activation.phase();
+    if (std::exchange(this->loggedPhase, phase) == phase)
+        return;
+    logging::Event { "map_phase" }
+        .field("phase", expert::toString(phase))
+        .field("version", this->activation.version())
+        .field("step", this->activation.heldStep())
+        .info();
+}
+
+void GroupAgent::noteEnd(const MemberReport& own)
+{
+    if (!std::exchange(this->isChanging, false))
+        return;
+    if (!this->planned) {
+        // The change was begun by an earlier process, which alone knew the map.
+        this->group.reset();
+        return;
+    }
+    const bool inUse = own.maps.version == this->lastVersion;
+    if (inUse) {
+        this->group->map = this->planned->map;
+        this->changes.Increment();
+    }
+    logging::Event { "map_change_end" }.field("version", this->lastVersion).field("in_use", inUse).info();
+    this->planned.reset();
+}
+
+http::Task<void> GroupAgent::serve(const http::Request& request, http::ResponseWriter& writer)
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned notFound = 404;
+    constexpr unsigned unavailable = 503;
+    const auto path = http::pathOf(request);
+    http::Response response { .status = notFound };
+    if (path == this->options.metricsPath) {
+        response = { .status = ok, .contentType = "text/plain; version=0.0.4", .body = this->registry.text() };
+    } else if (path == internal::countsPath || path == internal::expertsPath) {
+        response.status = unavailable;
+        if (path == internal::expertsPath) {
+            const auto experts = co_await this->port.experts(this->options.engine);
+            if (experts)
+                response = { .status = ok, .body = encode(*experts) };
+        } else {
+            const auto counts = co_await this->port.counts(this->options.engine);
+            if (counts)
+                response = { .status = ok, .body = encode(*counts) };
+        }
+    }
+    (void)co_await writer.send(std::move(response));
+}
+
+} // namespace chivewinch::group
--- /dev/null
+++ b/src/group/group_agent.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/random.hpp"
+#include "expert/held_activation.hpp"
+#include "group/count_window.hpp"
+#include "group/group_port.hpp"
+#include "group/map_planner.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+#include "metrics/registry.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivewinch::group {
+
+struct GroupAgentOptions {
+    std::string instance;
+    settings::Endpoint engine; ///< Engine of this machine.
+    settings::Endpoint listen; ///< For the other agents; they use the same port.
+    std::optional<settings::Endpoint> metrics;
+    std::string metricsPath = "/metrics";
+    std::chrono::milliseconds interval { 500 }; ///< Between two readings of the counts.
+    std::chrono::milliseconds busyInterval { 100 }; ///< Between two readings of the ranks during a change.
+    /** An accepted order whose effect no report shows is repeated after this time; reports are some 200 ms old. */
+    std::chrono::milliseconds repeatAfter { 600 };
+    std::chrono::milliseconds otherRankInterval { 1'000 }; ///< Between two looks whether this is the first rank.
+    /** Popularity that lasts shorter than this is not worth a change. */
+    std::chrono::milliseconds halfLife { 1'000 };
+    std::chrono::milliseconds minBetweenChanges { 1'500 };
+    MapPlannerOptions planner;
+    expert::HeldActivationOptions activation;
+};
+
+/**
+ * Agent beside the engine of one rank. It reads the counts of its engine for the agent of the first rank, which plans
+ * and activates the maps of the group. Runs on one thread.
+ */
+class GroupAgent {
+public:
+    GroupAgent(boost::asio::io_context& context, GroupAgentOptions options, const base::Clock& clock,
+        base::RandomSource& random, GroupPort& port);
+    GroupAgent(const GroupAgent&) = delete;
+    GroupAgent& operator=(const GroupAgent&) = delete;
+    ~GroupAgent();
+
+    /** False and a last reason if an address cannot be bound. */
+    [[nodiscard]] bool start();
+    [[nodiscard]] const std::string& lastReason() const noexcept { return this->reason; }
+
+    /** Begins no further change and ends when none is under way. */
+    void drain();
+
+private:
+    /** What the first rank's agent knows about the group in one epoch. */
+    struct Group {
+        std::string name;
+        std::uint64_t epoch = 0;
+        std::vector<Member> members; ///< By rank.
+        GroupMap map; ///< In use.
+        CountWindow window;
+    };
+
+    boost::asio::io_context& context;
+    GroupAgentOptions options;
+    const base::Clock& clock;
+    base::RandomSource& random;
+    GroupPort& port;
+    metrics::Registry registry;
+    prometheus::Counter& changes;
+    std::optional<EngineLimits> limits;
+    std::optional<Group> group;
+    expert::HeldActivation activation;
+    expert::ActivationPhase loggedPhase = expert::ActivationPhase::Idle;
+    std::optional<PlannedMap> planned;
+    std::uint64_t lastVersion = 0;
+    base::SteadyTime lastChange {};
+    std::map<expert::MapOrder, base::SteadyTime> accepted; ///< Orders of the present change, by time.
+    std::map<std::string, std::shared_ptr<http::Client>> peers;
+    std::shared_ptr<http::Server> server;
+    std::shared_ptr<http::Server> metricsServer;
+    boost::asio::steady_timer timer;
+    bool isChanging = false;
+    bool isDraining = false;
+    std::string reason;
+
+    [[nodiscard]] http::Task<void> run();
+    /** Time until the next step. */
+    [[nodiscard]] http::Task<std::chrono::milliseconds> step();
+    [[nodiscard]] http::Task<bool> joinGroup(const MemberReport& own);
+    [[nodiscard]] http::Task<bool> readMap();
+    [[nodiscard]] http::Task<void> readCounts();
+    [[nodiscard]] http::Task<void> activate(const MemberReport& own);
+    [[nodiscard]] http::Task<void> readState(
+        const Member& member, std::vector<std::optional<expert::RankMapState>>& states);
+    [[nodiscard]] http::Task<void> sendOrder(expert::MapOrder order, const GroupMap& map);
+    [[nodiscard]] bool isDue(const expert::MapOrder& order) const;
+    void planChange();
+    void noteEnd(const MemberReport& own);
+    void logPhase();
+    [[nodiscard]] std::uint64_t nextVersion(std::uint64_t inUse);
+    [[nodiscard]] http::Task<std::optional<std::string>> askPeer(const Member& member, const char* path);
+    [[nodiscard]] http::Task<void> serve(const http::Request& request, http::ResponseWriter& writer);
+    [[nodiscard]] std::shared_ptr<http::Server> makeServer(const settings::Endpoint& listen);
+};
+
+} // namespace chivewinch::group
--- /dev/null
+++ b/src/group/group_port.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/id.hpp"
+#include "expert/even_plan.hpp"
+#include "expert/held_activation.hpp"
+#include "http/message.hpp"
+#include "settings/value_type.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivewinch::group {
+
+/** Engine of one rank. */
+struct Member {
+    base::TargetId id;
+    settings::Endpoint endpoint;
+    std::uint64_t epoch = 0;
+    std::uint32_t rank = 0;
+
+    auto operator<=>(const Member&) const = default;
+};
+
+/** What an engine says about itself. */
+struct MemberReport {
+    std::string group;
+    std::uint32_t rank = 0;
+    std::uint32_t size = 0; ///< Ranks of the group.
+    expert::RankMapState maps;
+
+    bool operator==(const MemberReport&) const = default;
+};
+
+/** Tokens that the requests of one rank have sent to each expert since its engine started. */
+struct ExpertCounts {
+    std::uint64_t epoch = 0;
+    std::vector<std::uint64_t> tokens; ///< By layer, then by expert.
+
+    bool operator==(const ExpertCounts&) const = default;
+};
+
+/** Experts of one rank by layer, in the map that it uses. */
+struct RankExperts {
+    std::uint64_t epoch = 0;
+    std::uint64_t version = 0;
+    std::vector<std::vector<std::uint16_t>> layers;
+
+    bool operator==(const RankExperts&) const = default;
+};
+
+/** Limits of the engines of a pool. */
+struct EngineLimits {
+    std::uint32_t layers = 0;
+    std::uint32_t experts = 0; ///< Per layer.
+    std::uint32_t slotsPerRank = 0; ///< Experts that a rank holds in each layer.
+    std::uint32_t newPerChange = 0; ///< Experts that a rank may load in each layer in one change.
+
+    bool operator==(const EngineLimits&) const = default;
+};
+
+/** Experts by layer and rank. */
+using GroupMap = std::vector<expert::LayerHolding>;
+
+/** Access to the engines of a group and to the list of its members; nullopt or false when there is no answer. */
+class GroupPort {
+public:
+    GroupPort() = default;
+    GroupPort(const GroupPort&) = delete;
+    GroupPort& operator=(const GroupPort&) = delete;
+    virtual ~GroupPort() = default;
+
+    [[nodiscard]] virtual http::Task<std::optional<MemberReport>> report(settings::Endpoint engine) = 0;
+    /** Free for the engine of this machine only. */
+    [[nodiscard]] virtual http::Task<std::optional<ExpertCounts>> counts(settings::Endpoint engine) = 0;
+    /** Free for the engine of this machine only. */
+    [[nodiscard]] virtual http::Task<std::optional<RankExperts>> experts(settings::Endpoint engine) = 0;
+    /** True if the engine states that the order has begun or is done. The map is used by Prepare only. */
+    [[nodiscard]] virtual http::Task<bool> order(Member member, expert::MapOrder order, const GroupMap& map) = 0;
+
+    [[nodiscard]] virtual http::Task<std::optional<std::vector<Member>>> members(std::string group) = 0;
+    [[nodiscard]] virtual http::Task<std::optional<EngineLimits>> limits() = 0;
+};
+
+} // namespace chivewinch::group
