--- a/src/expert/held_activation.cpp
+++ b/src/expert/held_activation.cpp
@@ -32,7 +32,7 @@
 {
     this->target = version;
     this->epoch = groupEpoch;
-    this->step = 0;
+    this->chooseStep(0);
     this->enter(ActivationPhase::Preparing, now);
 }
 
@@ -52,14 +52,44 @@
     return std::ranges::any_of(ranks, [this](const auto& rank) { return rank && rank->epoch > this->epoch; });
 }
 
+void HeldActivation::chooseStep(std::uint64_t chosen)
+{
+    this->step = chosen;
+    this->largestStep = std::max(this->largestStep, chosen);
+    this->holdConfirmed = false;
+    this->releaseConfirmed = false;
+    this->armedRanks.clear();
+}
+
+void HeldActivation::appendState(std::string& out) const
+{
+    out += static_cast<char>(this->holdConfirmed ? 1 : 0);
+    out += static_cast<char>(this->releaseConfirmed ? 1 : 0);
+    out += static_cast<char>(this->largestStep);
+    for (const auto rank : this->armedRanks)
+        out += static_cast<char>(rank);
+}
+
+void HeldActivation::confirm(const MapOrder& order)
+{
+    if (order.epoch != this->epoch || order.step != this->step)
+        return;
+    if (order.kind == MapOrderKind::Hold)
+        this->holdConfirmed = true;
+    else if (order.kind == MapOrderKind::Release)
+        this->releaseConfirmed = true;
+    else if (order.kind == MapOrderKind::Arm && order.version == this->target && !this->isArmed(order.rank))
+        this->armedRanks.insert(std::ranges::lower_bound(this->armedRanks, order.rank), order.rank);
+}
+
 void HeldActivation::recover(const States& ranks, base::SteadyTime now)
 {
     if (!ranks.front() || !ranks.front()->held)
         return;
     const auto& first = *ranks.front();
     this->epoch = first.epoch;
-    this->step = *first.held;
-    this->largestStep = std::max(this->largestStep, this->step);
+    this->chooseStep(*first.held);
+    this->holdConfirmed = true;
     const bool allKnown
         = std::ranges::all_of(ranks, [&first](const auto& rank) { return rank && rank->epoch == first.epoch; });
     if (!allKnown)
@@ -131,7 +161,8 @@
     if (!ranks.front())
         return {};
     const auto& first = *ranks.front();
-    if (this->step != 0 && first.held == this->step) {
+    if (this->step != 0 && (this->holdConfirmed || first.held == this->step)) {
+        this->holdConfirmed = true;
         this->enter(ActivationPhase::Arming, now);
         return this->arm(ranks, now);
     }
@@ -142,11 +173,9 @@
         this->largestStep = std::max(this->largestStep, *first.held);
         return orders;
     }
-    if (this->step == 0 || first.step >= this->step) {
-        // A step is never held twice: a late order to release it could meet the second hold.
-        this->step = std::max(first.step, this->largestStep) + this->options.lead;
-        this->largestStep = this->step;
-    }
+    // A step is never held twice: a late order to release it could meet the second hold.
+    if (this->step == 0 || first.step >= this->step)
+        this->chooseStep(std::max(first.step, this->largestStep) + this->options.lead);
     if (!this->options.checks.holdFirst)
         this->enter(ActivationPhase::Arming, now);
     return { this->order(0, MapOrderKind::Hold) };
@@ -157,7 +186,7 @@
     std::vector<MapOrder> orders;
     const ArmedMap wanted { .version = this->target, .step = this->step };
     for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
-        if (!ranks[rank] || ranks[rank]->armed != wanted)
+        if (!this->isArmed(rank) && (!ranks[rank] || ranks[rank]->armed != wanted))
             orders.push_back(this->order(rank, MapOrderKind::Arm));
     }
     if (!orders.empty() && this->options.checks.allArmed)
@@ -172,12 +201,14 @@
 {
     if (!ranks.front())
         return {};
-    if (ranks.front()->held == this->step)
-        return { this->order(0, MapOrderKind::Release) };
+    const auto& first = *ranks.front();
     // Released, and the group has begun the step: the change is complete.
-    if (ranks.front()->step >= this->step)
+    if (first.step >= this->step) {
         this->enter(ActivationPhase::Idle, now);
-    return {};
+        return {};
+    }
+    const bool isHeld = first.held == this->step || (this->holdConfirmed && !this->releaseConfirmed);
+    return isHeld ? std::vector { this->order(0, MapOrderKind::Release) } : std::vector<MapOrder> {};
 }
 
 } // namespace chivewinch::expert
--- a/src/expert/held_activation.hpp
+++ b/src/expert/held_activation.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -64,7 +65,8 @@
 };
 
 struct HeldActivationOptions {
-    std::uint64_t lead = 10; ///< Steps between the newest step and the one that is held; orders take less time.
+    /** Steps between the newest step and the one that is held. Orders take a few milliseconds, a step some 50 ms. */
+    std::uint64_t lead = 2;
     std::chrono::milliseconds prepareTimeout { 10'000 };
     HeldActivationChecks checks;
 
@@ -102,10 +104,16 @@
     [[nodiscard]] std::vector<MapOrder> advance(
         std::vector<std::optional<RankMapState>> reported, base::SteadyTime now);
 
+    /** The engine has answered that the state which the order asks for holds. Reports of it come later. */
+    void confirm(const MapOrder& order);
+
     [[nodiscard]] ActivationPhase phase() const noexcept { return this->current; }
     [[nodiscard]] std::uint64_t version() const noexcept { return this->target; }
     [[nodiscard]] std::uint64_t heldStep() const noexcept { return this->step; }
 
+    /** Appends a canonical form of the confirmations: equal states append equal bytes. */
+    void appendState(std::string& out) const;
+
     bool operator==(const HeldActivation&) const = default;
 
 private:
@@ -118,8 +126,16 @@
     std::uint64_t step = 0;
     std::uint64_t largestStep = 0; ///< Of all steps that this process has held or found held.
     base::SteadyTime phaseSince {};
+    bool holdConfirmed = false;
+    bool releaseConfirmed = false;
+    std::vector<std::uint32_t> armedRanks; ///< Confirmed for the present step.
 
     void enter(ActivationPhase phase, base::SteadyTime now) noexcept;
+    [[nodiscard]] bool isArmed(std::uint32_t rank) const noexcept
+    {
+        return std::ranges::binary_search(this->armedRanks, rank);
+    }
+    void chooseStep(std::uint64_t chosen);
     void recover(const States& ranks, base::SteadyTime now);
     [[nodiscard]] bool isOver(const States& ranks) const;
     [[nodiscard]] States ofThisEpoch(States ranks) const;
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -23,6 +23,9 @@
 constexpr const char* expertsPath = "/experts";
 constexpr std::size_t maxConnections = 64;
 
+// Holding, arming and releasing.
+constexpr int maxPhasesAtOnce = 4;
+
 // An agent answers from its own machine's engine; a missing answer only makes the popularity less exact.
 constexpr std::chrono::milliseconds peerTimeout { 300 };
 
@@ -266,8 +269,19 @@
     // Read before the others: a step that had not begun then may have begun by now, never the other way round.
     states.front() = own.maps;
     this->isChanging = true;
-    const auto orders = this->activation.advance(states, this->clock.now());
-    this->logPhase();
+    // A confirmed order allows the next phase at once; the held step must not wait for the next reports.
+    for (int phase = 0; phase < internal::maxPhasesAtOnce; ++phase) {
+        const auto before = this->activation.phase();
+        const auto orders = this->activation.advance(states, this->clock.now());
+        this->logPhase();
+        co_await this->sendOrders(orders);
+        if (orders.empty() || (phase > 0 && this->activation.phase() == before))
+            break;
+    }
+}
+
+http::Task<void> GroupAgent::sendOrders(const std::vector<expert::MapOrder>& orders)
+{
     static const GroupMap noMap;
     const auto& map = this->planned ? this->planned->map : noMap;
     std::vector<http::Task<void>> tasks;
@@ -286,15 +300,17 @@
 
 http::Task<void> GroupAgent::sendOrder(expert::MapOrder order, const GroupMap& map)
 {
-    const bool isAccepted = co_await this->port.order(this->group->members[order.rank], order, map);
-    if (isAccepted)
+    const auto reply = co_await this->port.order(this->group->members[order.rank], order, map);
+    if (reply == OrderReply::Begun || reply == OrderReply::Done)
         this->accepted[order] = this->clock.now();
+    if (reply == OrderReply::Done)
+        this->activation.confirm(order);
     logging::Event { "map_order" }
         .field("kind", expert::toString(order.kind))
         .field("rank", order.rank)
         .field("version", order.version)
         .field("step", order.step)
-        .field("accepted", isAccepted)
+        .field("reply", toString(reply))
         .info();
 }
 
--- a/src/group/group_agent.hpp
+++ b/src/group/group_agent.hpp
@@ -102,6 +102,7 @@
     [[nodiscard]] http::Task<void> activate(const MemberReport& own);
     [[nodiscard]] http::Task<void> readState(
         const Member& member, std::vector<std::optional<expert::RankMapState>>& states);
+    [[nodiscard]] http::Task<void> sendOrders(const std::vector<expert::MapOrder>& orders);
     [[nodiscard]] http::Task<void> sendOrder(expert::MapOrder order, const GroupMap& map);
     [[nodiscard]] bool isDue(const expert::MapOrder& order) const;
     void planChange();
--- a/src/group/group_port.hpp
+++ b/src/group/group_port.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chivewinch::group {
@@ -63,6 +64,16 @@
 /** Experts by layer and rank. */
 using GroupMap = std::vector<expert::LayerHolding>;
 
+/** Answer of an engine to an order. */
+enum class OrderReply : std::uint8_t {
+    None, ///< No answer: the order may be carried out, also later.
+    Refused,
+    Begun,
+    Done, ///< The state that the order asks for holds.
+};
+
+[[nodiscard]] std::string_view toString(OrderReply reply) noexcept;
+
 /** Access to the engines of a group and to the list of its members; nullopt or false when there is no answer. */
 class GroupPort {
 public:
@@ -76,8 +87,8 @@
     [[nodiscard]] virtual http::Task<std::optional<ExpertCounts>> counts(settings::Endpoint engine) = 0;
     /** Free for the engine of this machine only. */
     [[nodiscard]] virtual http::Task<std::optional<RankExperts>> experts(settings::Endpoint engine) = 0;
-    /** True if the engine states that the order has begun or is done. The map is used by Prepare only. */
-    [[nodiscard]] virtual http::Task<bool> order(Member member, expert::MapOrder order, const GroupMap& map) = 0;
+    /** Gives an order to an engine. The map is used by Prepare only. */
+    [[nodiscard]] virtual http::Task<OrderReply> order(Member member, expert::MapOrder order, const GroupMap& map) = 0;
 
     [[nodiscard]] virtual http::Task<std::optional<std::vector<Member>>> members(std::string group) = 0;
     [[nodiscard]] virtual http::Task<std::optional<EngineLimits>> limits() = 0;
--- a/src/routing/share_budget.hpp
+++ b/src/routing/share_budget.hpp
@@ -15,7 +15,7 @@
         : share { share }
         , constant { constant }
         , ordinary { window }
-        , exceptional { window }
+        , exceptional { SlidingCounter::covering(window) }
     {
     }
 
--- a/src/routing/sliding_counter.hpp
+++ b/src/routing/sliding_counter.hpp
@@ -17,6 +17,15 @@
     {
     }
 
+    /**
+     * Window that a counter needs to remember each event for at least the given time: a counter forgets a whole bucket
+     * at once, so the oldest events of its own window may be gone already.
+     */
+    [[nodiscard]] static constexpr std::chrono::nanoseconds covering(std::chrono::nanoseconds time) noexcept
+    {
+        return time * bucketCount / (bucketCount - 1) + std::chrono::nanoseconds { bucketCount };
+    }
+
     void add(base::SteadyTime now, std::uint32_t events = 1) noexcept
     {
         this->roll(now);
