--- a/src/group/group_agent.hpp
+++ b/src/group/group_agent.hpp
@@ -29,14 +29,14 @@
     settings::Endpoint listen; ///< For the other agents; they use the same port.
     std::optional<settings::Endpoint> metrics;
     std::string metricsPath = "/metrics";
-    std::chrono::milliseconds interval { 500 }; ///< Between two readings of the counts.
+    std::chrono::milliseconds interval { 300 }; ///< Between two readings of the counts.
     std::chrono::milliseconds busyInterval { 100 }; ///< Between two readings of the ranks during a change.
     /** An accepted order whose effect no report shows is repeated after this time; reports are some 200 ms old. */
     std::chrono::milliseconds repeatAfter { 600 };
     std::chrono::milliseconds otherRankInterval { 1'000 }; ///< Between two looks whether this is the first rank.
     /** Popularity that lasts shorter than this is not worth a change. */
-    std::chrono::milliseconds halfLife { 1'000 };
-    std::chrono::milliseconds minBetweenChanges { 1'500 };
+    std::chrono::milliseconds halfLife { 600 };
+    std::chrono::milliseconds minBetweenChanges { 700 };
     MapPlannerOptions planner;
     expert::HeldActivationOptions activation;
 };
