--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -11,6 +11,9 @@
 
 using delivery::EventKind;
 
+// Time-outs are rounded down to milliseconds, so a read can time out just before its limit.
+constexpr std::chrono::milliseconds timerTolerance { 2 };
+
 AttemptEnd complete() { return { .kind = EventKind::Complete, .result = routing::Result::Success }; }
 
 AttemptEnd callerFailed()
@@ -72,7 +75,7 @@
 {
     if (reason.code == http::ErrorCode::NotSent)
         return { .kind = delivery::EventKind::ConnectFailed, .notRun = true, .detail = reason.detail };
-    if (this->services.clock.now() >= this->limit)
+    if (this->timeUntil(this->limit) <= internal::timerTolerance)
         return { .kind = delivery::EventKind::TimedOut, .detail = reason.detail };
     const bool wasSilent = this->services.clock.now() - this->started >= this->services.options.attempts.streamSilence;
     return { .kind
--- a/src/logging/event.cpp
+++ b/src/logging/event.cpp
@@ -1,5 +1,8 @@
 #include "logging/event.hpp"
 
+#include "logging/line_sink.hpp"
+
+#include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -10,6 +13,7 @@
 #include <array>
 #include <cstdio>
 #include <memory>
+#include <unistd.h>
 #include <utility>
 
 namespace chivewinch::logging {
@@ -25,6 +29,31 @@
 
 log4cplus::LogLevel toLogLevel(Level level) { return levels[static_cast<std::size_t>(level)].second; }
 
+/** Appender over a sink that does not block; log4cplus calls it with its lock held. */
+class SinkAppender final : public log4cplus::Appender {
+public:
+    explicit SinkAppender(int descriptor)
+        : sink { descriptor }
+    {
+    }
+    SinkAppender(const SinkAppender&) = delete;
+    SinkAppender& operator=(const SinkAppender&) = delete;
+    ~SinkAppender() override { this->destructorImpl(); }
+
+    void close() override { this->closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        log4cplus::tostringstream text;
+        this->layout->formatAndAppend(text, event);
+        this->sink.write(LOG4CPLUS_TSTRING_TO_STRING(text.str()));
+    }
+
+private:
+    LineSink sink;
+};
+
 bool needsQuotes(std::string_view value)
 {
     for (const auto character : value) {
@@ -51,7 +80,11 @@
 void configure(const Options& options)
 {
     static log4cplus::Initializer initializer;
-    log4cplus::SharedAppenderPtr appender { new log4cplus::ConsoleAppender(true, true) };
+    log4cplus::SharedAppenderPtr appender;
+    if (options.output == Output::StandardOutput)
+        appender = new internal::SinkAppender(STDOUT_FILENO);
+    else
+        appender = new log4cplus::ConsoleAppender(true, true);
     const auto pattern = "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p program=" + options.program
         + " instance=" + options.instance + " %m%n";
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_STRING_TO_TSTRING(pattern)));
--- a/src/logging/event.hpp
+++ b/src/logging/event.hpp
@@ -14,13 +14,20 @@
     Error,
 };
 
+/** Where log lines go. */
+enum class Output : std::uint8_t {
+    StandardError,
+    StandardOutput, ///< Never blocks; lines beyond a bound are left out and counted.
+};
+
 struct Options {
     Level level = Level::Info;
+    Output output = Output::StandardError;
     std::string program; ///< Value of the "program" key on each line.
     std::string instance; ///< Value of the "instance" key on each line.
 };
 
-/** Sets up log4cplus to write one key=value line per event to standard error. */
+/** Sets up log4cplus to write one key=value line per event. */
 void configure(const Options& options);
 
 /** Level with this name: debug, info, warning or error; info for any other text. */
--- /dev/null
+++ b/src/logging/line_sink.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace chivewinch::logging {
+
+/**
+ * Writes lines to a file descriptor without ever blocking: while the reader is slow, lines wait up to a bound, and
+ * further ones are left out and counted. Not thread-safe.
+ */
+class LineSink {
+public:
+    explicit LineSink(int descriptor, std::size_t maxWaiting = 256U << 10) noexcept
+        : descriptor { descriptor }
+        , maxWaiting { maxWaiting }
+    {
+    }
+
+    /** Takes a line with its newline. */
+    void write(std::string_view line);
+
+    /** Lines left out so far. */
+    [[nodiscard]] std::uint64_t leftOut() const noexcept { return this->dropped; }
+
+private:
+    int descriptor;
+    std::size_t maxWaiting;
+    std::string waiting;
+    std::uint64_t dropped = 0;
+    std::uint64_t reported = 0;
+
+    void flush();
+    [[nodiscard]] bool isWritable() const noexcept;
+};
+
+} // namespace chivewinch::logging
--- /dev/null
+++ b/tests/gateway/answer_check_test.cpp
@@ -0,0 +1,40 @@
+#include "gateway/answer_check.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chivewinch::gateway {
+namespace {
+
+TEST(AnswerCheck, AcceptsTheTargetsOwnAnswers)
+{
+    EXPECT_EQ(judge({ .status = 200, .requestId = "a", .hasSeal = true }, "a"), AnswerKind::Success);
+    EXPECT_EQ(judge({ .status = 500, .requestId = "a", .hasSeal = true }, "a"), AnswerKind::Failure);
+    EXPECT_EQ(judge({ .status = 504, .requestId = "a" }, "a"), AnswerKind::Failure);
+}
+
+// Guards against an answer of another request, or bytes that are no answer, that reach a caller as a success.
+TEST(AnswerCheck, RefusesForeignAnswers)
+{
+    EXPECT_EQ(judge({ .status = 200, .requestId = "b", .hasSeal = true }, "a"), AnswerKind::Foreign);
+    EXPECT_EQ(judge({ .status = 200, .requestId = "", .hasSeal = true }, "a"), AnswerKind::Foreign);
+    EXPECT_EQ(judge({ .status = 200, .requestId = "a" }, "a"), AnswerKind::Foreign);
+    EXPECT_EQ(judge({ .status = 200, .requestId = "a", .hasSeal = true, .hasContentEncoding = true }, "a"),
+        AnswerKind::Foreign);
+    EXPECT_EQ(judge({ .status = 101, .requestId = "a" }, "a"), AnswerKind::Foreign);
+}
+
+// Guards against "not run" without the target's word for it.
+TEST(AnswerCheck, TakesNotRunOnlyFromAProof)
+{
+    EXPECT_EQ(judge({ .status = 503, .requestId = "a", .statesNotRun = true }, "a"), AnswerKind::NotRun);
+    EXPECT_EQ(judge({ .status = 421, .requestId = "a" }, "a"), AnswerKind::NotRun);
+    EXPECT_EQ(judge({ .status = 421 }, "a"), AnswerKind::NotRun);
+    EXPECT_EQ(judge({ .status = 421, .requestId = "b" }, "a"), AnswerKind::Foreign);
+    for (const unsigned status : { 408U, 429U, 503U })
+        EXPECT_EQ(judge({ .status = status, .requestId = "a" }, "a"), AnswerKind::Unproved) << status;
+    EXPECT_EQ(judge({ .status = 503, .requestId = "b", .statesNotRun = true }, "a"), AnswerKind::Foreign);
+    EXPECT_EQ(judge({ .status = 200, .requestId = "a", .statesNotRun = true }, "a"), AnswerKind::Foreign);
+}
+
+} // namespace
+} // namespace chivewinch::gateway
--- /dev/null
+++ b/tests/gateway/dispatcher_test.cpp
@@ -0,0 +1,130 @@
+#include "gateway/dispatcher.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace chivewinch::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using base::RefusalReason;
+using base::SteadyTime;
+
+class DispatcherTest : public testing::Test {
+protected:
+    DispatcherTest()
+        : dispatcher { options(), this->random }
+    {
+    }
+
+    static DispatcherOptions options()
+    {
+        DispatcherOptions options;
+        options.router.useSubset = false;
+        options.router.compareAll = true;
+        options.router.spill.onlyWithoutLocalCapacity = false;
+        return options;
+    }
+
+    static membership::ListedTarget target(const std::string& id, bool leaving = false)
+    {
+        return { .id = id,
+            .pool = "p",
+            .endpoint = { .address = "10.0.0.1", .port = 80 },
+            .zone = "z",
+            .capacity = 2,
+            .leaving = leaving };
+    }
+
+    Demand demand(std::uint64_t id, std::vector<base::TargetId> excluded = {}) const
+    {
+        return { .id = { .low = id },
+            .pool = "p",
+            .team = "t",
+            .excluded = std::move(excluded),
+            .latestStart = this->now + 300ms };
+    }
+
+    SteadyTime now { 1h };
+    base::SeededRandom random { 3 };
+    Dispatcher dispatcher;
+};
+
+TEST_F(DispatcherTest, UsesTheLeastLoadedTarget)
+{
+    this->dispatcher.setTargets({ target("a"), target("b"), target("c") }, this->now);
+    std::map<std::string, int> uses;
+    for (std::uint64_t i = 0; i < 6; ++i)
+        ++uses[this->dispatcher.request(this->demand(i), {}, this->now).choice.value().target];
+    for (const auto& [id, count] : uses)
+        EXPECT_EQ(count, 2) << id;
+}
+
+// Guards against new work for a target that the list shows as leaving or no longer shows.
+TEST_F(DispatcherTest, LeavesLeavingTargetsAlone)
+{
+    this->dispatcher.setTargets({ target("a"), target("b", true) }, this->now);
+    for (std::uint64_t i = 0; i < 2; ++i)
+        EXPECT_EQ(this->dispatcher.request(this->demand(i), {}, this->now).choice.value().target, "a");
+    EXPECT_EQ(this->dispatcher.usable("b"), nullptr);
+    this->dispatcher.setTargets({}, this->now);
+    EXPECT_EQ(this->dispatcher.request(this->demand(9), {}, this->now).reason, RefusalReason::NoTarget);
+    EXPECT_EQ(this->dispatcher.usable("a"), nullptr);
+}
+
+TEST_F(DispatcherTest, ExcludesTargetsThatWereTried)
+{
+    this->dispatcher.setTargets({ target("a"), target("b") }, this->now);
+    EXPECT_EQ(this->dispatcher.request(this->demand(1, { "a" }), {}, this->now).choice.value().target, "b");
+}
+
+TEST_F(DispatcherTest, AFreedTargetGoesToAWaitingRequest)
+{
+    this->dispatcher.setTargets({ target("a") }, this->now);
+    const auto first = this->dispatcher.request(this->demand(1), {}, this->now);
+    const auto second = this->dispatcher.request(this->demand(2), {}, this->now);
+    ASSERT_TRUE(first.choice && second.choice);
+    std::optional<routing::Choice> granted;
+    const auto third = this->dispatcher.request(
+        this->demand(3), [&](const auto& choice) { granted = choice; }, this->now);
+    EXPECT_FALSE(third.choice);
+    EXPECT_EQ(third.reason, RefusalReason::None);
+    this->dispatcher.finished("p", "a", routing::Result::Success, this->now + 10ms);
+    ASSERT_TRUE(granted);
+    EXPECT_EQ(granted->target, "a");
+}
+
+// Guards against a request that is held although it can no longer start in time.
+TEST_F(DispatcherTest, RefusesAWaitingRequestWhenItIsTooLate)
+{
+    this->dispatcher.setTargets({ target("a") }, this->now);
+    (void)this->dispatcher.request(this->demand(1), {}, this->now);
+    (void)this->dispatcher.request(this->demand(2), {}, this->now);
+    int refusals = 0;
+    (void)this->dispatcher.request(
+        this->demand(3), [&](const auto& choice) { refusals += choice ? 0 : 1; }, this->now);
+    this->dispatcher.advance(this->now + 200ms);
+    EXPECT_EQ(refusals, 0);
+    this->dispatcher.advance(this->now + 301ms);
+    EXPECT_EQ(refusals, 1);
+    EXPECT_EQ(this->dispatcher.waiting(), 0U);
+}
+
+// Guards against callers that are refused together and come back together.
+TEST_F(DispatcherTest, SpreadsTheReturnsOfRefusedCallers)
+{
+    auto earliest = 1'000'000ms;
+    auto latest = 0ms;
+    for (int i = 0; i < 200; ++i) {
+        const auto time = this->dispatcher.retryAfter(this->now);
+        earliest = std::min(earliest, time);
+        latest = std::max(latest, time);
+    }
+    EXPECT_GE(earliest, 100ms);
+    EXPECT_LE(latest, 2s);
+    EXPECT_GT(latest - earliest, 1s);
+}
+
+} // namespace
+} // namespace chivewinch::gateway
--- /dev/null
+++ b/tests/gateway/event_sequence_test.cpp
@@ -0,0 +1,55 @@
+#include "base/random.hpp"
+#include "gateway/event_sequence.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace chivewinch::gateway {
+namespace {
+
+std::string event(std::uint64_t id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+
+TEST(EventSequence, ReadsIdentities)
+{
+    EXPECT_EQ(eventId("id: 7\ndata: x\n\n"), 7U);
+    EXPECT_EQ(eventId("data: id: 7\nid:8\r\n\r\n"), 8U);
+    EXPECT_EQ(eventId("data: x\n\n"), std::nullopt);
+    EXPECT_EQ(eventId("id: x\n\n"), std::nullopt);
+}
+
+// Guards against events that are missing, doubled or joined when a stream continues at another target, over random
+// breaks, targets that begin too early or too late, and callers that resume.
+TEST(EventSequence, DeliversEachEventOnceOverAllRuns)
+{
+    for (std::uint64_t seed = 1; seed <= 100'000; ++seed) {
+        base::SeededRandom random { seed };
+        constexpr std::uint64_t length = 12;
+        const auto first = random.below(3);
+        EventSequence sequence { first == 0 ? std::nullopt : std::optional { first - 1 } };
+        std::vector<std::uint64_t> delivered;
+        std::uint64_t next = first == 0 ? 0 : first;
+        while (next < length) {
+            // A target begins after the stated event, or wrongly before or behind it.
+            const auto offset = random.below(8);
+            auto id = offset == 0 && next > 0 ? next - 1 : next + (offset == 1 && !delivered.empty() ? 1 : 0);
+            const auto end = id + 1 + random.below(5);
+            for (; id < std::min(end, length); ++id) {
+                const auto verdict = sequence.accept(event(id));
+                if (verdict == EventVerdict::Broken)
+                    break;
+                if (verdict == EventVerdict::Forward)
+                    delivered.push_back(id);
+            }
+            next = sequence.lastId() ? *sequence.lastId() + 1 : 0;
+        }
+        ASSERT_EQ(delivered.size(), length - first) << "seed " << seed;
+        for (std::size_t i = 0; i < delivered.size(); ++i)
+            ASSERT_EQ(delivered[i], first + i) << "seed " << seed;
+        ASSERT_EQ(sequence.delivered(), delivered.size());
+    }
+}
+
+} // namespace
+} // namespace chivewinch::gateway
--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,326 @@
+#include "gateway/gateway.hpp"
+#include "gateway/names.hpp"
+#include "http/client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace chivewinch::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+/** Table with fixed rows that never change. */
+class FixedFeed final : public watch::RowFeed {
+public:
+    FixedFeed(asio::io_context& context, std::vector<watch::RowChange> rows)
+        : context { context }
+        , rows { std::move(rows) }
+    {
+    }
+
+    [[nodiscard]] Task<std::optional<watch::Page>> readAll(watch::FeedError& /*reason*/) override
+    {
+        co_return watch::Page { .rows = this->rows, .version = 1 };
+    }
+
+    [[nodiscard]] Task<std::optional<watch::Page>> changes(
+        std::uint64_t since, std::chrono::milliseconds wait, watch::FeedError& /*reason*/) override
+    {
+        asio::steady_timer timer { this->context, wait };
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return watch::Page { .version = since };
+    }
+
+private:
+    asio::io_context& context;
+    std::vector<watch::RowChange> rows;
+};
+
+std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+
+/** A gateway in front of two targets whose behaviour each test states; one thread runs them all. */
+class GatewayTest : public testing::Test {
+protected:
+    using Behaviour = std::function<http::Task<void>(int call, const http::Request&, http::ResponseWriter&)>;
+
+    void start(RouteKind kind, Behaviour behaviour)
+    {
+        std::vector<watch::RowChange> rows;
+        for (const auto* name : { "t1", "t2" }) {
+            auto server = std::make_shared<http::Server>(
+                this->context.get_executor(), http::ServerOptions { .listen = { .address = "127.0.0.1" } },
+                [this, name, behaviour](const http::Request& request, http::ResponseWriter& writer) {
+                    this->sentTo.emplace_back(name);
+                    this->requests.push_back(request);
+                    return behaviour(static_cast<int>(this->sentTo.size()), request, writer);
+                },
+                [](http::BadInput) {});
+            rows.push_back({ .key = name, .value = settings::toString(server->start().value()) });
+            this->targets.push_back(std::move(server));
+        }
+        this->targetFeed = std::make_unique<FixedFeed>(this->context, rows);
+        this->configurationFeed = std::make_unique<FixedFeed>(
+            this->context, std::vector<watch::RowChange> { { .key = "config", .value = "x" } });
+        GatewayOptions options { .instance = "g",
+            .zone = "z",
+            .listen = { .address = "127.0.0.1", .port = this->freePort() },
+            .readiness = { .address = "127.0.0.1", .port = this->freePort() },
+            .headers = testNames() };
+        options.dispatcher.router.useSubset = false;
+        options.dispatcher.router.compareAll = true;
+        options.dispatcher.router.spill.onlyWithoutLocalCapacity = false;
+        options.dispatcher.router.retryBudget.constant = 5;
+        options.attempts.streamSilence = 300ms;
+        this->listen = options.listen;
+        this->readiness = options.readiness;
+        const Decoders decoders { .configuration = [kind](const auto&, auto&) { return configuration(kind); },
+            .target = [](const auto& key, const auto& value, auto&) -> std::optional<membership::ListedTarget> {
+                return membership::ListedTarget {
+                    .id = key, .pool = "p", .endpoint = *settings::parseEndpoint(value), .zone = "z", .capacity = 4
+                };
+            },
+            .configurationKey = "config" };
+        this->gateway = std::make_unique<Gateway>(this->context, options, this->clock, this->random,
+            Feeds { .configuration = *this->configurationFeed, .targets = *this->targetFeed }, decoders);
+        ASSERT_TRUE(this->gateway->start()) << this->gateway->lastReason();
+    }
+
+    static Configuration configuration(RouteKind kind)
+    {
+        return { .version = 1,
+            .routes = { { .name = "r",
+                .host = "h",
+                .pathPrefix = "/a/",
+                .kind = kind,
+                .pools = { { .pool = "p" } },
+                .timeout = 1'000ms,
+                .latencyObjective = 300ms,
+                .maxAttempts = 2,
+                .resumable = true } },
+            .teams = { { .name = "team", .keys = { "key" } } },
+            .hasTeams = true };
+    }
+
+    std::uint16_t freePort()
+    {
+        asio::ip::tcp::acceptor acceptor { this->context, { asio::ip::make_address("127.0.0.1"), 0 } };
+        return acceptor.local_endpoint().port();
+    }
+
+    static http::Request callerRequest(const std::string& path = "/a/x", const std::string& key = "key")
+    {
+        auto request = http::makeRequest("POST", path, "body");
+        request.set("Host", "h");
+        request.set("T-Id", "id-1");
+        request.set("T-Left", "2000");
+        request.set("T-Key", key);
+        return request;
+    }
+
+    /** Sends a request to the gateway, once it is ready; the body ends with " cut" if the answer was not whole. */
+    http::Response send(http::Request request)
+    {
+        const auto task = [this, &request]() -> http::Task<http::Response> {
+            asio::steady_timer settle { this->context, 30ms };
+            co_await settle.async_wait(asio::use_awaitable);
+            http::Client client { this->context.get_executor(), { .server = this->listen } };
+            http::Error reason;
+            const http::SendOptions options;
+            auto stream = co_await client.open(std::move(request), options, reason);
+            http::Response response { .status = 0 };
+            if (!stream)
+                co_return response;
+            response.status = stream->status();
+            response.headers = stream->headers();
+            while (true) {
+                auto bytes = co_await stream->read(reason);
+                if (!bytes)
+                    response.body += " cut";
+                if (!bytes || bytes->empty())
+                    co_return response;
+                response.body += *bytes;
+            }
+        };
+        auto result = asio::co_spawn(this->context, task(), asio::use_future);
+        while (result.wait_for(0s) != std::future_status::ready)
+            this->context.run_one();
+        return result.get();
+    }
+
+    static http::Response sealed(const http::Request& request, unsigned status = 200)
+    {
+        return { .status = status,
+            .body = "answer",
+            .headers = { { "T-Id", std::string { http::headerOf(request, "T-Id") } }, { "T-Seal", "s" } } };
+    }
+
+    static std::string headerOf(const http::Response& response, const std::string& name)
+    {
+        for (const auto& [field, value] : response.headers)
+            if (field == name)
+                return value;
+        return {};
+    }
+
+    asio::io_context context;
+    base::SystemClock clock;
+    base::SeededRandom random { 11 };
+    std::vector<std::shared_ptr<http::Server>> targets;
+    std::unique_ptr<FixedFeed> targetFeed;
+    std::unique_ptr<FixedFeed> configurationFeed;
+    std::unique_ptr<Gateway> gateway;
+    settings::Endpoint listen;
+    settings::Endpoint readiness;
+    std::vector<std::string> sentTo;
+    std::vector<http::Request> requests;
+};
+
+TEST_F(GatewayTest, ForwardsARequestAndItsAnswer)
+{
+    this->start(RouteKind::NotRepeatable, [](int, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.send(sealed(request));
+    });
+    const auto response = this->send(callerRequest());
+    EXPECT_EQ(response.status, 200U);
+    EXPECT_EQ(response.body, "answer");
+    EXPECT_EQ(headerOf(response, "T-Seal"), "s");
+    ASSERT_EQ(this->requests.size(), 1U);
+    EXPECT_EQ(http::headerOf(this->requests.front(), "T-Team"), "team");
+    EXPECT_EQ(http::headerOf(this->requests.front(), "T-Target"), this->sentTo.front());
+    EXPECT_EQ(this->requests.front().count("T-Key"), 0U);
+}
+
+TEST_F(GatewayTest, RefusesWhatTheConfigurationDoesNotAllow)
+{
+    this->start(RouteKind::NotRepeatable, [](int, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.send(sealed(request));
+    });
+    EXPECT_EQ(this->send(callerRequest("/b/")).status, 404U);
+    EXPECT_EQ(this->send(callerRequest("/a/", "other")).status, 401U);
+    EXPECT_TRUE(this->sentTo.empty());
+}
+
+// Guards against an order that runs twice because its answer was lost.
+TEST_F(GatewayTest, DoesNotRepeatWhatMayHaveRun)
+{
+    this->start(RouteKind::NotRepeatable, [](int, const auto&, auto& writer) -> http::Task<void> {
+        writer.abort();
+        co_return;
+    });
+    const auto response = this->send(callerRequest());
+    EXPECT_EQ(response.status, 502U);
+    EXPECT_EQ(this->sentTo.size(), 1U);
+}
+
+TEST_F(GatewayTest, TriesElsewhereWhatTheTargetDidNotRun)
+{
+    this->start(RouteKind::NotRepeatable, [](int call, const auto& request, auto& writer) -> http::Task<void> {
+        auto response = sealed(request, call == 1 ? 503 : 200);
+        if (call == 1)
+            response.headers.emplace_back("T-Not-Run", "1");
+        (void)co_await writer.send(std::move(response));
+    });
+    EXPECT_EQ(this->send(callerRequest()).status, 200U);
+    ASSERT_EQ(this->sentTo.size(), 2U);
+    EXPECT_NE(this->sentTo[0], this->sentTo[1]);
+}
+
+// Guards against another request's answer, or a promise of "not run" without proof, that reaches the caller.
+TEST_F(GatewayTest, PassesNoForeignOrUnprovedAnswer)
+{
+    this->start(RouteKind::NotRepeatable, [](int call, const auto& request, auto& writer) -> http::Task<void> {
+        auto response = sealed(request, call == 2 ? 503 : 200);
+        if (call == 1)
+            response.headers.front().second = "id-2";
+        if (call == 3)
+            response.headers.pop_back();
+        (void)co_await writer.send(std::move(response));
+    });
+    for (int i = 0; i < 3; ++i) {
+        const auto response = this->send(callerRequest());
+        EXPECT_EQ(response.status, 502U);
+        EXPECT_EQ(response.body.find("answer"), std::string::npos);
+    }
+}
+
+// Guards against a stream with a missing, doubled or joined event after its target failed in the middle of one.
+TEST_F(GatewayTest, ResumesAStreamAtAnotherTarget)
+{
+    this->start(RouteKind::Stream, [](int call, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.start(sealed(request));
+        if (call == 1) {
+            (void)co_await writer.write(event(0) + event(1) + "id: 2\nda");
+            writer.abort();
+            co_return;
+        }
+        (void)co_await writer.write(event(1) + event(2) + event(3));
+        (void)co_await writer.finish();
+    });
+    const auto response = this->send(callerRequest());
+    EXPECT_EQ(response.status, 200U);
+    EXPECT_EQ(response.body, event(0) + event(1) + event(2) + event(3));
+    ASSERT_EQ(this->requests.size(), 2U);
+    EXPECT_EQ(http::headerOf(this->requests[1], "Last-Event-Id"), "1");
+}
+
+// Guards against a stream that looks complete although its last event is not.
+TEST_F(GatewayTest, CutsAStreamThatCannotBeCompleted)
+{
+    this->start(RouteKind::Stream, [](int call, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.start(sealed(request));
+        if (call == 1)
+            (void)co_await writer.write(event(0));
+        writer.abort();
+    });
+    const auto response = this->send(callerRequest());
+    EXPECT_EQ(response.body, event(0) + " cut");
+    EXPECT_EQ(this->sentTo.size(), 2U);
+}
+
+// Guards against a caller that is kept waiting beyond the route's time.
+TEST_F(GatewayTest, AnswersWhenTheTimeIsOver)
+{
+    this->start(RouteKind::NotRepeatable, [this](int, const auto&, auto& writer) -> http::Task<void> {
+        asio::steady_timer timer { this->context, 5s };
+        co_await timer.async_wait(asio::use_awaitable);
+        writer.abort();
+    });
+    const auto begun = this->clock.now();
+    const auto response = this->send(callerRequest());
+    const auto took = this->clock.now() - begun;
+    EXPECT_EQ(response.status, 504U);
+    EXPECT_GE(took, 1'000ms);
+    EXPECT_LT(took, 1'500ms);
+}
+
+// Guards against readiness before there is anything to serve with, and during a drain.
+TEST_F(GatewayTest, IsReadyWhileItCanServe)
+{
+    this->start(RouteKind::NotRepeatable, [](int, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.send(sealed(request));
+    });
+    EXPECT_FALSE(this->gateway->ready());
+    (void)this->send(callerRequest());
+    EXPECT_TRUE(this->gateway->ready());
+    this->gateway->drain();
+    EXPECT_FALSE(this->gateway->ready());
+    // Requests that arrive during the drain are still served, as the last on their connections.
+    const auto response = this->send(callerRequest());
+    EXPECT_EQ(response.status, 200U);
+    EXPECT_EQ(headerOf(response, "Connection"), "close");
+}
+
+} // namespace
+} // namespace chivewinch::gateway
--- /dev/null
+++ b/tests/gateway/names.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "gateway/header_names.hpp"
+
+namespace chivewinch::gateway {
+
+/** Names of fields in these tests; they differ from those of any deployment. */
+inline HeaderNames testNames()
+{
+    return { .requestId = "T-Id",
+        .timeLeft = "T-Left",
+        .apiKey = "T-Key",
+        .team = "T-Team",
+        .expectedTarget = "T-Target",
+        .notRun = "T-Not-Run",
+        .seal = "T-Seal",
+        .lastEventId = "Last-Event-Id",
+        .targetPriority = "T-Priority" };
+}
+
+} // namespace chivewinch::gateway
--- /dev/null
+++ b/tests/http/framing_test.cpp
@@ -0,0 +1,230 @@
+#include "http/client.hpp"
+#include "http/server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+namespace chivewinch::http {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using Tcp = asio::ip::tcp;
+
+/** Server that writes fixed bytes after each request head and counts its connections. */
+class RawServer {
+public:
+    explicit RawServer(std::string answer, std::string later = {})
+        : answer { std::move(answer) }
+        , later { std::move(later) }
+        , acceptor { this->context, Tcp::endpoint { asio::ip::make_address("127.0.0.1"), 0 } }
+        , thread { [this] { this->run(); } }
+    {
+    }
+    RawServer(const RawServer&) = delete;
+    RawServer& operator=(const RawServer&) = delete;
+    ~RawServer()
+    {
+        this->isStopped = true;
+        boost::system::error_code ignored;
+        Tcp::socket last { this->context };
+        last.connect(this->acceptor.local_endpoint(), ignored);
+        last.close(ignored);
+        this->thread.join();
+        for (auto& other : this->open)
+            other.join();
+    }
+
+    [[nodiscard]] settings::Endpoint endpoint() const
+    {
+        return { .address = "127.0.0.1", .port = this->acceptor.local_endpoint().port() };
+    }
+    [[nodiscard]] int connections() const { return this->accepted; }
+
+private:
+    asio::io_context context;
+    std::string answer;
+    std::string later;
+    Tcp::acceptor acceptor;
+    std::atomic<int> accepted { 0 };
+    std::atomic<bool> isStopped { false };
+    std::vector<std::thread> open;
+    std::thread thread;
+
+    void run()
+    {
+        while (true) {
+            Tcp::socket socket { this->context };
+            this->acceptor.accept(socket);
+            if (this->isStopped)
+                return;
+            ++this->accepted;
+            this->open.emplace_back([this, kept = std::move(socket)]() mutable { this->serve(kept); });
+        }
+    }
+
+    void serve(Tcp::socket& socket)
+    {
+        boost::system::error_code error;
+        std::string head;
+        while (!error) {
+            const auto count = asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", error);
+            if (error)
+                return;
+            head.erase(0, count);
+            asio::write(socket, asio::buffer(this->answer), error);
+            if (this->later.empty())
+                continue;
+            std::this_thread::sleep_for(30ms);
+            asio::write(socket, asio::buffer(this->later), error);
+        }
+    }
+};
+
+/** Bodies of two requests that one client sends one after the other. */
+std::vector<std::string> twoRequests(const settings::Endpoint& endpoint)
+{
+    asio::io_context context;
+    const auto task = [&]() -> Task<std::vector<std::string>> {
+        Client client { context.get_executor(), { .server = endpoint, .readTimeout = 1s } };
+        std::vector<std::string> bodies;
+        for (int i = 0; i < 2; ++i) {
+            Error reason;
+            const SendOptions options;
+            const auto response = co_await client.send(makeRequest("GET", "/"), options, reason);
+            bodies.push_back(response ? response->body : "error: " + reason.detail);
+            asio::steady_timer pause { context, 80ms };
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        co_return bodies;
+    };
+    auto result = asio::co_spawn(context, task(), asio::use_future);
+    context.run();
+    return result.get();
+}
+
+const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+const std::string foreign = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad";
+
+TEST(ClientFraming, KeepsACleanConnection)
+{
+    RawServer server { whole };
+    EXPECT_EQ(twoRequests(server.endpoint()), (std::vector<std::string> { "good", "good" }));
+    EXPECT_EQ(server.connections(), 1);
+}
+
+// Guards against an answer of somebody else: bytes behind an answer would be read as the next one.
+TEST(ClientFraming, DropsAConnectionWithBytesBehindTheAnswer)
+{
+    RawServer server { whole + foreign };
+    EXPECT_EQ(twoRequests(server.endpoint()), (std::vector<std::string> { "good", "good" }));
+    EXPECT_EQ(server.connections(), 2);
+}
+
+TEST(ClientFraming, DropsAConnectionOnWhichBytesArriveWhileItIsIdle)
+{
+    RawServer server { whole, foreign };
+    EXPECT_EQ(twoRequests(server.endpoint()), (std::vector<std::string> { "good", "good" }));
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// Guards against a request that crosses the server's close of an idle connection.
+TEST(ClientFraming, RespectsTheStatedIdleTime)
+{
+    RawServer server { "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 4\r\n\r\ngood" };
+    EXPECT_EQ(twoRequests(server.endpoint()), (std::vector<std::string> { "good", "good" }));
+    EXPECT_EQ(server.connections(), 2);
+}
+
+class ServerFraming : public testing::Test {
+protected:
+    ServerFraming()
+        : server { std::make_shared<Server>(
+            this->context.get_executor(),
+            ServerOptions { .listen = { .address = "127.0.0.1" }, .requestTimeout = 300ms, .idleTimeout = 300ms },
+            [this](const Request& request, ResponseWriter& writer) -> Task<void> {
+                ++this->served;
+                Response echo { .body = request.body() };
+                (void)co_await writer.send(std::move(echo));
+            },
+            [](BadInput) {}) }
+    {
+        this->endpoint = this->server->start().value();
+        this->thread = std::jthread { [this] { this->context.run(); } };
+    }
+    ~ServerFraming() override
+    {
+        this->server->abort();
+        this->work.reset();
+        this->context.stop();
+    }
+
+    /** Sends bytes and reads until the server closes. */
+    std::string raw(const std::string& bytes)
+    {
+        asio::io_context own;
+        Tcp::socket socket { own };
+        socket.connect({ asio::ip::make_address(this->endpoint.address), this->endpoint.port });
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(bytes), error);
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        return answer;
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work { this->context.get_executor() };
+    std::atomic<int> served { 0 };
+    std::shared_ptr<Server> server;
+    settings::Endpoint endpoint;
+    std::jthread thread;
+};
+
+// Guards against a request whose addressee or end another server on the way could see elsewhere; the second request in
+// each of these must not be served.
+TEST_F(ServerFraming, RefusesDoubtfulRequestsAndCloses)
+{
+    const std::string second = "GET /second HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::vector<std::string> doubtful { "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n" };
+    for (const auto& bytes : doubtful) {
+        const auto answer = this->raw(bytes + second);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << bytes << answer;
+        EXPECT_EQ(answer.find("200 OK"), std::string::npos) << bytes << answer;
+    }
+    EXPECT_EQ(this->served, 0);
+}
+
+TEST_F(ServerFraming, ServesProperRequests)
+{
+    EXPECT_TRUE(this->raw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                          "2\r\nhi\r\n0\r\n\r\n")
+                    .ends_with("hi"));
+    EXPECT_TRUE(this->raw("GET / HTTP/1.0\r\n\r\n").starts_with("HTTP/1.0 200"));
+}
+
+// Guards against changed limits that only a restart brings into force.
+TEST_F(ServerFraming, TakesNewLimits)
+{
+    this->server->setLimits(
+        { .maxHeaderBytes = 4096, .maxBodyBytes = 3, .requestTimeout = 300ms, .idleTimeout = 300ms });
+    EXPECT_TRUE(this->raw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody").starts_with("HTTP/1.1 413"));
+}
+
+} // namespace
+} // namespace chivewinch::http
--- /dev/null
+++ b/tests/platform/decode_test.cpp
@@ -0,0 +1,159 @@
+#include "base/random.hpp"
+#include "platform/decode.hpp"
+#include "platform/decode_engine.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace chivewinch::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string configurationText = R"({"version":7,"routes":[{"name":"r","hostname":"h.example","prefix":"/a/",
+"kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"priority":1,"weightedBackends":[{"service":"s","weight":90},
+{"service":"u","weight":10}],"maxAttempts":2,"noAuth":false,"sticky":true,"resumeStreams":true,"gapTargetMs":120},
+{"name":"q","hostname":"h.example","prefix":"/b/","kind":"never heard of","service":"s"}],
+"services":[{"name":"s","healthPath":"/health","engine":{"slots":12,"sets":4,"experts":64,"placements":5,"spare":2}}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1}]})";
+
+const std::string targetText = R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":12,
+"state":"ready","coldRemainingMs":0,"seq":4,"born":1779017309900,
+"group":{"name":"g0","epoch":3,"rank":5,"state":"open"},"size":16})";
+
+TEST(Decode, ReadsTheConfiguration)
+{
+    std::string reason;
+    const auto configuration = decodeConfiguration(configurationText, reason);
+    ASSERT_TRUE(configuration) << reason;
+    EXPECT_EQ(configuration->version, 7U);
+    ASSERT_EQ(configuration->routes.size(), 2U);
+    const auto& route = configuration->routes.front();
+    EXPECT_EQ(route.kind, gateway::RouteKind::Stream);
+    EXPECT_TRUE(route.repeatable());
+    EXPECT_EQ(route.timeout, 8s);
+    EXPECT_EQ(route.pools,
+        (std::vector<gateway::WeightedPool> { { .pool = "s", .weight = 90 }, { .pool = "u", .weight = 10 } }));
+    EXPECT_EQ(configuration->teams.front().keys, (std::vector<std::string> { "k1", "k2" }));
+    EXPECT_TRUE(configuration->hasTeams);
+    EXPECT_EQ(configuration->limits.idleTimeout, 15s);
+}
+
+// Guards against a kind that is not known and would be repeated.
+TEST(Decode, TakesAnUnknownKindAsNotRepeatable)
+{
+    std::string reason;
+    const auto configuration = decodeConfiguration(configurationText, reason);
+    ASSERT_TRUE(configuration);
+    EXPECT_FALSE(configuration->routes.back().repeatable());
+    EXPECT_EQ(configuration->routes.back().maxAttempts, 1U);
+}
+
+TEST(Decode, ReadsTargets)
+{
+    std::string reason;
+    const auto target = decodeTarget("i-1", targetText, reason);
+    ASSERT_TRUE(target) << reason;
+    EXPECT_EQ(target->id, "i-1");
+    EXPECT_EQ(target->endpoint, (settings::Endpoint { .address = "10.1.0.9", .port = 8080 }));
+    EXPECT_EQ(target->capacity, 12U);
+    EXPECT_FALSE(target->leaving);
+    EXPECT_EQ(target->incarnation, base::Incarnation { 1779017309900 });
+}
+
+// Guards against entries of another writer that name an engine to use.
+TEST(Decode, RefusesMalformedTargets)
+{
+    for (const auto* value : { "", "x", "[]", "null", "{}", R"({"service":"s","state":"ready","zone":"z"})",
+             R"({"service":"s","state":"resting","zone":"z","address":"10.0.0.1:80"})",
+             R"({"service":7,"state":"ready","zone":"z","address":"10.0.0.1:80"})",
+             R"({"service":"s","state":"ready","zone":"z","address":"nowhere"})",
+             R"({"service":"s","state":"ready","zone":"z","address":"10.0.0.1:80","slots":"many"})",
+             R"({"service":"s","state":"ready","zone":"z","address":"10.0.0.1:80","slots":-1})" }) {
+        std::string reason;
+        EXPECT_FALSE(decodeTarget("i", value, reason)) << value;
+        EXPECT_FALSE(reason.empty()) << value;
+    }
+}
+
+TEST(Decode, ReadsRows)
+{
+    const auto rows = decodeRows(R"({"rows":[{"table":"t","part":"","key":"a","value":"bm9kZS0x","ver":4},
+        {"table":"t","part":"","key":"b","tombstone":true,"ver":5},{"key":"c","value":"?"},{"key":"d"}],
+        "truncated":true,"ver":530,"nowMs":51230})");
+    ASSERT_TRUE(rows);
+    EXPECT_EQ(rows->page.version, 530U);
+    EXPECT_TRUE(rows->truncated);
+    ASSERT_EQ(rows->page.rows.size(), 4U);
+    EXPECT_EQ(rows->page.rows[0].value, "node-1");
+    EXPECT_EQ(rows->page.rows[1].value, std::nullopt);
+    // A row whose bytes cannot be read is there, but has no usable value.
+    EXPECT_EQ(rows->page.rows[2].value, "");
+    EXPECT_EQ(rows->page.rows[3].value, "");
+}
+
+TEST(Decode, ReadsEngines)
+{
+    const auto report = decodeReport(R"({"group":{"name":"g0","epoch":1,"rank":7,"state":"open"},"size":16,"step":36,
+        "mapping":0,"prepared":{"version":4},"armed":{"version":4,"step":50},"held":50})");
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->rank, 7U);
+    EXPECT_EQ(report->size, 16U);
+    EXPECT_TRUE(report->maps.open);
+    EXPECT_EQ(report->maps.prepared, 4U);
+    EXPECT_EQ(report->maps.armed, (expert::ArmedMap { .version = 4, .step = 50 }));
+    EXPECT_EQ(report->maps.held, 50U);
+    const auto idle = decodeReport(
+        R"({"group":{"name":"g0","epoch":1,"rank":7,"state":"broken"},"size":16,"step":36,"mapping":0,"prepared":null,"armed":null,"held":null})");
+    ASSERT_TRUE(idle);
+    EXPECT_FALSE(idle->maps.open);
+    EXPECT_FALSE(idle->maps.prepared || idle->maps.armed || idle->maps.held);
+    EXPECT_EQ(decodeLimits(configurationText, "s"),
+        (group::EngineLimits { .layers = 4, .experts = 64, .slotsPerRank = 5, .newPerChange = 2 }));
+    EXPECT_EQ(decodeLimits(configurationText, "other"), std::nullopt);
+    EXPECT_EQ(decodeMember("i", targetText, "s", "g0")->rank, 5U);
+    EXPECT_FALSE(decodeMember("i", targetText, "s", "g1"));
+    EXPECT_FALSE(decodeMember("i", targetText, "u", "g0"));
+    EXPECT_EQ(encodeOrder({ .kind = expert::MapOrderKind::Release, .epoch = 2, .step = 9 }, {}),
+        R"({"epoch":2,"op":"go","step":9})");
+}
+
+// Guards against a process that ends because of bytes that another writer has stored. Mutates valid texts.
+TEST(Decode, SurvivesRandomBytes)
+{
+    const std::vector<std::string> texts { configurationText, targetText,
+        R"({"rows":[{"key":"a","value":"bm9kZS0x","ver":4}],"ver":530})",
+        R"({"step":36,"epoch":1,"counts":[7,1,2],"mapping":{"version":0,"experts":[[0,16],[1]]}})" };
+    constexpr std::uint64_t rounds = 20'000;
+    for (std::uint64_t seed = 1; seed <= rounds; ++seed) {
+        base::SeededRandom random { seed };
+        auto text = texts[random.below(texts.size())];
+        for (auto changes = 1 + random.below(6); changes > 0; --changes) {
+            const auto at = random.below(text.size());
+            if (random.below(3) == 0)
+                text.erase(at, random.below(20));
+            else if (random.below(2) == 0)
+                text[at] = static_cast<char>(random.below(256));
+            else
+                text.insert(at, std::string(1 + random.below(3), "0-[]{}\"e,:9."[random.below(12)]));
+            if (text.empty())
+                break;
+        }
+        std::string reason;
+        (void)decodeConfiguration(text, reason);
+        (void)decodeTarget("i", text, reason);
+        (void)decodeRows(text);
+        (void)decodeReport(text);
+        (void)decodeCounts(text);
+        (void)decodeExperts(text);
+        (void)decodeMember("i", text, "s", "g0");
+        (void)decodeLimits(text, "s");
+        (void)decodeBase64(text);
+    }
+}
+
+} // namespace
+} // namespace chivewinch::platform
--- /dev/null
+++ b/tests/platform/settings_test.cpp
@@ -0,0 +1,69 @@
+#include "platform/agent_settings.hpp"
+#include "platform/entry_settings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chivewinch::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string entryText = "node=front-1\nzone=z\nlisten.front=10.1.0.40:8227\nlisten.ready=10.1.0.40:8220\n"
+                              "platform.address=10.200.1.7:8223\nbounds.graceS=8\nbounds.budgetSlack=94\n"
+                              "bounds.retryBudgetRatio=0.2\nsomething.new=1\n";
+
+std::optional<EntrySettings> entry(const std::string& text, std::string& reason)
+{
+    const auto file = SettingsFile::parse(text, reason);
+    return file ? entrySettings(*file, reason) : std::nullopt;
+}
+
+TEST(PlatformSettings, TranslatesAnEntry)
+{
+    std::string reason;
+    const auto settings = entry(entryText, reason);
+    ASSERT_TRUE(settings) << reason;
+    EXPECT_EQ(settings->gateway.instance, "front-1");
+    EXPECT_EQ(settings->gateway.listen.port, 8227);
+    EXPECT_EQ(settings->store.address, "10.200.1.7");
+    EXPECT_LT(settings->gateway.drain.total, 8s);
+    EXPECT_DOUBLE_EQ(settings->gateway.dispatcher.router.retryBudget.share, 0.2);
+}
+
+// Guards against a process that runs with a wrong setting, and against a message that does not name it.
+TEST(PlatformSettings, NamesTheWrongSetting)
+{
+    const std::vector<std::pair<std::string, std::string>> cases { { "listen.front=here", "listen.front" },
+        { "listen.ready=", "listen.ready" }, { "bounds.graceS=soon", "bounds.graceS" },
+        { "bounds.retryBudgetRatio=7", "bounds.retryBudgetRatio" }, { "zone=", "zone" },
+        { "no equals", "NAME=VALUE" } };
+    for (const auto& [line, name] : cases) {
+        std::string reason;
+        EXPECT_FALSE(entry(entryText + line + "\n", reason)) << line;
+        EXPECT_NE(reason.find(name), std::string::npos) << reason;
+    }
+    std::string reason;
+    EXPECT_FALSE(entry("node=x\n", reason));
+    EXPECT_FALSE(SettingsFile::load("/nowhere/settings.conf", reason));
+}
+
+TEST(PlatformSettings, TranslatesAnAgent)
+{
+    std::string reason;
+    const auto file = SettingsFile::parse("node=side-1\nip=10.1.0.43\napp=10.1.0.43:8228\nservice=s\n"
+                                          "portRange=7340,7355\nplatform.address=10.200.1.7:8223\r\n",
+        reason);
+    ASSERT_TRUE(file);
+    const auto settings = agentSettings(*file, reason);
+    ASSERT_TRUE(settings) << reason;
+    EXPECT_EQ(settings->agent.listen, (settings::Endpoint { .address = "10.1.0.43", .port = 7340 }));
+    EXPECT_EQ(settings->pool, "s");
+    const auto wrong = SettingsFile::parse("node=side-1\nip=1.2.3.4\napp=1.2.3.4:1\nservice=s\nportRange=x\n"
+                                           "platform.address=1.2.3.4:2\n",
+        reason);
+    EXPECT_FALSE(agentSettings(*wrong, reason));
+    EXPECT_NE(reason.find("portRange"), std::string::npos);
+}
+
+} // namespace
+} // namespace chivewinch::platform
--- /dev/null
+++ b/tests/watch/row_watcher_test.cpp
@@ -0,0 +1,112 @@
+#include "watch/row_watcher.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+
+namespace chivewinch::watch {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Feed that plays answers one after the other and then stops the watcher. */
+class ScriptedFeed final : public RowFeed {
+public:
+    struct Answer {
+        std::optional<Page> page;
+        FeedErrorCode error = FeedErrorCode::None;
+    };
+
+    std::deque<Answer> script;
+    std::vector<std::string> calls;
+    std::function<void()> onEnd;
+
+    [[nodiscard]] Task<std::optional<Page>> readAll(FeedError& reason) override
+    {
+        this->calls.emplace_back("all");
+        co_return this->next(reason);
+    }
+
+    [[nodiscard]] Task<std::optional<Page>> changes(
+        std::uint64_t since, std::chrono::milliseconds /*wait*/, FeedError& reason) override
+    {
+        this->calls.push_back("since " + std::to_string(since));
+        co_return this->next(reason);
+    }
+
+private:
+    std::optional<Page> next(FeedError& reason)
+    {
+        if (this->script.empty()) {
+            this->onEnd();
+            return std::nullopt;
+        }
+        auto answer = this->script.front();
+        this->script.pop_front();
+        reason.code = answer.error;
+        return answer.page;
+    }
+};
+
+class RowWatcherTest : public testing::Test {
+protected:
+    void play(std::deque<ScriptedFeed::Answer> script)
+    {
+        this->feed.script = std::move(script);
+        boost::asio::io_context context;
+        RowWatcher watcher { context.get_executor(), this->clock, this->feed,
+            { .table = "t", .firstRetry = 1ms, .maxRetry = 2ms },
+            { .onAll = [this](const auto& rows) { this->seen.push_back("all " + std::to_string(rows.size())); },
+                .onChanges = [this](const auto& rows) { this->seen.push_back("new " + rows.front().key); },
+                .onContact = [this](bool in) { this->seen.emplace_back(in ? "regained" : "lost"); } } };
+        this->feed.onEnd = [&watcher] { watcher.stop(); };
+        boost::asio::co_spawn(context, watcher.run(), boost::asio::detached);
+        context.run();
+    }
+
+    static ScriptedFeed::Answer page(std::uint64_t version, std::vector<RowChange> rows = {})
+    {
+        return { .page = Page { .rows = std::move(rows), .version = version } };
+    }
+
+    base::SystemClock clock;
+    ScriptedFeed feed;
+    std::vector<std::string> seen;
+};
+
+TEST_F(RowWatcherTest, ReadsAllAndThenChanges)
+{
+    this->play({ page(5, { { .key = "a", .value = "1" } }), page(6), page(7, { { .key = "b", .value = "2" } }) });
+    EXPECT_EQ(this->feed.calls, (std::vector<std::string> { "all", "since 5", "since 6", "since 7" }));
+    EXPECT_EQ(this->seen, (std::vector<std::string> { "regained", "all 1", "new b" }));
+}
+
+// Guards against changes that are missed because the store has forgotten its history.
+TEST_F(RowWatcherTest, ReadsAllAgainWhenTheHistoryIsLost)
+{
+    this->play({ page(5), { .error = FeedErrorCode::HistoryLost }, page(9, { { .key = "a", .value = "1" } }) });
+    EXPECT_EQ(this->feed.calls, (std::vector<std::string> { "all", "since 5", "all", "since 9" }));
+}
+
+// Guards against a watch that goes on from a version whose changes it never got.
+TEST_F(RowWatcherTest, KeepsItsVersionOverAnOutage)
+{
+    this->play({ page(5), { .error = FeedErrorCode::Unavailable }, { .error = FeedErrorCode::Unavailable }, page(8) });
+    EXPECT_EQ(this->feed.calls, (std::vector<std::string> { "all", "since 5", "since 5", "since 5", "since 8" }));
+    EXPECT_EQ(this->seen, (std::vector<std::string> { "regained", "all 0", "lost", "regained" }));
+}
+
+// Guards against stale answers that undo newer rows.
+TEST_F(RowWatcherTest, RefusesAnOlderVersion)
+{
+    this->play({ page(5), page(3, { { .key = "old", .value = "1" } }), page(6) });
+    EXPECT_EQ(this->feed.calls, (std::vector<std::string> { "all", "since 5", "all", "since 6" }));
+    EXPECT_EQ(std::ranges::count(this->seen, "new old"), 0);
+}
+
+} // namespace
+} // namespace chivewinch::watch
