--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -217,7 +217,7 @@
         asio::io_context own;
         asio::ip::tcp::socket socket { own };
         socket.connect({ asio::ip::make_address(this->endpoint.address), this->endpoint.port });
-        asio::write(socket, asio::buffer(std::string { "GET / HTTP/1.1\r\n\r\n" }));
+        asio::write(socket, asio::buffer(std::string { "GET / HTTP/1.1\r\nHost: a\r\n\r\n" }));
         std::this_thread::sleep_for(50ms);
         EXPECT_FALSE(noticed);
     }
