--- a/src/expert/held_activation.cpp
+++ b/src/expert/held_activation.cpp
@@ -211,4 +211,30 @@
     return isHeld ? std::vector { this->order(0, MapOrderKind::Release) } : std::vector<MapOrder> {};
 }
 
+std::vector<MapOrder> completeHeldChange(const std::vector<std::optional<RankMapState>>& ranks)
+{
+    if (ranks.empty() || !ranks.front() || !ranks.front()->held || !ranks.front()->prepared)
+        return {};
+    const auto& first = *ranks.front();
+    const ArmedMap wanted { .version = *first.prepared, .step = *first.held };
+    // Ranks are armed only after all of them have loaded the map; without that there is nothing to complete.
+    const bool canComplete = wanted.version != first.version && std::ranges::all_of(ranks, [&first](const auto& rank) {
+        return rank && rank->epoch == first.epoch && rank->prepared == first.prepared;
+    });
+    if (!canComplete)
+        return {};
+    std::vector<MapOrder> orders;
+    for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
+        if (ranks[rank]->armed != wanted)
+            orders.push_back({ .rank = rank,
+                .kind = MapOrderKind::Arm,
+                .epoch = first.epoch,
+                .version = wanted.version,
+                .step = wanted.step });
+    }
+    if (orders.empty())
+        orders.push_back({ .kind = MapOrderKind::Release, .epoch = first.epoch, .step = wanted.step });
+    return orders;
+}
+
 } // namespace chivewinch::expert
--- a/src/expert/held_activation.hpp
+++ b/src/expert/held_activation.hpp
@@ -146,4 +146,11 @@
     [[nodiscard]] MapOrder order(std::uint32_t rank, MapOrderKind kind) const noexcept;
 };
 
+/**
+ * Orders with which the agent of another rank completes a change whose step the group waits for, when the first rank's
+ * agent stands still. It arms what is not armed and releases the step once all ranks are armed, as the first agent
+ * would; it never decides that a change is not to happen. Empty unless all ranks are known and the step is held.
+ */
+[[nodiscard]] std::vector<MapOrder> completeHeldChange(const std::vector<std::optional<RankMapState>>& ranks);
+
 } // namespace chivewinch::expert
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -105,7 +105,9 @@
 {
     const auto own = co_await this->port.report(this->options.engine);
     if (!own || own->rank != 0 || own->size < 2 || !own->maps.open) {
-        if (this->group && (!own || own->rank != 0))
+        if (own && own->rank != 0 && own->maps.open)
+            co_await this->watchSteps(*own);
+        else if (this->group && (!own || own->rank != 0))
             this->group.reset();
         co_return this->options.otherRankInterval;
     }
@@ -124,6 +126,53 @@
     co_return this->activation.idle() ? this->options.interval : std::chrono::milliseconds { 1 };
 }
 
+http::Task<void> GroupAgent::watchSteps(const MemberReport& own)
+{
+    const auto now = this->clock.now();
+    if (own.maps.step != this->seenStep) {
+        this->seenStep = own.maps.step;
+        this->seenStepAt = now;
+        co_return;
+    }
+    // Two ranks rarely look at the same time; a group without requests begins no steps either.
+    if (now - this->seenStepAt < this->options.stillTime * own.rank || !own.maps.prepared)
+        co_return;
+    this->seenStepAt = now;
+    if (*own.maps.prepared != own.maps.version)
+        co_await this->completeChange(own);
+}
+
+http::Task<void> GroupAgent::completeChange(const MemberReport& own)
+{
+    if (!this->group || this->group->epoch != own.maps.epoch || this->group->name != own.group) {
+        auto members = co_await this->port.members(own.group);
+        if (!members || members->size() != own.size)
+            co_return;
+        std::ranges::sort(*members, {}, &Member::rank);
+        this->group.emplace(Group { .name = own.group,
+            .epoch = own.maps.epoch,
+            .members = std::move(*members),
+            .map = {},
+            .window = CountWindow { own.size, {}, this->options.halfLife } });
+    }
+    std::vector<std::optional<expert::RankMapState>> states(this->group->members.size());
+    std::vector<http::Task<void>> reads;
+    for (const auto& member : this->group->members) {
+        if (member.rank < states.size())
+            reads.push_back(this->readState(member, states));
+    }
+    co_await runAll(this->context.get_executor(), std::move(reads));
+    const auto orders = expert::completeHeldChange(states);
+    if (orders.empty())
+        co_return;
+    logging::Event { "map_change_completed_for_first_rank" }
+        .field("epoch", own.maps.epoch)
+        .field("step", orders.front().step)
+        .field("orders", orders.size())
+        .warning();
+    co_await this->sendOrders(orders);
+}
+
 http::Task<bool> GroupAgent::joinGroup(const MemberReport& own)
 {
     if (this->group && this->group->name == own.group && this->group->epoch == own.maps.epoch)
@@ -282,6 +331,7 @@
 
 http::Task<void> GroupAgent::sendOrders(const std::vector<expert::MapOrder>& orders)
 {
+    // Only the agent that planned a map can prepare it.
     static const GroupMap noMap;
     const auto& map = this->planned ? this->planned->map : noMap;
     std::vector<http::Task<void>> tasks;
--- a/src/group/group_agent.hpp
+++ b/src/group/group_agent.hpp
@@ -33,7 +33,9 @@
     std::chrono::milliseconds busyInterval { 100 }; ///< Between two readings of the ranks during a change.
     /** An accepted order whose effect no report shows is repeated after this time; reports are some 200 ms old. */
     std::chrono::milliseconds repeatAfter { 600 };
-    std::chrono::milliseconds otherRankInterval { 1'000 }; ///< Between two looks whether this is the first rank.
+    std::chrono::milliseconds otherRankInterval { 200 }; ///< Between two readings of the own engine on other ranks.
+    /** A group that begins no step for this long may wait for an agent that stands still; each rank waits longer. */
+    std::chrono::milliseconds stillTime { 400 };
     /** Popularity that lasts shorter than this is not worth a change. */
     std::chrono::milliseconds halfLife { 600 };
     std::chrono::milliseconds minBetweenChanges { 700 };
@@ -89,6 +91,8 @@
     std::shared_ptr<http::Server> server;
     std::shared_ptr<http::Server> metricsServer;
     boost::asio::steady_timer timer;
+    std::uint64_t seenStep = 0; ///< Newest step of the own engine, on other ranks than the first.
+    base::SteadyTime seenStepAt {};
     bool isChanging = false;
     bool isDraining = false;
     std::string reason;
@@ -96,6 +100,8 @@
     [[nodiscard]] http::Task<void> run();
     /** Time until the next step. */
     [[nodiscard]] http::Task<std::chrono::milliseconds> step();
+    [[nodiscard]] http::Task<void> watchSteps(const MemberReport& own);
+    [[nodiscard]] http::Task<void> completeChange(const MemberReport& own);
     [[nodiscard]] http::Task<bool> joinGroup(const MemberReport& own);
     [[nodiscard]] http::Task<bool> readMap();
     [[nodiscard]] http::Task<void> readCounts();
--- a/tests/expert/held_activation_exploration_test.cpp
+++ b/tests/expert/held_activation_exploration_test.cpp
@@ -21,6 +21,7 @@
     std::uint32_t changes = 2;
     std::uint32_t restarts = 1;
     std::uint32_t crashes = 1;
+    bool helper = false; ///< The agent of another rank completes changes, at any time and beside the first one.
     std::size_t maxStates = 12'000'000;
 };
 
@@ -241,6 +242,13 @@
             next.beginStep();
             this->add(std::move(next));
         }
+        if (this->bounds.helper) {
+            // Its view is as old as its orders are late.
+            auto next = world;
+            for (const auto& order : completeHeldChange(world.reports(this->bounds.ranks)))
+                next.orphaned.insert(order);
+            this->add(std::move(next));
+        }
         this->disturb(world);
     }
 
@@ -319,6 +327,15 @@
     EXPECT_TRUE(result.changed);
 }
 
+// Guards against two agents that complete a change at the same time, each with a view of its own.
+TEST(HeldActivationExploration, NoStepMixesMapsBesideAHelper)
+{
+    const auto one = explore("3 ranks, one change, helper", exploredOptions(),
+        { .ranks = 3, .steps = 3, .changes = 1, .restarts = 0, .crashes = 0, .helper = true });
+    EXPECT_FALSE(one.mixed);
+    EXPECT_TRUE(one.complete);
+}
+
 // Guards against a mechanism that protects nothing: without it the exploration must find mixed maps.
 TEST(HeldActivationExploration, TheHoldIsNeeded)
 {
