Ask callers to wait longer while a pool answers nothing

Cause: a group that has lost a rank is away for seconds, and a caller's only second try fell into the same outage.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -90,6 +90,10 @@
 void Dispatcher::finished(
     const std::string& pool, const base::TargetId& target, routing::Result result, base::SteadyTime now)
 {
+    if (result == routing::Result::Success)
+        this->failuresInRow[pool] = 0;
+    else if (result != routing::Result::Cancelled)
+        ++this->failuresInRow[pool];
     this->router.finished(target, result, std::nullopt, now);
     this->room.served(pool, now);
     this->advance(now);
@@ -99,12 +103,18 @@
 
 bool Dispatcher::allowRetry(std::string_view pool, base::SteadyTime now) { return this->router.allowRetry(pool, now); }
 
-std::chrono::milliseconds Dispatcher::retryAfter(base::SteadyTime /*now*/)
+std::chrono::milliseconds Dispatcher::retryAfter(const std::string& pool, std::chrono::milliseconds timeLeft)
 {
+    const auto left = static_cast<double>(std::max<std::int64_t>(timeLeft.count(), 0));
+    const auto failures = this->failuresInRow.find(pool);
+    const bool isOut = failures != this->failuresInRow.end() && failures->second >= this->options.outageFailures;
+    const auto longest = left * this->options.maxRetryShare;
+    const auto latest = isOut ? longest : std::min(longest, static_cast<double>(this->options.maxRetryAfter.count()));
+    const auto earliest = isOut ? left * this->options.minRetryShareInOutage
+                                : std::min(latest, static_cast<double>(this->options.minRetryAfter.count()));
     // Callers that are refused together must not come back together.
-    const auto spread = this->options.maxRetryAfter - this->options.minRetryAfter;
-    const auto share = static_cast<double>(spread.count()) * this->random.unit();
-    return this->options.minRetryAfter + std::chrono::milliseconds { static_cast<std::int64_t>(share) };
+    return std::chrono::milliseconds { static_cast<std::int64_t>(
+        earliest + (latest - earliest) * this->random.unit()) };
 }
 
 } // namespace chivewinch::gateway
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -33,8 +33,16 @@
 struct DispatcherOptions {
     routing::RouterOptions router;
     routing::QueueOptions queue;
+    /** Shortest and longest time until a refused caller comes back while its pool answers. */
     std::chrono::milliseconds minRetryAfter { 100 };
-    std::chrono::milliseconds maxRetryAfter { 2'000 };
+    std::chrono::milliseconds maxRetryAfter { 800 };
+    /** Part of the caller's remaining time that it is asked to wait at most; callers ignore more than a third. */
+    double maxRetryShare = 0.33;
+    /** The same at least while the pool answers nothing: an outage lasts seconds, and a caller tries again only once.
+     */
+    double minRetryShareInOutage = 0.25;
+    /** Attempts without a success in a row from which on a pool is taken to be out. */
+    std::uint32_t outageFailures = 4;
 };
 
 /** Gives requests the targets of the platform's list, or lets them wait for one. Not thread-safe. */
@@ -63,8 +71,8 @@
 
     /** Takes one retry from the pool's budget; false when it is spent. */
     [[nodiscard]] bool allowRetry(std::string_view pool, base::SteadyTime now);
-    /** Time after which a refused caller should come back. */
-    [[nodiscard]] std::chrono::milliseconds retryAfter(base::SteadyTime now);
+    /** Time after which a refused caller with this time left should come back. */
+    [[nodiscard]] std::chrono::milliseconds retryAfter(const std::string& pool, std::chrono::milliseconds timeLeft);
 
     /** The target if it is listed and not leaving; nullptr otherwise. */
     [[nodiscard]] const membership::ListedTarget* usable(const base::TargetId& target) const;
@@ -76,6 +84,7 @@
     routing::Router router;
     routing::WaitingRoom room;
     std::map<base::TargetId, membership::ListedTarget> targets;
+    std::map<std::string, std::uint32_t> failuresInRow; ///< By pool.
 };
 
 } // namespace chivewinch::gateway
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -61,7 +61,7 @@
         this->head.host + std::string { http::view(this->request.target()) }, this->request.body());
     if (this->services.strikes.verdict(this->fingerprint) == suspect::Verdict::Blocked) {
         return Refusal { .reason = RefusalReason::SuspectRequest,
-            .retryAfter = this->services.options.dispatcher.maxRetryAfter };
+            .retryAfter = this->services.options.attempts.retryAfterWithoutTarget };
     }
     return std::nullopt;
 }
@@ -207,7 +207,8 @@
     }
     Refusal refusal { .reason = last.reason, .outcome = last.outcome, .timedOut = this->timedOut };
     if (last.outcome == base::Outcome::NotRun)
-        refusal.retryAfter = this->services.dispatcher.retryAfter(this->services.clock.now());
+        refusal.retryAfter = this->services.dispatcher.retryAfter(
+            this->pool, std::chrono::floor<std::chrono::milliseconds>(this->deadline - this->services.clock.now()));
     co_await this->refuse(refusal);
 }
 
