Weigh ranks by their pace in the map; end drained processes at once

Cause: one slow engine sets the pace of its group, and an even map gave it a fair share. The plan now divides time instead of tokens.

--- a/src/expert/even_plan.cpp
+++ b/src/expert/even_plan.cpp
@@ -34,10 +34,9 @@
             for (const auto expert : experts)
                 ++this->replicas[expert];
         }
-        for (std::uint32_t rank = 0; rank < this->held.size(); ++rank) {
-            for (const auto expert : this->held[rank])
-                this->ranks[rank] += this->part(expert, this->replicas[expert]);
-        }
+        if (this->options.paces.size() != this->held.size())
+            this->options.paces.assign(this->held.size(), 1.0);
+        this->sumLoads();
     }
 
     [[nodiscard]] double skew() const { return this->mean <= 0 ? 1 : std::ranges::max(this->ranks) / this->mean; }
@@ -163,7 +162,7 @@
         const auto difference = this->part(expert, to) - this->part(expert, from);
         for (std::uint32_t rank = 0; rank < this->held.size(); ++rank) {
             if (contains(this->held[rank], expert))
-                result[rank] += difference;
+                result[rank] += difference * this->options.paces[rank];
         }
     }
 
@@ -174,14 +173,14 @@
             const auto count = this->replicas[*change.add];
             const auto after = change.dropFrom ? count : count + 1;
             this->rescale(result, *change.add, count, after);
-            result[change.rank] += this->part(*change.add, after);
+            result[change.rank] += this->timeOf(change.rank, *change.add, after);
             if (change.dropFrom)
-                result[*change.dropFrom] -= this->part(*change.add, after);
+                result[*change.dropFrom] -= this->timeOf(*change.dropFrom, *change.add, after);
         }
         if (change.evict) {
             const auto count = this->replicas[*change.evict];
             this->rescale(result, *change.evict, count, count - 1);
-            result[change.rank] -= this->part(*change.evict, count - 1);
+            result[change.rank] -= this->timeOf(change.rank, *change.evict, count - 1);
         }
         return objective(result);
     }
@@ -208,19 +207,30 @@
             this->insert(change.rank, *change.add);
         if (change.add && change.dropFrom)
             this->erase(*change.dropFrom, *change.add);
+        this->sumLoads();
+    }
+
+    void sumLoads()
+    {
         std::ranges::fill(this->ranks, 0.0);
         for (std::uint32_t rank = 0; rank < this->held.size(); ++rank) {
             for (const auto expert : this->held[rank])
-                this->ranks[rank] += this->part(expert, this->replicas[expert]);
+                this->ranks[rank] += this->timeOf(rank, expert, this->replicas[expert]);
         }
     }
+
+    /** Time of a rank for its part of an expert that this many ranks hold. */
+    [[nodiscard]] double timeOf(std::uint32_t rank, std::uint16_t expert, std::uint32_t count) const
+    {
+        return this->part(expert, count) * this->options.paces[rank];
+    }
 };
 
 } // namespace internal
 
-double evenSkew(const LayerHolding& holding, std::span<const double> loads)
+double evenSkew(const LayerHolding& holding, std::span<const double> loads, const std::vector<double>& paces)
 {
-    return internal::Search { holding, loads, {} }.skew();
+    return internal::Search { holding, loads, { .paces = paces } }.skew();
 }
 
 EvenPlan improveEvenly(const LayerHolding& holding, std::span<const double> loads, const EvenPlanOptions& options)
--- a/src/expert/even_plan.hpp
+++ b/src/expert/even_plan.hpp
@@ -18,6 +18,7 @@
     std::uint32_t maxChanges = 48; ///< Bound on the search.
     /** Least relative improvement of the objective for one more loaded expert; a dropped one costs nothing. */
     double minImprovement = 0.01;
+    std::vector<double> paces; ///< Time of each rank for a unit of load; 1 for all if empty. A slow rank gets less.
 
     bool operator==(const EvenPlanOptions&) const = default;
 };
@@ -31,8 +32,9 @@
     bool operator==(const EvenPlan&) const = default;
 };
 
-/** Largest rank load divided by the mean; 1 without any load. */
-[[nodiscard]] double evenSkew(const LayerHolding& holding, std::span<const double> loads);
+/** Largest rank load divided by the mean, each load weighted by the rank's pace; 1 without any load. */
+[[nodiscard]] double evenSkew(
+    const LayerHolding& holding, std::span<const double> loads, const std::vector<double>& paces = {});
 
 /** Searches for replicas that make the ranks even, one change at a time. Every expert keeps at least one rank. */
 [[nodiscard]] EvenPlan improveEvenly(
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -33,6 +33,7 @@
 void Dispatcher::setTargets(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now)
 {
     std::vector<membership::TargetView> views;
+    views.reserve(listed.size());
     std::map<std::string, routing::PoolSpec> pools;
     this->targets.clear();
     for (const auto& target : listed) {
--- a/src/group/codec.cpp
+++ b/src/group/codec.cpp
@@ -22,14 +22,15 @@
 
 std::string encode(const ExpertCounts& counts)
 {
-    return internal::Json { { "epoch", counts.epoch }, { "tokens", counts.tokens } }.dump();
+    return internal::Json { { "epoch", counts.epoch }, { "tokens", counts.tokens }, { "pace", counts.pace } }.dump();
 }
 
 std::optional<ExpertCounts> decodeCounts(const std::string& body)
 {
     return internal::decodeWith(body, [](const internal::Json& value) {
         return ExpertCounts { .epoch = value.at("epoch").get<std::uint64_t>(),
-            .tokens = value.at("tokens").get<std::vector<std::uint64_t>>() };
+            .tokens = value.at("tokens").get<std::vector<std::uint64_t>>(),
+            .pace = value.at("pace").get<double>() };
     });
 }
 
--- a/src/group/count_window.cpp
+++ b/src/group/count_window.cpp
@@ -1,15 +1,23 @@
 #include "group/count_window.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <numeric>
 
 namespace chivewinch::group {
 
+namespace internal {
+
+constexpr double maxPace = 20;
+
+} // namespace internal
+
 CountWindow::CountWindow(std::uint32_t ranks, const EngineLimits& limits, std::chrono::nanoseconds halfLife)
     : limits { limits }
     , halfLife { halfLife }
     , last(ranks)
     , sums(limits.layers, std::vector<double>(limits.experts))
+    , rankPaces(ranks, 1.0)
 {
 }
 
@@ -32,6 +40,8 @@
     if (rank >= this->last.size() || counts.tokens.size() != std::size_t { this->limits.layers } * this->limits.experts)
         return;
     this->decay(now);
+    // A pace below 1 or beyond reason is a mistake of its sender.
+    this->rankPaces[rank] = std::clamp(counts.pace, 1.0, internal::maxPace);
     auto& before = this->last[rank];
     if (before && before->epoch == counts.epoch) {
         for (std::size_t index = 0; index < counts.tokens.size(); ++index) {
--- a/src/group/count_window.hpp
+++ b/src/group/count_window.hpp
@@ -20,6 +20,8 @@
 
     /** Weighted tokens by expert of one layer. */
     [[nodiscard]] const std::vector<double>& loads(std::uint32_t layer) const { return this->sums.at(layer); }
+    /** Newest paces by rank. */
+    [[nodiscard]] const std::vector<double>& paces() const noexcept { return this->rankPaces; }
     /** Weighted tokens of one layer over all experts. */
     [[nodiscard]] double total() const;
 
@@ -28,6 +30,7 @@
     std::chrono::nanoseconds halfLife;
     std::vector<std::optional<ExpertCounts>> last;
     std::vector<std::vector<double>> sums;
+    std::vector<double> rankPaces;
     std::optional<base::SteadyTime> decayedAt;
 
     void decay(base::SteadyTime now);
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -410,7 +410,10 @@
             if (experts)
                 response = { .status = ok, .body = encode(*experts) };
         } else {
-            const auto counts = co_await this->port.counts(this->options.engine);
+            auto counts = co_await this->port.counts(this->options.engine);
+            const auto report = co_await this->port.report(this->options.engine);
+            if (counts && report)
+                counts->pace = report->pace;
             if (counts)
                 response = { .status = ok, .body = encode(*counts) };
         }
--- a/src/group/group_port.hpp
+++ b/src/group/group_port.hpp
@@ -29,6 +29,7 @@
     std::string group;
     std::uint32_t rank = 0;
     std::uint32_t size = 0; ///< Ranks of the group.
+    double pace = 1; ///< Time of the engine for its work, relative to a sound one.
     expert::RankMapState maps;
 
     bool operator==(const MemberReport&) const = default;
@@ -38,6 +39,7 @@
 struct ExpertCounts {
     std::uint64_t epoch = 0;
     std::vector<std::uint64_t> tokens; ///< By layer, then by expert.
+    double pace = 1; ///< Time of the rank for its work, relative to a sound engine.
 
     bool operator==(const ExpertCounts&) const = default;
 };
--- a/src/group/map_planner.cpp
+++ b/src/group/map_planner.cpp
@@ -15,7 +15,8 @@
         auto plan = expert::improveEvenly(present[layer], window.loads(layer),
             { .slotsPerRank = limits.slotsPerRank,
                 .maxNewPerRank = limits.newPerChange,
-                .minImprovement = options.minImprovement });
+                .minImprovement = options.minImprovement,
+                .paces = window.paces() });
         planned.skewBefore += plan.skewBefore / layers;
         planned.skewAfter += plan.skewAfter / layers;
         planned.loaded += plan.loaded;
--- a/src/watch/row_watcher.cpp
+++ b/src/watch/row_watcher.cpp
@@ -12,9 +12,9 @@
 
 namespace asio = boost::asio;
 
-RowWatcher::RowWatcher(
-    asio::any_io_executor executor, const base::Clock& clock, RowFeed& feed, WatchOptions options, WatchEvents events)
-    : timer { std::move(executor) }
+RowWatcher::RowWatcher(const asio::any_io_executor& executor, const base::Clock& clock, RowFeed& feed,
+    WatchOptions options, WatchEvents events)
+    : timer { executor }
     , clock { clock }
     , feed { feed }
     , options { std::move(options) }
--- a/src/watch/row_watcher.hpp
+++ b/src/watch/row_watcher.hpp
@@ -35,8 +35,8 @@
 /** Keeps the content of a table up to date. Used on one executor. */
 class RowWatcher {
 public:
-    RowWatcher(boost::asio::any_io_executor executor, const base::Clock& clock, RowFeed& feed, WatchOptions options,
-        WatchEvents events);
+    RowWatcher(const boost::asio::any_io_executor& executor, const base::Clock& clock, RowFeed& feed,
+        WatchOptions options, WatchEvents events);
     RowWatcher(const RowWatcher&) = delete;
     RowWatcher& operator=(const RowWatcher&) = delete;
     ~RowWatcher();
--- a/tests/expert/even_plan_test.cpp
+++ b/tests/expert/even_plan_test.cpp
@@ -88,6 +88,19 @@
     EXPECT_LT(after, 1.3);
 }
 
+// Guards against a slow rank that sets the pace of all with a fair share of the load.
+TEST(EvenPlan, GivesASlowRankLess)
+{
+    std::vector<double> paces(ranks, 1.0);
+    paces[3] = 1.6;
+    const std::vector<double> loads(experts, 1.0);
+    const auto even = evenSkew(inTurn(), loads, paces);
+    const auto plan = improveEvenly(inTurn(), loads, { .slotsPerRank = slots, .maxNewPerRank = 2, .paces = paces });
+    EXPECT_GT(even, 1.5);
+    EXPECT_LT(plan.skewAfter, 1.25);
+    EXPECT_EQ(evenSkew(plan.holding, loads, paces), plan.skewAfter);
+}
+
 // Guards against moved weights that bring nothing.
 TEST(EvenPlan, LeavesEvenLoadsAlone)
 {
--- a/tests/group/codec_test.cpp
+++ b/tests/group/codec_test.cpp
@@ -7,7 +7,7 @@
 
 TEST(GroupCodec, IsItsOwnInverse)
 {
-    const ExpertCounts counts { .epoch = 3, .tokens = { 1, 2, 3 } };
+    const ExpertCounts counts { .epoch = 3, .tokens = { 1, 2, 3 }, .pace = 1.5 };
     EXPECT_EQ(decodeCounts(encode(counts)), counts);
     const RankExperts experts { .epoch = 3, .version = 9, .layers = { { 1, 2 }, { 3 } } };
     EXPECT_EQ(decodeExperts(encode(experts)), experts);
