--- a/scripts/capacity_rows.py
+++ b/scripts/capacity_rows.py
@@ -263,7 +263,7 @@
          f"p95 by requests/s per entry: {sizes('serve.first_token_p95')} ms with engines that start "
          f"without delay; p99 queueing delay by requests/s in the model of docs/routing.md: {queueing(context)}",
          f"{run('serve')}, {run('routing')}",
-         "`routing::Router`, `entry::WaitingRoom`"),
+         "`routing::Router`, `routing::WaitingRoom`"),
         ("36 ms between tokens", "3 entries at the load of one entry each; engines send every 30 ms",
          f"p95 by requests/s per entry: {sizes('serve.between_tokens_p95')} ms", run("serve"),
          "`agent::AnswerRelay`, `entry::RequestRun`"),
--- a/src/gateway/configuration.hpp
+++ b/src/gateway/configuration.hpp
@@ -34,7 +34,6 @@
     std::vector<WeightedPool> pools;
     std::chrono::milliseconds timeout { 30'000 }; ///< Longest time for which a caller is kept waiting.
     std::chrono::milliseconds latencyObjective { 1'000 }; ///< For a stream, up to its first event.
-    std::chrono::milliseconds gapObjective { 0 }; ///< Longest pause between events of a good answer; 0 if not stated.
     std::uint32_t priority = 0; ///< 0 is the most important.
     std::uint32_t maxAttempts = 1; ///< Targets to which one request may be sent.
     bool open = false; ///< Needs no key.
@@ -70,7 +69,6 @@
 struct Configuration {
     std::uint64_t version = 0;
     std::vector<Route> routes;
-    std::vector<std::string> pools;
     std::vector<Team> teams;
     bool hasTeams = false; ///< False if no request needs a key.
     CallerLimits limits;
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -292,6 +292,7 @@
         .field("epoch", this->group->epoch)
         .field("skew", plan->skewBefore)
         .field("skew_planned", plan->skewAfter)
+        .field("slowest_pace", std::ranges::max(this->group->window.paces()))
         .field("copies", plan->loaded)
         .info();
     this->planned = std::move(plan);
