--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -34,6 +34,7 @@
 {
     std::vector<membership::TargetView> views;
     views.reserve(listed.size());
+    views.reserve(listed.size());
     std::map<std::string, routing::PoolSpec> pools;
     this->targets.clear();
     for (const auto& target : listed) {
@@ -49,6 +50,7 @@
         this->targets.emplace(target.id, target);
     }
     std::vector<routing::PoolSpec> specs;
+    specs.reserve(pools.size());
     for (auto& [name, spec] : pools)
         specs.push_back(std::move(spec));
     this->router.setTargets(views);
