--- a/app/ctl/command.hpp
+++ b/app/ctl/command.hpp
@@ -18,10 +18,13 @@
     std::string summary;
     std::vector<settings::Setting> settings;
     int (*run)(const settings::Values&);
+    /** Settings that may be given without their flags, in this order; the last one takes several lines. */
+    std::vector<std::string> positional {};
 };
 
 [[nodiscard]] std::vector<Command> bundleCommands();
 [[nodiscard]] std::vector<Command> expertCommands();
+[[nodiscard]] std::vector<Command> explainCommands();
 [[nodiscard]] std::vector<Command> keyCommands();
 [[nodiscard]] std::vector<Command> statusCommands();
 [[nodiscard]] std::vector<Command> usageCommands();
--- a/app/ctl/main.cpp
+++ b/app/ctl/main.cpp
@@ -1,5 +1,6 @@
 #include "ctl/command.hpp"
 
+#include <algorithm>
 #include <iostream>
 
 namespace chivewinch::ctl {
@@ -15,7 +16,8 @@
 std::vector<Command> allCommands()
 {
     std::vector<Command> all;
-    for (const auto& group : { keyCommands(), bundleCommands(), statusCommands(), usageCommands(), expertCommands() })
+    for (const auto& group :
+        { keyCommands(), bundleCommands(), statusCommands(), explainCommands(), usageCommands(), expertCommands() })
         all.insert(all.end(), group.begin(), group.end());
     return all;
 }
@@ -29,11 +31,38 @@
     return exitCode;
 }
 
-int runCommand(const Command& command, int argumentCount, char** arguments)
+/** Puts the flags before arguments that were given by their place. */
+std::vector<std::string> withFlags(
+    const Command& command, const settings::Definition& definition, const std::vector<std::string>& given)
+{
+    if (command.positional.empty())
+        return given;
+    std::vector<std::string> result;
+    std::vector<std::string> values(command.positional.size());
+    std::size_t place = 0;
+    for (std::size_t i = 0; i < given.size(); ++i) {
+        if (given[i].starts_with("--")) {
+            result.push_back(given[i]);
+            // The value of a flag may be the next argument.
+            if (definition.defines(given[i].substr(2)) && i + 1 < given.size())
+                result.push_back(given[++i]);
+            continue;
+        }
+        auto& value = values[std::min(place++, values.size() - 1)];
+        value += (value.empty() ? "" : "\n") + given[i];
+    }
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        if (!values[i].empty())
+            result.push_back("--" + command.positional[i] + "=" + values[i]);
+    }
+    return result;
+}
+
+int runCommand(const Command& command, const std::vector<std::string>& given)
 {
     // All commands share the variables CHIVEWINCH_CTL_...
     settings::Definition definition { "chivewinch-ctl", command.name + ": " + command.summary, command.settings };
-    auto parsed = settings::parseProgram(definition, argumentCount, arguments);
+    auto parsed = settings::parseProgram(definition, withFlags(command, definition, given));
     if (const auto* code = std::get_if<int>(&parsed))
         return *code;
     return command.run(std::get<settings::Values>(parsed));
@@ -48,7 +77,7 @@
             continue;
         const auto given = std::string { arguments[1] } + (twoWords ? " " + std::string { arguments[2] } : "");
         if (given == command.name)
-            return runCommand(command, argumentCount - words, arguments + words);
+            return runCommand(command, { arguments + words + 1, arguments + argumentCount });
     }
     if (argumentCount == 2 && std::string { arguments[1] } == "--version")
         return settings::printVersion();
--- a/src/settings/program.cpp
+++ b/src/settings/program.cpp
@@ -24,7 +24,11 @@
 
 std::variant<Values, int> parseProgram(Definition& definition, int argumentCount, char** arguments)
 {
-    std::vector<std::string> given { arguments + 1, arguments + argumentCount };
+    return parseProgram(definition, std::vector<std::string> { arguments + 1, arguments + argumentCount });
+}
+
+std::variant<Values, int> parseProgram(Definition& definition, std::vector<std::string> given)
+{
     if (internal::removeFlag(given, "--help")) {
         std::cout << definition.help();
         return exitDone;
--- a/src/settings/program.hpp
+++ b/src/settings/program.hpp
@@ -20,5 +20,7 @@
  * Returns the values to run with, or the exit code to leave with.
  */
 [[nodiscard]] std::variant<Values, int> parseProgram(Definition& definition, int argumentCount, char** arguments);
+/** The same for arguments without the name of the program. */
+[[nodiscard]] std::variant<Values, int> parseProgram(Definition& definition, std::vector<std::string> given);
 
 } // namespace chivewinch::settings
