--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/request_run.hpp"
 #include "http/disconnect_watch.hpp"
+#include "http/status.hpp"
 #include "logging/event.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -59,11 +60,11 @@
         .clients = this->clients,
         .strikes = this->strikes,
         .metrics = this->requestMetrics }
-    , configurationWatcher { context.get_executor(), clock, feeds.configuration, feeds.configurationWatch,
+    , configurationWatcher { context.get_executor(), feeds.configuration, feeds.configurationWatch,
         { .onAll = [this](const auto& rows) { this->readConfiguration(rows); },
             .onChanges = [this](const auto& rows) { this->readConfiguration(rows); },
             .onContact = [](bool) {} } }
-    , targetsWatcher { context.get_executor(), clock, feeds.targets, feeds.targetsWatch,
+    , targetsWatcher { context.get_executor(), feeds.targets, feeds.targetsWatch,
         { .onAll = [this](const auto& rows) { this->readTargets(rows, true); },
             .onChanges = [this](const auto& rows) { this->readTargets(rows, false); },
             .onContact =
@@ -135,15 +136,14 @@
 
 http::Task<void> Gateway::serveStatus(const http::Request& request, http::ResponseWriter& writer) const
 {
-    constexpr unsigned ok = 200;
-    constexpr unsigned unavailable = 503;
-    constexpr unsigned notFound = 404;
     const auto path = http::pathOf(request);
-    http::Response response { .status = notFound };
+    http::Response response { .status = http::status::notFound };
     if (path == this->options.readinessPath)
-        response = { .status = this->ready() ? ok : unavailable, .body = this->ready() ? "{}" : R"({"ready":false})" };
+        response = { .status = this->ready() ? http::status::ok : http::status::unavailable,
+            .body = this->ready() ? "{}" : R"({"ready":false})" };
     else if (path == this->options.metricsPath)
-        response = { .status = ok, .contentType = "text/plain; version=0.0.4", .body = this->registry.text() };
+        response
+            = { .status = http::status::ok, .contentType = "text/plain; version=0.0.4", .body = this->registry.text() };
     (void)co_await writer.send(std::move(response));
 }
 
--- a/src/gateway/refusal.cpp
+++ b/src/gateway/refusal.cpp
@@ -1,5 +1,7 @@
 #include "gateway/refusal.hpp"
 
+#include "http/status.hpp"
+
 #include <array>
 #include <cstdio>
 
@@ -9,9 +11,7 @@
 
 constexpr unsigned badRequest = 400;
 constexpr unsigned unauthorized = 401;
-constexpr unsigned notFound = 404;
 constexpr unsigned badGateway = 502;
-constexpr unsigned unavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
 
 std::string seconds(std::chrono::milliseconds time)
@@ -34,9 +34,9 @@
     case base::RefusalReason::UnknownTeam:
         return internal::unauthorized;
     case base::RefusalReason::NoRoute:
-        return internal::notFound;
+        return http::status::notFound;
     default:
-        return internal::unavailable;
+        return http::status::unavailable;
     }
 }
 
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -2,6 +2,7 @@
 
 #include "group/codec.hpp"
 #include "group/run_all.hpp"
+#include "http/status.hpp"
 #include "logging/event.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -145,10 +146,9 @@
 http::Task<void> GroupAgent::completeChange(const MemberReport& own)
 {
     if (!this->group || this->group->epoch != own.maps.epoch || this->group->name != own.group) {
-        auto members = co_await this->port.members(own.group);
-        if (!members || members->size() != own.size)
+        auto members = co_await this->readMembers(own);
+        if (!members)
             co_return;
-        std::ranges::sort(*members, {}, &Member::rank);
         this->group.emplace(Group { .name = own.group,
             .epoch = own.maps.epoch,
             .members = std::move(*members),
@@ -173,6 +173,22 @@
     co_await this->sendOrders(orders);
 }
 
+http::Task<std::optional<std::vector<Member>>> GroupAgent::readMembers(const MemberReport& own)
+{
+    auto members = co_await this->port.members(own.group);
+    if (!members)
+        co_return std::nullopt;
+    std::erase_if(*members, [&own](const auto& member) { return member.epoch != own.maps.epoch; });
+    if (members->size() != own.size)
+        co_return std::nullopt;
+    std::ranges::sort(*members, {}, &Member::rank);
+    for (std::uint32_t rank = 0; rank < own.size; ++rank) {
+        if ((*members)[rank].rank != rank)
+            co_return std::nullopt;
+    }
+    co_return members;
+}
+
 http::Task<bool> GroupAgent::joinGroup(const MemberReport& own)
 {
     if (this->group && this->group->name == own.group && this->group->epoch == own.maps.epoch)
@@ -184,15 +200,9 @@
         if (!this->limits)
             co_return false;
     }
-    auto members = co_await this->port.members(own.group);
+    auto members = co_await this->readMembers(own);
     if (!members)
         co_return false;
-    std::erase_if(*members, [&own](const auto& member) { return member.epoch != own.maps.epoch; });
-    std::ranges::sort(*members, {}, &Member::rank);
-    for (std::uint32_t rank = 0; rank < own.size; ++rank) {
-        if (members->size() != own.size || (*members)[rank].rank != rank)
-            co_return false;
-    }
     this->group.emplace(Group { .name = own.group,
         .epoch = own.maps.epoch,
         .members = std::move(*members),
@@ -219,7 +229,7 @@
     http::Error error;
     const http::SendOptions send;
     const auto response = co_await kept->send(http::makeRequest("GET", path), send, error);
-    if (!response || response->status != 200)
+    if (!response || response->status != http::status::ok)
         co_return std::nullopt;
     co_return response->body;
 }
@@ -397,26 +407,24 @@
 
 http::Task<void> GroupAgent::serve(const http::Request& request, http::ResponseWriter& writer)
 {
-    constexpr unsigned ok = 200;
-    constexpr unsigned notFound = 404;
-    constexpr unsigned unavailable = 503;
     const auto path = http::pathOf(request);
-    http::Response response { .status = notFound };
+    http::Response response { .status = http::status::notFound };
     if (path == this->options.metricsPath) {
-        response = { .status = ok, .contentType = "text/plain; version=0.0.4", .body = this->registry.text() };
+        response
+            = { .status = http::status::ok, .contentType = "text/plain; version=0.0.4", .body = this->registry.text() };
     } else if (path == internal::countsPath || path == internal::expertsPath) {
-        response.status = unavailable;
+        response.status = http::status::unavailable;
         if (path == internal::expertsPath) {
             const auto experts = co_await this->port.experts(this->options.engine);
             if (experts)
-                response = { .status = ok, .body = encode(*experts) };
+                response = { .status = http::status::ok, .body = encode(*experts) };
         } else {
             auto counts = co_await this->port.counts(this->options.engine);
             const auto report = co_await this->port.report(this->options.engine);
             if (counts && report)
                 counts->pace = report->pace;
             if (counts)
-                response = { .status = ok, .body = encode(*counts) };
+                response = { .status = http::status::ok, .body = encode(*counts) };
         }
     }
     (void)co_await writer.send(std::move(response));
--- a/src/group/group_agent.hpp
+++ b/src/group/group_agent.hpp
@@ -39,6 +39,7 @@
     /** Popularity that lasts shorter than this is not worth a change. */
     std::chrono::milliseconds halfLife { 600 };
     std::chrono::milliseconds minBetweenChanges { 700 };
+    PortTimeouts timeouts;
     MapPlannerOptions planner;
     expert::HeldActivationOptions activation;
 };
@@ -103,6 +104,8 @@
     [[nodiscard]] http::Task<void> watchSteps(const MemberReport& own);
     [[nodiscard]] http::Task<void> completeChange(const MemberReport& own);
     [[nodiscard]] http::Task<bool> joinGroup(const MemberReport& own);
+    /** All members of the engine's epoch by rank; nullopt while the list lacks one. */
+    [[nodiscard]] http::Task<std::optional<std::vector<Member>>> readMembers(const MemberReport& own);
     [[nodiscard]] http::Task<bool> readMap();
     [[nodiscard]] http::Task<void> readCounts();
     [[nodiscard]] http::Task<void> activate(const MemberReport& own);
--- a/src/group/group_port.hpp
+++ b/src/group/group_port.hpp
@@ -5,7 +5,9 @@
 #include "expert/held_activation.hpp"
 #include "http/message.hpp"
 #include "settings/value_type.hpp"
+#include "watch/row_feed.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -76,6 +78,15 @@
 
 [[nodiscard]] std::string_view toString(OrderReply reply) noexcept;
 
+/** Time limits of calls through a port. */
+struct PortTimeouts {
+    /** Engines answer reports and orders without a queue; an order without an answer is repeated. */
+    std::chrono::milliseconds engine { 150 };
+    watch::FeedTimeouts store;
+
+    bool operator==(const PortTimeouts&) const = default;
+};
+
 /** Access to the engines of a group and to the list of its members; nullopt or false when there is no answer. */
 class GroupPort {
 public:
--- a/src/store_http/http_services.cpp
+++ b/src/store_http/http_services.cpp
@@ -1,5 +1,6 @@
 #include "store_http/http_services.hpp"
 
+#include "http/status.hpp"
 #include "store_http/codec.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -17,11 +18,8 @@
 
 namespace internal {
 
-constexpr unsigned statusOk = 200;
 constexpr unsigned statusCreated = 201;
-constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusPreconditionFailed = 412;
-constexpr unsigned statusUnavailable = 503;
 
 using Finish = std::function<void(const std::optional<http::Response>&, const http::Error&)>;
 
@@ -43,7 +41,7 @@
 /** Error of a failed exchange. A write that may have arrived is ambiguous, a read has merely timed out. */
 store::Error translate(const std::optional<http::Response>& response, const http::Error& reason, bool isWrite)
 {
-    if (response && response->status == statusUnavailable)
+    if (response && response->status == http::status::unavailable)
         return { .code = store::ErrorCode::Unavailable, .detail = "service answered 503" };
     if (response)
         return { .code = store::ErrorCode::Invalid, .detail = "service answered " + std::to_string(response->status) };
@@ -56,7 +54,7 @@
 template <typename Callback, typename Decode> Finish decodeWith(Callback callback, Decode decode, bool isWrite)
 {
     return [callback = std::move(callback), decode, isWrite](const auto& response, const http::Error& reason) {
-        if (!response || response->status != statusOk) {
+        if (!response || response->status != http::status::ok) {
             callback(std::nullopt, translate(response, reason, isWrite));
             return;
         }
@@ -146,9 +144,9 @@
 {
     internal::start(this->executor, this->client, http::makeRequest("GET", internal::objectPath(name)),
         [callback = std::move(callback)](const auto& response, const http::Error& reason) {
-            if (response && response->status == internal::statusOk)
+            if (response && response->status == http::status::ok)
                 callback(std::optional<std::string> { response->body }, {});
-            else if (response && response->status == internal::statusNotFound)
+            else if (response && response->status == http::status::notFound)
                 callback(std::optional<std::string> {}, {});
             else
                 callback(std::nullopt, internal::translate(response, reason, false));
--- a/src/watch/row_feed.hpp
+++ b/src/watch/row_feed.hpp
@@ -40,6 +40,17 @@
     bool operator==(const FeedError&) const = default;
 };
 
+/** Time limits of calls to a store. */
+struct FeedTimeouts {
+    std::chrono::milliseconds connect { 400 };
+    /** A store answers a read within a few milliseconds; it is asked again on a new connection after this time. */
+    std::chrono::milliseconds read { 800 };
+    /** Time beyond the wait for changes after which a call without an answer has lost its connection. */
+    std::chrono::milliseconds slack { 400 };
+
+    bool operator==(const FeedTimeouts&) const = default;
+};
+
 /** One table of a store that tells its changes. */
 class RowFeed {
 public:
--- a/src/watch/row_watcher.cpp
+++ b/src/watch/row_watcher.cpp
@@ -12,10 +12,8 @@
 
 namespace asio = boost::asio;
 
-RowWatcher::RowWatcher(const asio::any_io_executor& executor, const base::Clock& clock, RowFeed& feed,
-    WatchOptions options, WatchEvents events)
+RowWatcher::RowWatcher(const asio::any_io_executor& executor, RowFeed& feed, WatchOptions options, WatchEvents events)
     : timer { executor }
-    , clock { clock }
     , feed { feed }
     , options { std::move(options) }
     , events { std::move(events) }
@@ -86,7 +84,6 @@
 
 void RowWatcher::noteContact()
 {
-    this->contactAt = this->clock.now();
     this->retry = this->options.firstRetry;
     if (std::exchange(this->isInContact, true))
         return;
--- a/src/watch/row_watcher.hpp
+++ b/src/watch/row_watcher.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "base/clock.hpp"
 #include "watch/row_feed.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -21,6 +20,7 @@
     /** Pauses after failed calls, doubled from the first to the second. */
     std::chrono::milliseconds firstRetry { 50 };
     std::chrono::milliseconds maxRetry { 400 };
+    FeedTimeouts timeouts;
 
     bool operator==(const WatchOptions&) const = default;
 };
@@ -35,8 +35,7 @@
 /** Keeps the content of a table up to date. Used on one executor. */
 class RowWatcher {
 public:
-    RowWatcher(const boost::asio::any_io_executor& executor, const base::Clock& clock, RowFeed& feed,
-        WatchOptions options, WatchEvents events);
+    RowWatcher(const boost::asio::any_io_executor& executor, RowFeed& feed, WatchOptions options, WatchEvents events);
     RowWatcher(const RowWatcher&) = delete;
     RowWatcher& operator=(const RowWatcher&) = delete;
     ~RowWatcher();
@@ -47,13 +46,8 @@
     /** Ends a pause between calls, for instance after the process was suspended. */
     void hurry() noexcept { this->timer.cancel(); }
 
-    /** Time of the last answer of the store; the clock's epoch before the first one. */
-    [[nodiscard]] base::SteadyTime lastContact() const noexcept { return this->contactAt; }
-    [[nodiscard]] bool inContact() const noexcept { return this->isInContact; }
-
 private:
     boost::asio::steady_timer timer;
-    const base::Clock& clock;
     RowFeed& feed;
     WatchOptions options;
     WatchEvents events;
@@ -62,7 +56,6 @@
     bool isInContact = false;
     bool isStopped = false;
     std::chrono::milliseconds retry;
-    base::SteadyTime contactAt {};
 
     [[nodiscard]] RowFeed::Task<bool> step();
     void noteContact();
--- a/tests/gateway/event_sequence_test.cpp
+++ b/tests/gateway/event_sequence_test.cpp
@@ -9,7 +9,7 @@
 namespace chivewinch::gateway {
 namespace {
 
-std::string event(std::uint64_t id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+std::string eventText(std::uint64_t id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
 
 TEST(EventSequence, ReadsIdentities)
 {
@@ -36,7 +36,7 @@
             auto id = offset == 0 && next > 0 ? next - 1 : next + (offset == 1 && !delivered.empty() ? 1 : 0);
             const auto end = id + 1 + random.below(5);
             for (; id < std::min(end, length); ++id) {
-                const auto verdict = sequence.accept(event(id));
+                const auto verdict = sequence.accept(eventText(id));
                 if (verdict == EventVerdict::Broken)
                     break;
                 if (verdict == EventVerdict::Forward)
--- a/tests/watch/row_watcher_test.cpp
+++ b/tests/watch/row_watcher_test.cpp
@@ -58,8 +58,7 @@
     {
         this->feed.script = std::move(script);
         boost::asio::io_context context;
-        RowWatcher watcher { context.get_executor(), this->clock, this->feed,
-            { .table = "t", .firstRetry = 1ms, .maxRetry = 2ms },
+        RowWatcher watcher { context.get_executor(), this->feed, { .table = "t", .firstRetry = 1ms, .maxRetry = 2ms },
             { .onAll = [this](const auto& rows) { this->seen.push_back("all " + std::to_string(rows.size())); },
                 .onChanges = [this](const auto& rows) { this->seen.push_back("new " + rows.front().key); },
                 .onContact = [this](bool in) { this->seen.emplace_back(in ? "regained" : "lost"); } } };
@@ -73,7 +72,6 @@
         return { .page = Page { .rows = std::move(rows), .version = version } };
     }
 
-    base::SystemClock clock;
     ScriptedFeed feed;
     std::vector<std::string> seen;
 };
