--- /dev/null
+++ b/app/ctl/explanation.cpp
@@ -0,0 +1,101 @@
+#include "ctl/explanation.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <utility>
+
+namespace chivewinch::ctl {
+
+namespace internal {
+
+// Ends of a request in the logs of the gateway and of the entry.
+constexpr std::array<std::string_view, 2> endEvents { "request", "request_ended" };
+// Ends of attempts in the logs of the gateway and of the entry.
+constexpr std::array<std::string_view, 2> failedAttemptEvents { "attempt_failed", "attempt_ended" };
+// The request ended because an attempt had; other reasons decide by themselves.
+constexpr std::array<std::string_view, 3> reasonsAfterAttempt { "attempt_failed", "retry_budget", "target_down" };
+constexpr std::string_view completedOutcome = "done";
+
+bool contains(const auto& list, std::string_view text) { return std::ranges::find(list, text) != list.end(); }
+
+bool isFailedAttempt(const logging::Line& line)
+{
+    return contains(failedAttemptEvents, line.field("event")) && line.field("outcome") != completedOutcome;
+}
+
+/** Newest line of each kind of event of the processes up to the time, without those of requests. */
+std::vector<logging::Line> stateBefore(
+    const std::vector<logging::Line>& all, const std::vector<std::string_view>& instances, std::string_view time)
+{
+    std::map<std::pair<std::string_view, std::string>, const logging::Line*> newest;
+    for (const auto& line : all) {
+        const auto instance = line.field("instance");
+        if (!line.field("request").empty() || line.field("time") > time || !contains(instances, instance))
+            continue;
+        // Two tables, groups or targets have states of their own.
+        const auto kind = std::string { line.field("event") } + ' ' + std::string { line.field("table") } + ' '
+            + std::string { line.field("group") } + ' ' + std::string { line.field("target") };
+        auto& kept = newest[{ instance, kind }];
+        if (kept == nullptr || kept->field("time") <= line.field("time"))
+            kept = &line;
+    }
+    std::vector<logging::Line> lines;
+    for (const auto& [key, line] : newest)
+        lines.push_back(*line);
+    return lines;
+}
+
+bool isEarlier(const logging::Line& left, const logging::Line& right)
+{
+    return left.field("time") < right.field("time");
+}
+
+std::optional<std::size_t> decidingLine(const std::vector<logging::Line>& lines, std::string_view request)
+{
+    const auto isOwn = [&](const logging::Line& line) { return line.field("request") == request; };
+    const auto end = std::ranges::find_if(
+        lines, [&](const auto& line) { return isOwn(line) && contains(endEvents, line.field("event")); });
+    if (end != lines.end() && end->field("outcome") == completedOutcome)
+        return std::nullopt;
+    if (end == lines.end() || contains(reasonsAfterAttempt, end->field("reason"))) {
+        // An attempt that may have run decides over one that certainly did not.
+        auto attempt = std::ranges::find_if(lines,
+            [&](const auto& line) { return isOwn(line) && isFailedAttempt(line) && line.field("not_run") == "false"; });
+        if (attempt == lines.end())
+            attempt
+                = std::ranges::find_if(lines, [&](const auto& line) { return isOwn(line) && isFailedAttempt(line); });
+        if (attempt != lines.end())
+            return static_cast<std::size_t>(attempt - lines.begin());
+    }
+    if (end == lines.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(end - lines.begin());
+}
+
+} // namespace internal
+
+std::optional<Explanation> explain(std::string_view request, const std::vector<logging::Line>& all)
+{
+    Explanation result;
+    std::vector<std::string_view> instances;
+    std::string_view last;
+    for (const auto& line : all) {
+        if (line.field("request") != request)
+            continue;
+        result.lines.push_back(line);
+        instances.push_back(line.field("instance"));
+        last = std::max(last, line.field("time"));
+        if (internal::contains(internal::endEvents, line.field("event")))
+            result.outcome = line.field("outcome");
+    }
+    if (result.lines.empty())
+        return std::nullopt;
+    for (auto& line : internal::stateBefore(all, instances, last))
+        result.lines.push_back(std::move(line));
+    std::ranges::stable_sort(result.lines, internal::isEarlier);
+    result.deciding = internal::decidingLine(result.lines, request);
+    return result;
+}
+
+} // namespace chivewinch::ctl
