Bound retries in windows that begin with a burst of them

Some 580 attempts fell silent together at the end of a busy time. The budget looked back 10 s, so the retries drew on the busy window and exceeded the share of the calmer window that began with them. Ruled out: forgotten retries (SlidingCounter::covering) and restarts, whose processes begin with no requests counted.

RetryBudget states the bound.

--- a/src/routing/options.hpp
+++ b/src/routing/options.hpp
@@ -29,6 +29,11 @@
     double share = 0.1;
     std::uint32_t constant = 3; ///< Allowed per window on top of the share.
     std::chrono::nanoseconds window { std::chrono::seconds { 10 } };
+    /**
+     * Retries at one moment may draw on the requests of this time only; 0 for those of the whole window. Without it,
+     * retries that draw on a busy window exceed the share of the calmer window that begins with them.
+     */
+    std::chrono::nanoseconds burst { 0 };
 };
 
 /** Use of targets in other availability zones. */
--- a/src/routing/retry_budget.hpp
+++ b/src/routing/retry_budget.hpp
@@ -4,32 +4,69 @@
 #include "routing/options.hpp"
 #include "routing/share_budget.hpp"
 
+#include <algorithm>
+#include <optional>
+
 namespace chivewinch::routing {
 
-/** Bounds retries to a share of the requests, so that failures do not multiply the load. */
+/**
+ * Bounds retries to a share of the requests, so that failures do not multiply the load. With a burst time, any window
+ * has at most: constant + share * (its requests + the requests of the burst time before it).
+ */
 class RetryBudget {
 public:
     explicit RetryBudget(const RetryBudgetOptions& options) noexcept
         : enabled { options.enabled }
+        , share { options.share }
         , budget { options.share, options.constant, options.window }
     {
+        if (options.burst.count() > 0)
+            this->recent.emplace(options.burst);
     }
 
     /** A request starts its first attempt. */
-    void noteRequest(base::SteadyTime now) noexcept { this->budget.noteOrdinary(now); }
+    void noteRequest(base::SteadyTime now) noexcept
+    {
+        this->budget.noteOrdinary(now);
+        if (!this->recent)
+            return;
+        this->recent->add(now);
+        this->credit += this->share;
+        this->limitCredit(now);
+    }
 
     /** Takes one retry from the budget; false when it is spent. */
     [[nodiscard]] bool tryRetry(base::SteadyTime now) noexcept
     {
-        if (this->enabled && !this->budget.allows(now))
+        if (this->enabled && !this->allows(now))
             return false;
+        if (this->recent && !this->budget.allowsWithoutShare(now))
+            this->credit -= 1;
         this->budget.noteExceptional(now);
         return true;
     }
 
 private:
     bool enabled;
+    double share;
     internal::ShareBudget budget;
+    std::optional<internal::SlidingCounter> recent; ///< Requests of the burst time.
+    double credit = 0; ///< Retries that the requests since the last ones have earned.
+
+    [[nodiscard]] bool allows(base::SteadyTime now) noexcept
+    {
+        if (!this->budget.allows(now))
+            return false;
+        if (!this->recent || this->budget.allowsWithoutShare(now))
+            return true;
+        this->limitCredit(now);
+        return this->credit >= 1;
+    }
+
+    void limitCredit(base::SteadyTime now) noexcept
+    {
+        this->credit = std::min(this->credit, this->share * static_cast<double>(this->recent->total(now)));
+    }
 };
 
 } // namespace chivewinch::routing
--- a/src/routing/share_budget.hpp
+++ b/src/routing/share_budget.hpp
@@ -28,6 +28,12 @@
         return used <= this->share * static_cast<double>(this->ordinary.total(now)) + this->constant;
     }
 
+    /** Whether the constant alone allows it. */
+    [[nodiscard]] bool allowsWithoutShare(base::SteadyTime now) noexcept
+    {
+        return this->exceptional.total(now) < this->constant;
+    }
+
 private:
     double share;
     std::uint32_t constant;
