--- a/app/ctl/explanation.cpp
+++ b/app/ctl/explanation.cpp
@@ -41,6 +41,7 @@
             kept = &line;
     }
     std::vector<logging::Line> lines;
+    lines.reserve(newest.size());
     for (const auto& [key, line] : newest)
         lines.push_back(*line);
     return lines;
--- a/cmake/chivewinch_targets.cmake
+++ b/cmake/chivewinch_targets.cmake
@@ -28,6 +28,12 @@
 add_library(chivewinch_boost STATIC ${CMAKE_SOURCE_DIR}/cmake/boost_asio_beast.cpp)
 target_link_libraries(chivewinch_boost PRIVATE chivewinch_options Threads::Threads)
 
+# Linter comment before each source in a unity source, which includes sources on purpose.
+function(chivewinch_mark_unity target)
+    set_target_properties(${target} PROPERTIES
+        UNITY_BUILD_CODE_BEFORE_INCLUDE "// NOLINTNEXTLINE(bugprone-suspicious-include)")
+endfunction()
+
 # chivewinch_library(NAME [DEPENDS module...] [LINK target...])
 # Library chivewinch_NAME from all sources of the current folder.
 function(chivewinch_library name)
@@ -36,6 +42,7 @@
     set(library chivewinch_${name})
     if(sources)
         add_library(${library} STATIC ${sources})
+        chivewinch_mark_unity(${library})
         set(scope PUBLIC)
     else()
         add_library(${library} INTERFACE)
@@ -52,6 +59,7 @@
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS *.cpp)
     list(TRANSFORM ARG_DEPENDS PREPEND chivewinch_)
     add_executable(chivewinch-${name} ${sources})
+    chivewinch_mark_unity(chivewinch-${name})
     target_include_directories(chivewinch-${name} PRIVATE ${CMAKE_SOURCE_DIR}/app)
     target_link_libraries(chivewinch-${name} PRIVATE chivewinch_options ${ARG_DEPENDS} ${ARG_LINK})
 endfunction()
