Keep the bundle in force behind a mutex instead of std::atomic<std::shared_ptr>

Cause of the known red scenario: the load of libstdc++ 12 unlocks with relaxed order (shared_ptr_atomic.h:502), so its read of the pointer races with the swap of the next store. ThreadSanitizer names both places.

--- a/app/entry/caller_service.cpp
+++ b/app/entry/caller_service.cpp
@@ -24,7 +24,7 @@
 http::Task<void> CallerService::serve(const http::Request& request, http::ResponseWriter& writer)
 {
     const auto id = this->requestIds.with([](base::SeededRandom& random) { return base::randomRequestId(random); });
-    auto snapshot = this->services.tables.snapshot.load();
+    auto snapshot = this->services.tables.snapshot();
     ApiError error;
     error.reason = base::RefusalReason::NoBundle;
     error.retryAfter = internal::noBundleRetryAfter;
--- a/app/entry/entry.cpp
+++ b/app/entry/entry.cpp
@@ -86,7 +86,7 @@
 
 void Entry::updateGauges(std::size_t waiting)
 {
-    const auto snapshot = this->tables.snapshot.load();
+    const auto snapshot = this->tables.snapshot();
     const auto live = this->tables.membership.with(
         [](const membership::TargetTable& table) { return table.count(membership::TargetState::Live); });
     this->gauges.bundleVersion.Set(snapshot ? static_cast<double>(snapshot->version()) : 0);
@@ -174,7 +174,7 @@
     auto zonePeers = this->peers.liveIn(this->options.zone);
     zonePeers.push_back(this->options.instance);
     this->tables.routing.with([&zonePeers](Routing& routing) { routing.router.setPeers(zonePeers); });
-    const auto snapshot = this->tables.snapshot.load();
+    const auto snapshot = this->tables.snapshot();
     const auto live = this->peers.liveCount() + 1;
     if (!snapshot)
         return;
@@ -250,7 +250,7 @@
     if (path == "/healthz") {
         response.body = "ok\n";
     } else if (path == "/readyz") {
-        const bool ready = !this->draining && this->tables.snapshot.load() != nullptr;
+        const bool ready = !this->draining && this->tables.snapshot() != nullptr;
         response.status = ready ? 200 : 503;
         response.body = ready ? "ready\n" : "not ready\n";
     } else if (path == "/metrics") {
@@ -273,7 +273,7 @@
             { { "target", view.target }, { "zone", view.zone }, { "state", membership::toString(view.state) },
                 { "incarnation", static_cast<std::uint64_t>(view.incarnation) } });
     }
-    const auto snapshot = this->tables.snapshot.load();
+    const auto snapshot = this->tables.snapshot();
     const auto version = snapshot ? static_cast<std::uint64_t>(snapshot->version()) : 0;
     const nlohmann::ordered_json status { { "instance", this->options.instance }, { "zone", this->options.zone },
         { "bundle_version", version }, { "draining", this->draining.load() },
--- a/app/entry/heartbeat_source.cpp
+++ b/app/entry/heartbeat_source.cpp
@@ -22,7 +22,7 @@
     heartbeat.set_incarnation(static_cast<std::uint64_t>(this->incarnation));
     heartbeat.set_sequence(++this->sequence);
     heartbeat.set_state(this->leaving ? wire::PEER_LEAVING : wire::PEER_LIVE);
-    if (const auto snapshot = this->tables.snapshot.load())
+    if (const auto snapshot = this->tables.snapshot())
         heartbeat.set_bundle_version(static_cast<std::uint64_t>(snapshot->version()));
     const auto strikes = this->tables.suspects.with([](Suspects& suspects) { return suspects.strikes.report(); });
     protocol::assignStrikes(heartbeat, strikes);
--- a/app/entry/tables.cpp
+++ b/app/entry/tables.cpp
@@ -75,13 +75,18 @@
 {
 }
 
+std::shared_ptr<const bundle::Snapshot> Tables::snapshot()
+{
+    return this->inForce.with([](const auto& present) { return present; });
+}
+
 void Tables::adopt(std::shared_ptr<const bundle::Snapshot> next)
 {
     const auto pools = internal::poolsOf(*next, this->zone);
     const auto teams = internal::limitsOf(*next);
     this->limits.with([&](Limits& limits) { limits.teams.setTeams(teams); });
     this->routing.with([&](Routing& routing) { routing.router.setPools(pools); });
-    this->snapshot.store(std::move(next));
+    this->inForce.with([&next](auto& present) { present.swap(next); });
     this->routedVersion = 0;
 }
 
--- a/app/entry/tables.hpp
+++ b/app/entry/tables.hpp
@@ -51,20 +51,21 @@
 struct Tables {
     Tables(const EntryOptions& options, const base::Clock& clock);
 
-    /** Bundle in force; null before the first one. */
-    std::atomic<std::shared_ptr<const bundle::Snapshot>> snapshot;
-
     base::Guarded<membership::TargetTable> membership;
     base::Guarded<Suspects> suspects;
     base::Guarded<Limits> limits;
     base::Guarded<Routing> routing;
 
+    /** Bundle in force; null before the first one. */
+    [[nodiscard]] std::shared_ptr<const bundle::Snapshot> snapshot();
     /** Puts a bundle in force for routing and limits. */
     void adopt(std::shared_ptr<const bundle::Snapshot> next);
     /** Takes over liveness into routing if it has changed. */
     void refreshTargets();
 
 private:
+    // std::atomic<std::shared_ptr> of GCC 12 unlocks a load without release, a data race with the next store.
+    base::Guarded<std::shared_ptr<const bundle::Snapshot>> inForce;
     base::ZoneId zone;
     base::SeededRandom random;
     std::atomic<std::uint64_t> routedVersion { 0 };
