Move choices of limits and routing from platform/ into the gateway's options

platform/entry_settings chose the router's rules, the part of the retry slack, the strikes, the margin of the drain and the pause of the target list. It now only reads the settings: gateway::directRouter, directStrikes, RetryLimit, DrainOptions::margin, targetListPause. Values and tests are unchanged.

--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -29,13 +29,32 @@
     std::size_t maxIdleConnections = 4; ///< To each target.
 };
 
+/** Pause after each call that brought changes of the target list, which changes all the time where targets report. */
+inline constexpr std::chrono::milliseconds targetListPause { 500 };
+
 /** Shutdown after a request to stop. */
 struct DrainOptions {
+    /** Part of the grace period that is left for the end of the process after the last cut. */
+    static constexpr std::chrono::milliseconds margin { 600 };
+
     /** New connections are accepted for this long: the balancer before the process notices a missing readiness late. */
     std::chrono::milliseconds acceptFor { 2'600 };
     std::chrono::milliseconds total { 7'400 }; ///< Everything is cut after this time.
 };
 
+/** Limit of retries that all processes of the deployment share. */
+struct RetryLimit {
+    double share = 0.2; ///< Of the requests of each window.
+    double slack = 0; ///< Retries of all processes on top of the share.
+    std::chrono::milliseconds window { 10'000 };
+};
+
+/** Choice among targets that are reached directly: all at the same cost, and few enough to compare them all. */
+[[nodiscard]] routing::RouterOptions directRouter(
+    const std::string& instance, const base::ZoneId& zone, const RetryLimit& retries);
+/** Blocking of requests that crash targets which are reached directly. */
+[[nodiscard]] suspect::StrikeOptions directStrikes() noexcept;
+
 struct GatewayOptions {
     std::string instance; ///< Identity of this process.
     base::ZoneId zone;
@@ -50,7 +69,7 @@
     DrainOptions drain;
     DispatcherOptions dispatcher;
     membership::ListedTargetsOptions targets;
-    suspect::StrikeOptions strikes;
+    suspect::StrikeOptions strikes = directStrikes();
 };
 
 } // namespace chivewinch::gateway
