--- a/app/agent/agent.cpp
+++ b/app/agent/agent.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/identity.hpp"
 #include "http/listen.hpp"
+#include "http/status.hpp"
 #include "logging/event.hpp"
 #include "protocol/convert.hpp"
 
@@ -326,12 +327,12 @@
         response.body = "ok\n";
     } else if (path == "/readyz") {
         const bool ready = !this->draining && this->targetMonitor.up();
-        response.status = ready ? 200 : 503;
+        response.status = ready ? http::status::ok : http::status::unavailable;
         response.body = ready ? "ready\n" : "not ready\n";
     } else if (path == "/metrics") {
         response.body = this->registry.text();
     } else {
-        response.status = 404;
+        response.status = http::status::notFound;
         response.body = "not found\n";
     }
     (void)co_await writer.send(std::move(response));
--- a/app/agent/target_monitor.cpp
+++ b/app/agent/target_monitor.cpp
@@ -1,5 +1,6 @@
 #include "agent/target_monitor.hpp"
 
+#include "http/status.hpp"
 #include "logging/event.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -61,7 +62,7 @@
     auto request = http::makeRequest("GET", "/load");
     request.keep_alive(false);
     const auto response = co_await this->client.send(std::move(request), options, reason);
-    const bool isAnswer = response && response->status == 200;
+    const bool isAnswer = response && response->status == http::status::ok;
     (void)(isAnswer ? this->noteAnswer(response->body) : this->noteFailure(reason));
     co_return this->crashes != crashesBefore;
 }
--- a/app/ctl/status_commands.cpp
+++ b/app/ctl/status_commands.cpp
@@ -1,6 +1,7 @@
 #include "ctl/command.hpp"
 #include "ctl/table.hpp"
 #include "http/client.hpp"
+#include "http/status.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -32,7 +33,7 @@
     auto answer = boost::asio::co_spawn(context, fetchStatus(client), boost::asio::use_future);
     context.run();
     const auto response = answer.get();
-    if (!response || response->status != 200)
+    if (!response || response->status != http::status::ok)
         return std::nullopt;
     auto json = Json::parse(response->body, nullptr, false);
     return json.is_object() ? std::optional { std::move(json) } : std::nullopt;
--- a/app/entry/answer_sink.hpp
+++ b/app/entry/answer_sink.hpp
@@ -4,6 +4,7 @@
 #include "entry/caller_request.hpp"
 #include "entry/services.hpp"
 #include "http/response_writer.hpp"
+#include "http/status.hpp"
 
 #include <string>
 #include <string_view>
@@ -41,7 +42,10 @@
     bool isFirst = true;
 
     /** A target's error answer is passed on whole even if a stream was asked for. */
-    [[nodiscard]] bool isStreamed() const noexcept { return this->request.stream && this->answer.status == 200; }
+    [[nodiscard]] bool isStreamed() const noexcept
+    {
+        return this->request.stream && this->answer.status == http::status::ok;
+    }
     [[nodiscard]] http::Task<bool> startStream();
 };
 
--- a/app/entry/entry.cpp
+++ b/app/entry/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry.hpp"
 
 #include "daemon/identity.hpp"
+#include "http/status.hpp"
 #include "logging/event.hpp"
 
 #include <boost/asio/bind_executor.hpp>
@@ -251,7 +252,7 @@
         response.body = "ok\n";
     } else if (path == "/readyz") {
         const bool ready = !this->draining && this->tables.snapshot() != nullptr;
-        response.status = ready ? 200 : 503;
+        response.status = ready ? http::status::ok : http::status::unavailable;
         response.body = ready ? "ready\n" : "not ready\n";
     } else if (path == "/metrics") {
         response.body = this->registry.text();
--- a/app/load/worker.cpp
+++ b/app/load/worker.cpp
@@ -1,6 +1,7 @@
 #include "load/worker.hpp"
 
 #include "http/sse.hpp"
+#include "http/status.hpp"
 #include "standin/tokens.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -252,7 +253,7 @@
     const auto stream = co_await this->open(std::move(message), entry, outcome);
     if (!stream)
         co_return outcome;
-    if (stream->status() != 200) {
+    if (stream->status() != http::status::ok) {
         this->readRefusal(*stream, outcome);
         co_await this->readWhole(*stream, outcome);
         co_return outcome;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -34,7 +34,6 @@
 {
     std::vector<membership::TargetView> views;
     views.reserve(listed.size());
-    views.reserve(listed.size());
     std::map<std::string, routing::PoolSpec> pools;
     this->targets.clear();
     for (const auto& target : listed) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -143,7 +143,7 @@
             .body = this->ready() ? "{}" : R"({"ready":false})" };
     else if (path == this->options.metricsPath)
         response
-            = { .status = http::status::ok, .contentType = "text/plain; version=0.0.4", .body = this->registry.text() };
+            = { .status = http::status::ok, .contentType = metrics::textContentType, .body = this->registry.text() };
     (void)co_await writer.send(std::move(response));
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_run.hpp"
 
+#include "http/status.hpp"
 #include "logging/event.hpp"
 #include "suspect/strike.hpp"
 
@@ -189,7 +190,7 @@
         this->services.metrics.done.Increment();
         this->services.metrics.duration.Observe(
             std::chrono::duration<double> { this->services.clock.now() - this->arrived }.count());
-        this->logEnd("done", "", 200);
+        this->logEnd("done", "", http::status::ok);
         co_return;
     }
     if (this->writer.started()) {
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -45,6 +45,8 @@
     , port { port }
     , changes { this->registry.counter("chivewinch_map_changes_total", "Expert maps brought into use") }
     , activation { this->options.activation }
+    , peers { context.get_executor(),
+        { .connectTimeout = internal::peerTimeout, .readTimeout = internal::peerTimeout, .maxIdleConnections = 1 } }
     , timer { context }
 {
 }
@@ -155,13 +157,7 @@
             .map = {},
             .window = CountWindow { own.size, {}, this->options.halfLife } });
     }
-    std::vector<std::optional<expert::RankMapState>> states(this->group->members.size());
-    std::vector<http::Task<void>> reads;
-    for (const auto& member : this->group->members) {
-        if (member.rank < states.size())
-            reads.push_back(this->readState(member, states));
-    }
-    co_await runAll(this->context.get_executor(), std::move(reads));
+    const auto states = co_await this->readStates(0);
     const auto orders = expert::completeHeldChange(states);
     if (orders.empty())
         co_return;
@@ -217,18 +213,10 @@
 
 http::Task<std::optional<std::string>> GroupAgent::askPeer(const Member& member, const char* path)
 {
-    auto& client = this->peers[member.endpoint.address];
-    if (!client) {
-        client = std::make_shared<http::Client>(this->context.get_executor(),
-            http::ClientOptions { .server = { .address = member.endpoint.address, .port = this->options.listen.port },
-                .connectTimeout = internal::peerTimeout,
-                .readTimeout = internal::peerTimeout,
-                .maxIdleConnections = 1 });
-    }
-    const auto kept = client;
+    const auto client = this->peers.of({ .address = member.endpoint.address, .port = this->options.listen.port });
     http::Error error;
     const http::SendOptions send;
-    const auto response = co_await kept->send(http::makeRequest("GET", path), send, error);
+    const auto response = co_await client->send(http::makeRequest("GET", path), send, error);
     if (!response || response->status != http::status::ok)
         co_return std::nullopt;
     co_return response->body;
@@ -310,22 +298,24 @@
     this->activation.begin(this->lastVersion, this->group->epoch, now);
 }
 
-http::Task<void> GroupAgent::readState(const Member& member, std::vector<std::optional<expert::RankMapState>>& states)
+http::Task<GroupAgent::States> GroupAgent::readStates(std::uint32_t firstRank)
 {
-    const auto report = co_await this->port.report(member.endpoint);
-    if (report && report->group == this->group->name && report->rank == member.rank)
-        states[member.rank] = report->maps;
+    States states(this->group->members.size());
+    const auto read = [this](const Member& member, std::optional<expert::RankMapState>& result) -> http::Task<void> {
+        const auto report = co_await this->port.report(member.endpoint);
+        if (report && report->group == this->group->name && report->rank == member.rank)
+            result = report->maps;
+    };
+    std::vector<http::Task<void>> reads;
+    for (auto rank = firstRank; rank < states.size(); ++rank)
+        reads.push_back(read(this->group->members[rank], states[rank]));
+    co_await runAll(this->context.get_executor(), std::move(reads));
+    co_return states;
 }
 
 http::Task<void> GroupAgent::activate(const MemberReport& own)
 {
-    std::vector<std::optional<expert::RankMapState>> states(this->group->members.size());
-    std::vector<http::Task<void>> reads;
-    for (const auto& member : this->group->members) {
-        if (member.rank != 0)
-            reads.push_back(this->readState(member, states));
-    }
-    co_await runAll(this->context.get_executor(), std::move(reads));
+    auto states = co_await this->readStates(1);
     // Read before the others: a step that had not begun then may have begun by now, never the other way round.
     states.front() = own.maps;
     this->isChanging = true;
@@ -411,7 +401,7 @@
     http::Response response { .status = http::status::notFound };
     if (path == this->options.metricsPath) {
         response
-            = { .status = http::status::ok, .contentType = "text/plain; version=0.0.4", .body = this->registry.text() };
+            = { .status = http::status::ok, .contentType = metrics::textContentType, .body = this->registry.text() };
     } else if (path == internal::countsPath || path == internal::expertsPath) {
         response.status = http::status::unavailable;
         if (path == internal::expertsPath) {
--- a/src/group/group_agent.hpp
+++ b/src/group/group_agent.hpp
@@ -6,7 +6,7 @@
 #include "group/count_window.hpp"
 #include "group/group_port.hpp"
 #include "group/map_planner.hpp"
-#include "http/client.hpp"
+#include "http/client_set.hpp"
 #include "http/server.hpp"
 #include "metrics/registry.hpp"
 
@@ -64,6 +64,8 @@
     void drain();
 
 private:
+    using States = std::vector<std::optional<expert::RankMapState>>;
+
     /** What the first rank's agent knows about the group in one epoch. */
     struct Group {
         std::string name;
@@ -88,7 +90,7 @@
     std::uint64_t lastVersion = 0;
     base::SteadyTime lastChange {};
     std::map<expert::MapOrder, base::SteadyTime> accepted; ///< Orders of the present change, by time.
-    std::map<std::string, std::shared_ptr<http::Client>> peers;
+    http::ClientSet peers;
     std::shared_ptr<http::Server> server;
     std::shared_ptr<http::Server> metricsServer;
     boost::asio::steady_timer timer;
@@ -109,8 +111,8 @@
     [[nodiscard]] http::Task<bool> readMap();
     [[nodiscard]] http::Task<void> readCounts();
     [[nodiscard]] http::Task<void> activate(const MemberReport& own);
-    [[nodiscard]] http::Task<void> readState(
-        const Member& member, std::vector<std::optional<expert::RankMapState>>& states);
+    /** States of the ranks from the first one on; nullopt for the others and for those that do not answer. */
+    [[nodiscard]] http::Task<States> readStates(std::uint32_t firstRank);
     [[nodiscard]] http::Task<void> sendOrders(const std::vector<expert::MapOrder>& orders);
     [[nodiscard]] http::Task<void> sendOrder(expert::MapOrder order, const GroupMap& map);
     [[nodiscard]] bool isDue(const expert::MapOrder& order) const;
--- /dev/null
+++ b/src/http/query.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace chivewinch::http {
+
+/** Text as it may stand for a value in a query. */
+[[nodiscard]] inline std::string queryValue(std::string_view text)
+{
+    return boost::urls::encode(boost::urls::string_view { text.data(), text.size() }, boost::urls::unreserved_chars);
+}
+
+} // namespace chivewinch::http
--- a/src/metrics/registry.hpp
+++ b/src/metrics/registry.hpp
@@ -15,6 +15,9 @@
 
 namespace chivewinch::metrics {
 
+/** Content type of the Prometheus text format. */
+inline constexpr const char* textContentType = "text/plain; version=0.0.4";
+
 /** Metrics of one process. Thread-safe; returned references live as long as the registry. */
 class Registry {
 public:
--- a/src/store_http/http_services.cpp
+++ b/src/store_http/http_services.cpp
@@ -1,5 +1,6 @@
 #include "store_http/http_services.hpp"
 
+#include "http/query.hpp"
 #include "http/status.hpp"
 #include "store_http/codec.hpp"
 
@@ -73,8 +74,6 @@
     return "/objects/" + boost::urls::encode(name, boost::urls::unreserved_chars + '/');
 }
 
-std::string queryValue(const std::string& value) { return boost::urls::encode(value, boost::urls::unreserved_chars); }
-
 std::optional<std::vector<std::string>> decodeNames(const std::string& body)
 {
     const auto value = nlohmann::json::parse(body, nullptr, false);
@@ -155,8 +154,8 @@
 
 void HttpObjectStore::list(std::string prefix, std::string startAfter, std::size_t limit, ListCallback callback)
 {
-    const auto target = "/objects?prefix=" + internal::queryValue(prefix)
-        + "&start-after=" + internal::queryValue(startAfter) + "&max-keys=" + std::to_string(limit);
+    const auto target = "/objects?prefix=" + http::queryValue(prefix) + "&start-after=" + http::queryValue(startAfter)
+        + "&max-keys=" + std::to_string(limit);
     internal::start(this->executor, this->client, http::makeRequest("GET", target),
         internal::decodeWith(std::move(callback), internal::decodeNames, false));
 }
--- a/tests/gateway/event_sequence_test.cpp
+++ b/tests/gateway/event_sequence_test.cpp
@@ -1,5 +1,6 @@
 #include "base/random.hpp"
 #include "gateway/event_sequence.hpp"
+#include "gateway/names.hpp"
 
 #include <gtest/gtest.h>
 
@@ -9,8 +10,6 @@
 namespace chivewinch::gateway {
 namespace {
 
-std::string eventText(std::uint64_t id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
-
 TEST(EventSequence, ReadsIdentities)
 {
     EXPECT_EQ(eventId("id: 7\ndata: x\n\n"), 7U);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -48,8 +48,6 @@
     std::vector<watch::RowChange> rows;
 };
 
-std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
-
 /** A gateway in front of two targets whose behaviour each test states; one thread runs them all. */
 class GatewayTest : public testing::Test {
 protected:
@@ -261,16 +259,16 @@
     this->start(RouteKind::Stream, [](int call, const auto& request, auto& writer) -> http::Task<void> {
         (void)co_await writer.start(sealed(request));
         if (call == 1) {
-            (void)co_await writer.write(event(0) + event(1) + "id: 2\nda");
+            (void)co_await writer.write(eventText(0) + eventText(1) + "id: 2\nda");
             writer.abort();
             co_return;
         }
-        (void)co_await writer.write(event(1) + event(2) + event(3));
+        (void)co_await writer.write(eventText(1) + eventText(2) + eventText(3));
         (void)co_await writer.finish();
     });
     const auto response = this->send(callerRequest());
     EXPECT_EQ(response.status, 200U);
-    EXPECT_EQ(response.body, event(0) + event(1) + event(2) + event(3));
+    EXPECT_EQ(response.body, eventText(0) + eventText(1) + eventText(2) + eventText(3));
     ASSERT_EQ(this->requests.size(), 2U);
     EXPECT_EQ(http::headerOf(this->requests[1], "Last-Event-Id"), "1");
 }
@@ -281,11 +279,11 @@
     this->start(RouteKind::Stream, [](int call, const auto& request, auto& writer) -> http::Task<void> {
         (void)co_await writer.start(sealed(request));
         if (call == 1)
-            (void)co_await writer.write(event(0));
+            (void)co_await writer.write(eventText(0));
         writer.abort();
     });
     const auto response = this->send(callerRequest());
-    EXPECT_EQ(response.body, event(0) + " cut");
+    EXPECT_EQ(response.body, eventText(0) + " cut");
     EXPECT_EQ(this->sentTo.size(), 2U);
 }
 
--- a/tests/gateway/names.hpp
+++ b/tests/gateway/names.hpp
@@ -2,8 +2,14 @@
 
 #include "gateway/header_names.hpp"
 
+#include <cstdint>
+#include <string>
+
 namespace chivewinch::gateway {
 
+/** Event of a stream with this identity. */
+inline std::string eventText(std::uint64_t id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+
 /** Names of fields in these tests; they differ from those of any deployment. */
 inline HeaderNames testNames()
 {
--- a/tests/http/fuzz_test.cpp
+++ b/tests/http/fuzz_test.cpp
@@ -6,13 +6,11 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
