Reset connections of requests that are given up

The entry had closed the connection, but a cut link still held the bytes, and the kernel delivered them once it healed. A reset (SO_LINGER 0) drops them. Ruled out: the wait for a target, which ends with the caller's connection.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -55,6 +55,16 @@
     return error == asio::error::would_block;
 }
 
+/**
+ * Closes the connection by a reset. Without it, bytes that a cut link has held up would still be delivered after the
+ * request was given up.
+ */
+void resetOnClose(Tcp::socket& socket)
+{
+    beast::error_code ignored;
+    socket.set_option(asio::socket_base::linger { true, 0 }, ignored);
+}
+
 void setUnacknowledgedTimeout(Tcp::socket& socket, std::chrono::milliseconds timeout)
 {
     if (timeout.count() <= 0)
@@ -178,6 +188,7 @@
     }
     beast::error_code ignored;
     stream->socket().set_option(Tcp::no_delay { true }, ignored);
+    internal::resetOnClose(stream->socket());
     internal::setUnacknowledgedTimeout(stream->socket(), this->options.unacknowledgedTimeout);
     co_return stream;
 }
