Order and read the ranks of a group through their agents

The first rank's machine has a link of 8 Mbit/s: 72 prepare orders of 10 KB each took 1.1 s on it, 72 sets of counts as decimal text 0.7 s. Reports of other machines are 200 ms old besides, and each order and report from afar is priced.

Now 16 agents at most are asked by the first one, and each asks a share of the others; every engine is called by the agent on its own machine. Counts are summed on the way; messages are CBOR. An engine whose agent is silent is still called directly.

--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -20,16 +20,12 @@
 
 namespace internal {
 
-constexpr const char* countsPath = "/counts";
 constexpr const char* expertsPath = "/experts";
 constexpr std::size_t maxConnections = 64;
 
 // Holding, arming and releasing.
 constexpr int maxPhasesAtOnce = 4;
 
-// An agent answers from its own machine's engine; a missing answer only makes the popularity less exact.
-constexpr std::chrono::milliseconds peerTimeout { 300 };
-
 // The version is the wall time in milliseconds followed by random bits: two processes never give one version to two
 // maps, and a later process gives a larger one.
 constexpr std::uint64_t randomVersions = 1'024;
@@ -45,8 +41,7 @@
     , port { port }
     , changes { this->registry.counter("chivewinch_map_changes_total", "Expert maps brought into use") }
     , activation { this->options.activation }
-    , peers { context.get_executor(),
-        { .connectTimeout = internal::peerTimeout, .readTimeout = internal::peerTimeout, .maxIdleConnections = 1 } }
+    , ranks { context.get_executor(), this->options.access, clock, port }
     , timer { context }
 {
 }
@@ -124,8 +119,8 @@
     this->noteEnd(*own);
     if (!this->group)
         co_return this->options.busyInterval;
-    co_await this->readCounts();
-    this->planChange();
+    const auto loads = co_await this->readLoads();
+    this->planChange(loads);
     co_return this->activation.idle() ? this->options.interval : std::chrono::milliseconds { 1 };
 }
 
@@ -151,13 +146,10 @@
         auto members = co_await this->readMembers(own);
         if (!members)
             co_return;
-        this->group.emplace(Group { .name = own.group,
-            .epoch = own.maps.epoch,
-            .members = std::move(*members),
-            .map = {},
-            .window = CountWindow { own.size, {}, this->options.halfLife } });
+        this->group.emplace(
+            Group { .name = own.group, .epoch = own.maps.epoch, .members = std::move(*members), .map = {} });
     }
-    const auto states = co_await this->readStates(0);
+    const auto states = co_await this->readStates();
     const auto orders = expert::completeHeldChange(states);
     if (orders.empty())
         co_return;
@@ -199,11 +191,8 @@
     auto members = co_await this->readMembers(own);
     if (!members)
         co_return false;
-    this->group.emplace(Group { .name = own.group,
-        .epoch = own.maps.epoch,
-        .members = std::move(*members),
-        .map = {},
-        .window = CountWindow { own.size, *this->limits, this->options.halfLife } });
+    this->group.emplace(
+        Group { .name = own.group, .epoch = own.maps.epoch, .members = std::move(*members), .map = {} });
     logging::Event { "group" }.field("group", own.group).field("epoch", own.maps.epoch).field("ranks", own.size).info();
     const bool known = co_await this->readMap();
     if (!known)
@@ -211,24 +200,13 @@
     co_return known;
 }
 
-http::Task<std::optional<std::string>> GroupAgent::askPeer(const Member& member, const char* path)
-{
-    const auto client = this->peers.of({ .address = member.endpoint.address, .port = this->options.listen.port });
-    http::Error error;
-    const http::SendOptions send;
-    const auto response = co_await client->send(http::makeRequest("GET", path), send, error);
-    if (!response || response->status != http::status::ok)
-        co_return std::nullopt;
-    co_return response->body;
-}
-
 http::Task<bool> GroupAgent::readMap()
 {
     const auto ranks = this->group->members.size();
     std::vector<std::optional<RankExperts>> found(ranks);
     std::vector<http::Task<void>> tasks;
     const auto read = [this](const Member& member, std::optional<RankExperts>& result) -> http::Task<void> {
-        const auto body = co_await this->askPeer(member, internal::expertsPath);
+        const auto body = co_await this->ranks.get(member, internal::expertsPath);
         if (body)
             result = decodeExperts(*body);
     };
@@ -252,18 +230,17 @@
     co_return true;
 }
 
-http::Task<void> GroupAgent::readCounts()
+http::Task<GroupLoads> GroupAgent::readLoads()
 {
-    std::vector<http::Task<void>> tasks;
-    const auto read = [this](const Member& member) -> http::Task<void> {
-        const auto body = co_await this->askPeer(member, internal::countsPath);
-        const auto counts = body ? decodeCounts(*body) : std::nullopt;
-        if (counts && this->group && counts->epoch == this->group->epoch)
-            this->group->window.add(member.rank, *counts, this->clock.now());
-    };
-    for (const auto& member : this->group->members)
-        tasks.push_back(read(member));
-    co_await runAll(this->context.get_executor(), std::move(tasks));
+    RankQuery query { .group = this->group->name, .members = this->group->members, .wantsLoads = true };
+    auto answers = co_await this->ranks.ask(std::move(query), false);
+    GroupLoads loads { .tokens = std::move(answers.loads),
+        .paces = std::vector<double>(this->group->members.size(), 1.0) };
+    for (const auto& [rank, report] : answers.reports) {
+        if (rank < loads.paces.size())
+            loads.paces[rank] = report.pace;
+    }
+    co_return loads;
 }
 
 std::uint64_t GroupAgent::nextVersion(std::uint64_t inUse)
@@ -275,12 +252,12 @@
     return std::max({ fromClock, this->lastVersion + 1, inUse + 1 });
 }
 
-void GroupAgent::planChange()
+void GroupAgent::planChange(const GroupLoads& loads)
 {
     const auto now = this->clock.now();
     if (this->isDraining || now - this->lastChange < this->options.minBetweenChanges)
         return;
-    auto plan = planMap(this->group->map, this->group->window, *this->limits, this->options.planner);
+    auto plan = planMap(this->group->map, loads, *this->limits, this->options.planner);
     if (!plan)
         return;
     this->lastVersion = this->nextVersion(this->lastVersion);
@@ -290,7 +267,7 @@
         .field("epoch", this->group->epoch)
         .field("skew", plan->skewBefore)
         .field("skew_planned", plan->skewAfter)
-        .field("slowest_pace", std::ranges::max(this->group->window.paces()))
+        .field("slowest_pace", std::ranges::max(loads.paces))
         .field("copies", plan->loaded)
         .info();
     this->planned = std::move(plan);
@@ -298,24 +275,21 @@
     this->activation.begin(this->lastVersion, this->group->epoch, now);
 }
 
-http::Task<GroupAgent::States> GroupAgent::readStates(std::uint32_t firstRank)
+http::Task<GroupAgent::States> GroupAgent::readStates()
 {
+    RankQuery query { .group = this->group->name, .members = this->group->members };
+    const auto answers = co_await this->ranks.ask(std::move(query), true);
     States states(this->group->members.size());
-    const auto read = [this](const Member& member, std::optional<expert::RankMapState>& result) -> http::Task<void> {
-        const auto report = co_await this->port.report(member.endpoint);
-        if (report && report->group == this->group->name && report->rank == member.rank)
-            result = report->maps;
-    };
-    std::vector<http::Task<void>> reads;
-    for (auto rank = firstRank; rank < states.size(); ++rank)
-        reads.push_back(read(this->group->members[rank], states[rank]));
-    co_await runAll(this->context.get_executor(), std::move(reads));
+    for (const auto& [rank, report] : answers.reports) {
+        if (rank < states.size())
+            states[rank] = report.maps;
+    }
     co_return states;
 }
 
 http::Task<void> GroupAgent::activate(const MemberReport& own)
 {
-    auto states = co_await this->readStates(1);
+    auto states = co_await this->readStates();
     // Read before the others: a step that had not begun then may have begun by now, never the other way round.
     states.front() = own.maps;
     this->isChanging = true;
@@ -332,15 +306,23 @@
 
 http::Task<void> GroupAgent::sendOrders(const std::vector<expert::MapOrder>& orders)
 {
-    // Only the agent that planned a map can prepare it.
-    static const GroupMap noMap;
-    const auto& map = this->planned ? this->planned->map : noMap;
-    std::vector<http::Task<void>> tasks;
+    RankQuery query { .group = this->group->name };
     for (const auto& order : orders) {
-        if (this->isDue(order))
-            tasks.push_back(this->sendOrder(order, map));
+        if (!this->isDue(order))
+            continue;
+        query.orders.push_back(order);
+        if (query.members.empty() || query.members.back().rank != order.rank)
+            query.members.push_back(this->group->members[order.rank]);
     }
-    co_await runAll(this->context.get_executor(), std::move(tasks));
+    if (query.orders.empty())
+        co_return;
+    // Only the agent that planned a map can prepare it.
+    if (this->planned)
+        query.map = this->planned->map;
+    const auto answers = co_await this->ranks.ask(query, true);
+    for (const auto& answer : answers.replies)
+        this->noteReply(answer);
+    this->logOrders(query.orders, answers.replies);
 }
 
 bool GroupAgent::isDue(const expert::MapOrder& order) const
@@ -349,22 +331,39 @@
     return found == this->accepted.end() || this->clock.now() - found->second >= this->options.repeatAfter;
 }
 
-http::Task<void> GroupAgent::sendOrder(expert::MapOrder order, const GroupMap& map)
+void GroupAgent::noteReply(const OrderAnswer& answer)
 {
-    const auto reply = co_await this->port.order(this->group->members[order.rank], order, map);
+    const auto reply = answer.reply;
     if (reply == OrderReply::Begun || reply == OrderReply::Done)
-        this->accepted[order] = this->clock.now();
+        this->accepted[answer.order] = this->clock.now();
     if (reply == OrderReply::Done)
-        this->activation.confirm(order);
-    logging::Event { "map_order" }
-        .field("kind", expert::toString(order.kind))
-        .field("rank", order.rank)
-        .field("version", order.version)
-        .field("step", order.step)
+        this->activation.confirm(answer.order);
+    if (reply == OrderReply::Begun || reply == OrderReply::Done)
+        return;
+    logging::Event { "map_order_failed" }
+        .field("kind", expert::toString(answer.order.kind))
+        .field("rank", answer.order.rank)
+        .field("version", answer.order.version)
+        .field("step", answer.order.step)
         .field("reply", toString(reply))
         .info();
 }
 
+void GroupAgent::logOrders(const std::vector<expert::MapOrder>& orders, const std::vector<OrderAnswer>& replies) const
+{
+    const auto count = [&replies](OrderReply reply) { return std::ranges::count(replies, reply, &OrderAnswer::reply); };
+    const auto& first = orders.front();
+    logging::Event { "map_orders" }
+        .field("kind", expert::toString(first.kind))
+        .field("first_rank", first.rank)
+        .field("version", first.version)
+        .field("step", first.step)
+        .field("orders", orders.size())
+        .field("begun", count(OrderReply::Begun))
+        .field("done", count(OrderReply::Done))
+        .info();
+}
+
 void GroupAgent::logPhase()
 {
     const auto phase = this->activation.phase();
@@ -402,19 +401,17 @@
     if (path == this->options.metricsPath) {
         response
             = { .status = http::status::ok, .contentType = metrics::textContentType, .body = this->registry.text() };
-    } else if (path == internal::countsPath || path == internal::expertsPath) {
+    } else if (path == internal::expertsPath) {
         response.status = http::status::unavailable;
-        if (path == internal::expertsPath) {
-            const auto experts = co_await this->port.experts(this->options.engine);
-            if (experts)
-                response = { .status = http::status::ok, .body = encode(*experts) };
-        } else {
-            auto counts = co_await this->port.counts(this->options.engine);
-            const auto report = co_await this->port.report(this->options.engine);
-            if (counts && report)
-                counts->pace = report->pace;
-            if (counts)
-                response = { .status = http::status::ok, .body = encode(*counts) };
+        const auto experts = co_await this->port.experts(this->options.engine);
+        if (experts)
+            response = { .status = http::status::ok, .body = encode(*experts) };
+    } else if (path == RankAccess::queryPath) {
+        response.status = http::status::badRequest;
+        auto query = decodeQuery(request.body());
+        if (query) {
+            const auto answers = co_await this->ranks.answer(std::move(*query));
+            response = { .status = http::status::ok, .contentType = "application/cbor", .body = encode(answers) };
         }
     }
     (void)co_await writer.send(std::move(response));
--- a/src/group/group_agent.hpp
+++ b/src/group/group_agent.hpp
@@ -3,10 +3,9 @@
 #include "base/clock.hpp"
 #include "base/random.hpp"
 #include "expert/held_activation.hpp"
-#include "group/count_window.hpp"
 #include "group/group_port.hpp"
 #include "group/map_planner.hpp"
-#include "http/client_set.hpp"
+#include "group/rank_access.hpp"
 #include "http/server.hpp"
 #include "metrics/registry.hpp"
 
@@ -27,17 +26,18 @@
     std::string instance;
     settings::Endpoint engine; ///< Engine of this machine.
     settings::Endpoint listen; ///< For the other agents; they use the same port.
+    RankAccessOptions access;
     std::optional<settings::Endpoint> metrics;
     std::string metricsPath = "/metrics";
-    std::chrono::milliseconds interval { 300 }; ///< Between two readings of the counts.
-    std::chrono::milliseconds busyInterval { 100 }; ///< Between two readings of the ranks during a change.
-    /** An accepted order whose effect no report shows is repeated after this time; reports are some 200 ms old. */
+    std::chrono::milliseconds interval { 150 }; ///< Between two readings of the counts.
+    /** Between two readings of the ranks during a change. Engines load the weights of a change in some 100 ms. */
+    std::chrono::milliseconds busyInterval { 50 };
+    /** An accepted order whose effect no report shows is repeated after this time; reports of an engine that is not
+     * read by its own agent are some 200 ms old. */
     std::chrono::milliseconds repeatAfter { 600 };
     std::chrono::milliseconds otherRankInterval { 200 }; ///< Between two readings of the own engine on other ranks.
     /** A group that begins no step for this long may wait for an agent that stands still; each rank waits longer. */
     std::chrono::milliseconds stillTime { 400 };
-    /** Popularity that lasts shorter than this is not worth a change. */
-    std::chrono::milliseconds halfLife { 600 };
     std::chrono::milliseconds minBetweenChanges { 700 };
     PortTimeouts timeouts;
     MapPlannerOptions planner;
@@ -72,7 +72,6 @@
         std::uint64_t epoch = 0;
         std::vector<Member> members; ///< By rank.
         GroupMap map; ///< In use.
-        CountWindow window;
     };
 
     boost::asio::io_context& context;
@@ -90,7 +89,7 @@
     std::uint64_t lastVersion = 0;
     base::SteadyTime lastChange {};
     std::map<expert::MapOrder, base::SteadyTime> accepted; ///< Orders of the present change, by time.
-    http::ClientSet peers;
+    RankAccess ranks;
     std::shared_ptr<http::Server> server;
     std::shared_ptr<http::Server> metricsServer;
     boost::asio::steady_timer timer;
@@ -109,18 +108,18 @@
     /** All members of the engine's epoch by rank; nullopt while the list lacks one. */
     [[nodiscard]] http::Task<std::optional<std::vector<Member>>> readMembers(const MemberReport& own);
     [[nodiscard]] http::Task<bool> readMap();
-    [[nodiscard]] http::Task<void> readCounts();
+    [[nodiscard]] http::Task<GroupLoads> readLoads();
     [[nodiscard]] http::Task<void> activate(const MemberReport& own);
-    /** States of the ranks from the first one on; nullopt for the others and for those that do not answer. */
-    [[nodiscard]] http::Task<States> readStates(std::uint32_t firstRank);
+    /** By rank; nullopt for those that do not answer. */
+    [[nodiscard]] http::Task<States> readStates();
     [[nodiscard]] http::Task<void> sendOrders(const std::vector<expert::MapOrder>& orders);
-    [[nodiscard]] http::Task<void> sendOrder(expert::MapOrder order, const GroupMap& map);
     [[nodiscard]] bool isDue(const expert::MapOrder& order) const;
-    void planChange();
+    void noteReply(const OrderAnswer& answer);
+    void logOrders(const std::vector<expert::MapOrder>& orders, const std::vector<OrderAnswer>& replies) const;
+    void planChange(const GroupLoads& loads);
     void noteEnd(const MemberReport& own);
     void logPhase();
     [[nodiscard]] std::uint64_t nextVersion(std::uint64_t inUse);
-    [[nodiscard]] http::Task<std::optional<std::string>> askPeer(const Member& member, const char* path);
     [[nodiscard]] http::Task<void> serve(const http::Request& request, http::ResponseWriter& writer);
     [[nodiscard]] std::shared_ptr<http::Server> makeServer(const settings::Endpoint& listen);
 };
--- a/src/group/group_port.hpp
+++ b/src/group/group_port.hpp
@@ -41,7 +41,6 @@
 struct ExpertCounts {
     std::uint64_t epoch = 0;
     std::vector<std::uint64_t> tokens; ///< By layer, then by expert.
-    double pace = 1; ///< Time of the rank for its work, relative to a sound engine.
 
     bool operator==(const ExpertCounts&) const = default;
 };
--- a/src/group/map_planner.cpp
+++ b/src/group/map_planner.cpp
@@ -1,22 +1,44 @@
 #include "group/map_planner.hpp"
 
+#include <algorithm>
+#include <numeric>
+#include <span>
 #include <utility>
 
 namespace chivewinch::group {
 
+namespace internal {
+
+constexpr double maxPace = 20;
+
+/** A pace below 1 or beyond reason is a mistake of its sender. */
+std::vector<double> plausible(std::vector<double> paces)
+{
+    for (auto& pace : paces)
+        pace = std::clamp(pace, 1.0, maxPace);
+    return paces;
+}
+
+} // namespace internal
+
 std::optional<PlannedMap> planMap(
-    const GroupMap& present, const CountWindow& window, const EngineLimits& limits, const MapPlannerOptions& options)
+    const GroupMap& present, const GroupLoads& loads, const EngineLimits& limits, const MapPlannerOptions& options)
 {
-    if (present.empty() || window.total() < options.minTokens)
+    if (present.empty() || loads.tokens.size() != present.size() * limits.experts)
+        return std::nullopt;
+    const std::span tokens { loads.tokens };
+    const auto firstLayer = tokens.first(limits.experts);
+    if (std::accumulate(firstLayer.begin(), firstLayer.end(), 0.0) < options.minTokens)
         return std::nullopt;
+    const auto paces = internal::plausible(loads.paces);
     PlannedMap planned { .skewBefore = 0, .skewAfter = 0 };
     const auto layers = static_cast<double>(present.size());
-    for (std::uint32_t layer = 0; layer < present.size(); ++layer) {
-        auto plan = expert::improveEvenly(present[layer], window.loads(layer),
+    for (std::size_t layer = 0; layer < present.size(); ++layer) {
+        auto plan = expert::improveEvenly(present[layer], tokens.subspan(layer * limits.experts, limits.experts),
             { .slotsPerRank = limits.slotsPerRank,
                 .maxNewPerRank = limits.newPerChange,
                 .minImprovement = options.minImprovement,
-                .paces = window.paces() });
+                .paces = paces });
         planned.skewBefore += plan.skewBefore / layers;
         planned.skewAfter += plan.skewAfter / layers;
         planned.loaded += plan.loaded;
--- a/src/group/map_planner.hpp
+++ b/src/group/map_planner.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "group/count_window.hpp"
 #include "group/group_port.hpp"
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace chivewinch::group {
 
@@ -17,6 +17,14 @@
     bool operator==(const MapPlannerOptions&) const = default;
 };
 
+/** What a plan is made from. */
+struct GroupLoads {
+    std::vector<double> tokens; ///< By layer and expert, over all ranks.
+    std::vector<double> paces; ///< By rank: its time for a unit of work, relative to a sound engine.
+
+    bool operator==(const GroupLoads&) const = default;
+};
+
 /** A map that is worth its cost. */
 struct PlannedMap {
     GroupMap map;
@@ -27,6 +35,6 @@
 
 /** Plans the next map; nullopt if the present one is good enough or too little is known. */
 [[nodiscard]] std::optional<PlannedMap> planMap(
-    const GroupMap& present, const CountWindow& window, const EngineLimits& limits, const MapPlannerOptions& options);
+    const GroupMap& present, const GroupLoads& loads, const EngineLimits& limits, const MapPlannerOptions& options);
 
 } // namespace chivewinch::group
--- /dev/null
+++ b/src/group/rank_query.cpp
@@ -0,0 +1,46 @@
+#include "group/rank_query.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <utility>
+
+namespace chivewinch::group {
+
+void RankAnswers::merge(RankAnswers other)
+{
+    this->reports.merge(other.reports);
+    std::ranges::move(other.replies, std::back_inserter(this->replies));
+    if (this->loads.empty())
+        this->loads = std::move(other.loads);
+    else if (this->loads.size() == other.loads.size())
+        std::ranges::transform(this->loads, other.loads, this->loads.begin(), std::plus {});
+}
+
+std::vector<RankQuery> split(const RankQuery& query, std::size_t maxParts)
+{
+    std::vector<RankQuery> parts;
+    if (query.members.empty() || maxParts == 0)
+        return parts;
+    const auto size = (query.members.size() + maxParts - 1) / maxParts;
+    for (std::size_t first = 0; first < query.members.size(); first += size) {
+        const auto count = std::min(size, query.members.size() - first);
+        const auto begin = query.members.begin() + static_cast<std::ptrdiff_t>(first);
+        RankQuery part { .group = query.group,
+            .members = { begin, begin + static_cast<std::ptrdiff_t>(count) },
+            .wantsLoads = query.wantsLoads,
+            .orders = {},
+            .map = {} };
+        std::ranges::copy_if(query.orders, std::back_inserter(part.orders), [&part](const auto& order) {
+            return std::ranges::find(part.members, order.rank, &Member::rank) != part.members.end();
+        });
+        const bool needsMap = std::ranges::any_of(
+            part.orders, [](const auto& order) { return order.kind == expert::MapOrderKind::Prepare; });
+        if (needsMap)
+            part.map = query.map;
+        parts.push_back(std::move(part));
+    }
+    return parts;
+}
+
+} // namespace chivewinch::group
--- a/src/http/status.hpp
+++ b/src/http/status.hpp
@@ -5,6 +5,7 @@
 
 constexpr unsigned ok = 200;
 constexpr unsigned accepted = 202;
+constexpr unsigned badRequest = 400;
 constexpr unsigned notFound = 404;
 constexpr unsigned gone = 410;
 constexpr unsigned unavailable = 503;
--- a/tests/group/codec_test.cpp
+++ b/tests/group/codec_test.cpp
@@ -1,3 +1,4 @@
+#include "base/random.hpp"
 #include "group/codec.hpp"
 
 #include <gtest/gtest.h>
@@ -5,10 +6,41 @@
 namespace chivewinch::group {
 namespace {
 
+Member member(std::uint32_t rank)
+{
+    return { .id = "engine-" + std::to_string(rank),
+        .endpoint = { .address = "10.0.0." + std::to_string(rank), .port = 8'000 },
+        .epoch = 3,
+        .rank = rank };
+}
+
+RankQuery query()
+{
+    return { .group = "g",
+        .members = { member(4), member(5) },
+        .wantsLoads = true,
+        .orders = { { .rank = 5, .kind = expert::MapOrderKind::Arm, .epoch = 3, .version = 9, .step = 70 } },
+        .map = { { { 0, 1 }, { 2 } }, { { 0 }, { 1, 2 } } } };
+}
+
+RankAnswers answers()
+{
+    const MemberReport plain { .group = "g", .rank = 4, .size = 16, .pace = 1.6, .maps = { .epoch = 3, .step = 70 } };
+    auto armed = plain;
+    armed.rank = 5;
+    armed.maps.open = true;
+    armed.maps.prepared = 9;
+    armed.maps.armed = expert::ArmedMap { .version = 9, .step = 70 };
+    armed.maps.held = 70;
+    return { .reports = { { 4, plain }, { 5, armed } },
+        .replies = { { .order = query().orders.front(), .reply = OrderReply::Done } },
+        .loads = { 0, 0.25, 70'000 } };
+}
+
 TEST(GroupCodec, IsItsOwnInverse)
 {
-    const ExpertCounts counts { .epoch = 3, .tokens = { 1, 2, 3 }, .pace = 1.5 };
-    EXPECT_EQ(decodeCounts(encode(counts)), counts);
+    EXPECT_EQ(decodeQuery(encode(query())), query());
+    EXPECT_EQ(decodeAnswers(encode(answers())), answers());
     const RankExperts experts { .epoch = 3, .version = 9, .layers = { { 1, 2 }, { 3 } } };
     EXPECT_EQ(decodeExperts(encode(experts)), experts);
 }
@@ -18,10 +50,42 @@
 {
     for (const auto* body : { "", "{", "[]", "null", R"({"epoch":"x","tokens":[]})",
              R"({"epoch":1,"tokens":[-1.5,"a"]})", R"({"epoch":1,"version":1,"layers":[1]})" }) {
-        EXPECT_EQ(decodeCounts(body), std::nullopt) << body;
+        EXPECT_EQ(decodeQuery(body), std::nullopt) << body;
+        EXPECT_EQ(decodeAnswers(body), std::nullopt) << body;
         EXPECT_EQ(decodeExperts(body), std::nullopt) << body;
     }
 }
 
+// Guards against the same for bodies that are torn or changed on their way; the decoders may refuse or accept them.
+TEST(GroupCodec, SurvivesChangedBytes)
+{
+    constexpr std::uint64_t seed = 20'261'204;
+    constexpr int rounds = 20'000;
+    base::SeededRandom random { seed };
+    for (int round = 0; round < rounds; ++round) {
+        auto body = round % 2 == 0 ? encode(query()) : encode(answers());
+        for (std::uint64_t change = random.below(4); change > 0; --change)
+            body[random.below(body.size())] = static_cast<char>(random.below(256));
+        body.resize(random.below(body.size() + 1));
+        (void)decodeQuery(body);
+        (void)decodeAnswers(body);
+    }
+}
+
+// Guards against messages that fill the link of the first rank's machine: at 8 Mbit/s, maps and counts as decimal text
+// took 0.7 s for a group of 72 ranks, and a change of the map 2.4 s.
+TEST(GroupCodec, IsCompact)
+{
+    constexpr std::size_t ranks = 72;
+    constexpr std::size_t layers = 12;
+    constexpr std::size_t experts = 144;
+    auto prepare = query();
+    prepare.map.assign(layers, expert::LayerHolding(ranks, { 100, 120, 143 }));
+    EXPECT_LT(encode(prepare).size(), 7'000);
+    auto loads = answers();
+    loads.loads.assign(layers * experts, 4'000);
+    EXPECT_LT(encode(loads).size(), 6'000);
+}
+
 } // namespace
 } // namespace chivewinch::group
