Derive the pauses of the watches from the bounds of the deployment

The target list was read twice a second and the configuration's watch renewed once a second, whatever the deployment allows.

--- a/src/gateway/options.cpp
+++ b/src/gateway/options.cpp
@@ -1,6 +1,7 @@
 #include "gateway/options.hpp"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace chivewinch::gateway {
 
@@ -22,6 +23,30 @@
     return options;
 }
 
+namespace internal {
+
+std::chrono::milliseconds share(std::chrono::milliseconds time, double part)
+{
+    return std::chrono::milliseconds { static_cast<std::int64_t>(static_cast<double>(time.count()) * part) };
+}
+
+/** Longest wait in one call. A silent connection goes unnoticed for as long, and must be noticed within both bounds. */
+std::chrono::milliseconds longestWait(const ChangeBounds& bounds)
+{
+    return std::min(share(bounds.contact, 0.5), share(bounds.configuration, 0.75));
+}
+
+} // namespace internal
+
+watch::WatchOptions configurationWatch(const ChangeBounds& bounds) { return { .wait = internal::longestWait(bounds) }; }
+
+watch::WatchOptions targetsWatch(const ChangeBounds& bounds)
+{
+    // The list changes all the time where targets report. The rest of the bound is for the store's answer and for
+    // requests that are on their way.
+    return { .wait = internal::longestWait(bounds), .pause = internal::share(bounds.leaving, 0.4) };
+}
+
 suspect::StrikeOptions directStrikes() noexcept
 {
     // A lost answer looks like a crash, and equal requests share a fingerprint: a block must need several targets and
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -5,6 +5,7 @@
 #include "membership/listed_targets.hpp"
 #include "settings/value_type.hpp"
 #include "suspect/strike_table.hpp"
+#include "watch/row_watcher.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -29,8 +30,16 @@
     std::size_t maxIdleConnections = 4; ///< To each target.
 };
 
-/** Pause after each call that brought changes of the target list, which changes all the time where targets report. */
-inline constexpr std::chrono::milliseconds targetListPause { 500 };
+/** How soon the deployment wants changes to take effect. */
+struct ChangeBounds {
+    std::chrono::milliseconds leaving { 2'000 }; ///< Nothing new reaches a target that leaves.
+    std::chrono::milliseconds configuration { 2'000 }; ///< A new configuration is in force.
+    std::chrono::milliseconds contact { 3'000 }; ///< After a fault of its connections a process is excused this long.
+};
+
+/** Watches that keep the bounds with few calls to the store. */
+[[nodiscard]] watch::WatchOptions configurationWatch(const ChangeBounds& bounds);
+[[nodiscard]] watch::WatchOptions targetsWatch(const ChangeBounds& bounds);
 
 /** Shutdown after a request to stop. */
 struct DrainOptions {
