Forget the popularity from before a shift

A reading around a shift is 0.08 to 0.2 (total variation) from the earlier ones, any other one 0.01 to 0.03 there, 0.04 to 0.08 on the small sites.

Agents now send the growth of their counts; the first rank's compares each reading with the earlier ones and forgets these at a shift. Counts are read every 50 ms plus the time of the reading.

--- a/src/group/codec.cpp
+++ b/src/group/codec.cpp
@@ -12,9 +12,6 @@
 
 using Json = nlohmann::json;
 
-// Loads are sent as integers, which take fewer bytes; parts of a token matter where many ranks have few tokens.
-constexpr double unitsPerToken = 16;
-
 /** The decoded value; nullopt if the body is not of the format or the value not of the expected shape. */
 template <typename Parse, typename Decode>
 auto decodeWith(Parse parse, Decode decode) -> std::optional<decltype(decode(std::declval<const Json&>()))>
@@ -168,7 +165,7 @@
         replies.push_back(internal::Json::array({ internal::jsonOf(answer.order), answer.reply }));
     auto loads = internal::Json::array();
     for (const auto load : answers.loads)
-        loads.push_back(static_cast<std::uint64_t>(std::llround(load * internal::unitsPerToken)));
+        loads.push_back(static_cast<std::uint64_t>(std::llround(load)));
     return internal::cborOf(
         { { "reports", std::move(reports) }, { "replies", std::move(replies) }, { "loads", std::move(loads) } });
 }
@@ -183,9 +180,8 @@
             return OrderAnswer { .order = internal::orderOf(item.at(0)),
                 .reply = internal::enumOf(item.at(1), OrderReply::Done) };
         });
-        answers.loads = internal::itemsOf<double>(value.at("loads"), [](const internal::Json& load) {
-            return static_cast<double>(internal::unsignedOf(load)) / internal::unitsPerToken;
-        });
+        answers.loads = internal::itemsOf<double>(value.at("loads"),
+            [](const internal::Json& load) { return static_cast<double>(internal::unsignedOf(load)); });
         return answers;
     });
 }
--- a/src/group/fwd.hpp
+++ b/src/group/fwd.hpp
@@ -2,10 +2,14 @@
 
 namespace chivewinch::group {
 
-class CountWindow;
+class CountGrowth;
 class GroupAgent;
 class GroupPort;
+class Popularity;
+class RankAccess;
 struct Member;
 struct MemberReport;
+struct RankAnswers;
+struct RankQuery;
 
 } // namespace chivewinch::group
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -146,8 +146,11 @@
         auto members = co_await this->readMembers(own);
         if (!members)
             co_return;
-        this->group.emplace(
-            Group { .name = own.group, .epoch = own.maps.epoch, .members = std::move(*members), .map = {} });
+        this->group.emplace(Group { .name = own.group,
+            .epoch = own.maps.epoch,
+            .members = std::move(*members),
+            .map = {},
+            .popularity = Popularity { this->options.popularity, this->limits ? this->limits->experts : 0 } });
     }
     const auto states = co_await this->readStates();
     const auto orders = expert::completeHeldChange(states);
@@ -191,8 +194,11 @@
     auto members = co_await this->readMembers(own);
     if (!members)
         co_return false;
-    this->group.emplace(
-        Group { .name = own.group, .epoch = own.maps.epoch, .members = std::move(*members), .map = {} });
+    this->group.emplace(Group { .name = own.group,
+        .epoch = own.maps.epoch,
+        .members = std::move(*members),
+        .map = {},
+        .popularity = Popularity { this->options.popularity, this->limits ? this->limits->experts : 0 } });
     logging::Event { "group" }.field("group", own.group).field("epoch", own.maps.epoch).field("ranks", own.size).info();
     const bool known = co_await this->readMap();
     if (!known)
@@ -234,7 +240,18 @@
 {
     RankQuery query { .group = this->group->name, .members = this->group->members, .wantsLoads = true };
     auto answers = co_await this->ranks.ask(std::move(query), false);
-    GroupLoads loads { .tokens = std::move(answers.loads),
+    auto& popularity = this->group->popularity;
+    const auto shifts = popularity.shifts();
+    if (!answers.loads.empty())
+        popularity.add(answers.loads, this->clock.now());
+    if (popularity.shifts() != shifts) {
+        logging::Event { "popularity_shift" }
+            .field("distance", popularity.distance())
+            .field("usual_distance", popularity.usualDistance())
+            .field("epoch", this->group->epoch)
+            .info();
+    }
+    GroupLoads loads { .tokens = popularity.isKnown() ? popularity.tokens() : std::vector<double> {},
         .paces = std::vector<double>(this->group->members.size(), 1.0) };
     for (const auto& [rank, report] : answers.reports) {
         if (rank < loads.paces.size())
--- a/src/group/group_agent.hpp
+++ b/src/group/group_agent.hpp
@@ -5,6 +5,7 @@
 #include "expert/held_activation.hpp"
 #include "group/group_port.hpp"
 #include "group/map_planner.hpp"
+#include "group/popularity.hpp"
 #include "group/rank_access.hpp"
 #include "http/server.hpp"
 #include "metrics/registry.hpp"
@@ -29,7 +30,7 @@
     RankAccessOptions access;
     std::optional<settings::Endpoint> metrics;
     std::string metricsPath = "/metrics";
-    std::chrono::milliseconds interval { 150 }; ///< Between two readings of the counts.
+    std::chrono::milliseconds interval { 50 }; ///< Between two readings of the counts.
     /** Between two readings of the ranks during a change. Engines load the weights of a change in some 100 ms. */
     std::chrono::milliseconds busyInterval { 50 };
     /** An accepted order whose effect no report shows is repeated after this time; reports of an engine that is not
@@ -40,6 +41,7 @@
     std::chrono::milliseconds stillTime { 400 };
     std::chrono::milliseconds minBetweenChanges { 700 };
     PortTimeouts timeouts;
+    PopularityOptions popularity;
     MapPlannerOptions planner;
     expert::HeldActivationOptions activation;
 };
@@ -72,6 +74,7 @@
         std::uint64_t epoch = 0;
         std::vector<Member> members; ///< By rank.
         GroupMap map; ///< In use.
+        Popularity popularity;
     };
 
     boost::asio::io_context& context;
--- /dev/null
+++ b/src/group/popularity.cpp
@@ -0,0 +1,106 @@
+#include "group/popularity.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <functional>
+#include <numeric>
+#include <span>
+#include <utility>
+
+namespace chivewinch::group {
+
+namespace internal {
+
+// Weight of a distance in the usual one.
+constexpr double distanceWeight = 0.1;
+
+void addTo(std::vector<double>& sum, const std::vector<double>& part)
+{
+    if (sum.size() != part.size())
+        sum = part;
+    else
+        std::ranges::transform(sum, part, sum.begin(), std::plus {});
+}
+
+double total(std::span<const double> layer) { return std::accumulate(layer.begin(), layer.end(), 0.0); }
+
+/** Total variation distance of two layers; 0 if one of them is empty. */
+double distanceOf(std::span<const double> left, std::span<const double> right)
+{
+    const auto leftTotal = total(left);
+    const auto rightTotal = total(right);
+    if (leftTotal <= 0 || rightTotal <= 0)
+        return 0;
+    double distance = 0;
+    for (std::size_t expert = 0; expert < left.size(); ++expert)
+        distance += std::abs(left[expert] / leftTotal - right[expert] / rightTotal) / 2;
+    return distance;
+}
+
+} // namespace internal
+
+void Popularity::fade(base::SteadyTime now)
+{
+    const auto halves = std::chrono::duration<double>(now - std::exchange(this->fadedAt, now))
+        / std::chrono::duration<double>(this->options.halfLife);
+    const auto factor = std::exp2(-halves);
+    for (auto& load : this->earlier)
+        load *= factor;
+    this->earlierReadings *= factor;
+}
+
+void Popularity::add(const std::vector<double>& reading, base::SteadyTime now)
+{
+    if (this->experts == 0 || reading.size() % this->experts != 0)
+        return;
+    if (this->earlier.size() != reading.size()) {
+        this->earlier.assign(reading.size(), 0.0);
+        this->earlierReadings = 0;
+        this->pending.clear();
+    }
+    this->fade(now);
+    internal::addTo(this->pending, reading);
+    if (now - this->comparedAt < this->options.minReading || internal::total(this->pending) <= 0)
+        return;
+    this->compare();
+    this->comparedAt = now;
+    this->pending.clear();
+}
+
+void Popularity::compare()
+{
+    this->lastDistance = this->earlierReadings > 0 ? this->distanceOfPending() : 0;
+    const auto limit = std::max(this->options.minShift, this->options.shiftFactor * this->usual);
+    // A shift counts as a part of its distance: readings that are always as far apart are no shifts in the end.
+    if (this->lastDistance > 0)
+        this->usual += internal::distanceWeight * (std::min(this->lastDistance, limit) - this->usual);
+    if (this->options.forgetsOnShift && this->lastDistance >= limit) {
+        // The reading that shows the shift began before it.
+        std::ranges::fill(this->earlier, 0.0);
+        this->earlierReadings = 0;
+        ++this->shiftCount;
+        return;
+    }
+    internal::addTo(this->earlier, this->pending);
+    this->earlierReadings += 1;
+}
+
+bool Popularity::isKnown() const noexcept
+{
+    return this->earlierReadings > 0 && this->usual / std::sqrt(this->earlierReadings) <= this->options.maxError;
+}
+
+double Popularity::distanceOfPending() const
+{
+    const auto layers = this->pending.size() / this->experts;
+    double distance = 0;
+    for (std::size_t layer = 0; layer < layers; ++layer) {
+        const auto first = layer * this->experts;
+        distance += internal::distanceOf(std::span { this->pending }.subspan(first, this->experts),
+            std::span { this->earlier }.subspan(first, this->experts));
+    }
+    return layers == 0 ? 0 : distance / static_cast<double>(layers);
+}
+
+} // namespace chivewinch::group
--- a/src/group/rank_access.cpp
+++ b/src/group/rank_access.cpp
@@ -31,7 +31,7 @@
     , options { std::move(options) }
     , clock { clock }
     , port { port }
-    , window { this->options.halfLife }
+    , growth { this->options.maxGrowthTime }
     , agents { std::move(executor),
         { .connectTimeout = this->options.agentTimeout,
             .readTimeout = this->options.agentTimeout,
@@ -102,10 +102,8 @@
     if (!query.wantsLoads)
         co_return answers;
     const auto counts = co_await this->port.counts(member.endpoint);
-    if (counts && counts->epoch == report->maps.epoch) {
-        this->window.add(*counts, this->clock.now());
-        answers.loads = this->window.loads();
-    }
+    if (counts && counts->epoch == report->maps.epoch)
+        answers.loads = this->growth.take(*counts, this->clock.now());
     co_return answers;
 }
 
--- a/src/group/rank_access.hpp
+++ b/src/group/rank_access.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/clock.hpp"
-#include "group/count_window.hpp"
+#include "group/count_growth.hpp"
 #include "group/group_port.hpp"
 #include "group/rank_query.hpp"
 #include "http/client_set.hpp"
@@ -21,8 +21,8 @@
 struct RankAccessOptions {
     settings::Endpoint engine; ///< Of this machine.
     std::uint16_t agentPort = 0; ///< Of all agents; each runs on the machine of its engine.
-    /** Popularity that lasts shorter than this is not worth a change. */
-    std::chrono::milliseconds halfLife { 600 };
+    /** Counts that grew over a longer time say little about the present popularity. */
+    std::chrono::milliseconds maxGrowthTime { 1'000 };
     /** Agents that are asked directly; each asks an equal share of the others. Bounds the traffic at one machine. */
     std::size_t maxParts = 16;
     /** An agent answers from its own machine's engine, whose calls have a time-out of 150 ms. */
@@ -61,7 +61,7 @@
     RankAccessOptions options;
     const base::Clock& clock;
     GroupPort& port;
-    CountWindow window; ///< Of the own engine.
+    CountGrowth growth; ///< Of the own engine.
     http::ClientSet agents;
     std::map<std::string, base::SteadyTime> silentUntil; ///< By address.
 
--- a/src/group/rank_query.hpp
+++ b/src/group/rank_query.hpp
@@ -33,7 +33,7 @@
 struct RankAnswers {
     std::map<std::uint32_t, MemberReport> reports; ///< By rank, read after the orders; a silent rank has none.
     std::vector<OrderAnswer> replies;
-    /** Recent tokens by layer and expert, summed over the ranks that answered; empty if not asked for. */
+    /** Tokens by layer and expert since the last query, over the ranks that answered; empty if not asked for. */
     std::vector<double> loads;
 
     /** Adds the answers of other ranks. Loads of another shape are left out. */
