Wait less for unanswered orders while a step is held; log the pace of streams

Cause: while orders get no answer (applied_late), a round of arm orders waited 150 ms for each silent engine and 50 ms more before the next round, with the group standing at the held step. An order that is repeated does no harm, so the time-out is 80 ms and the next round follows after 5 ms.

The request line states first_ms and pause_ms of a stream.

Tried and reverted: priorities at the engines.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -31,10 +31,12 @@
 
 } // namespace internal
 
-Attempt::Attempt(Services& services, const AttemptInput& input, EventSequence& events, http::ResponseWriter& writer)
+Attempt::Attempt(Services& services, const AttemptInput& input, EventSequence& events, StreamTiming& timing,
+    http::ResponseWriter& writer)
     : services { services }
     , input { input }
     , events { events }
+    , timing { timing }
     , writer { writer }
 {
 }
@@ -179,6 +181,7 @@
         const bool started = co_await this->startStream();
         if (!started)
             co_return internal::callerFailed();
+        this->timing.note(this->services.clock.now());
         const bool written = co_await this->writer.write(ready);
         if (!written)
             co_return internal::callerFailed();
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -4,6 +4,7 @@
 #include "gateway/event_sequence.hpp"
 #include "gateway/forwarding.hpp"
 #include "gateway/services.hpp"
+#include "gateway/stream_timing.hpp"
 #include "http/client.hpp"
 #include "http/response_writer.hpp"
 #include "http/sse.hpp"
@@ -39,7 +40,8 @@
 /** Sends a request to one target and brings its answer to the caller. */
 class Attempt {
 public:
-    Attempt(Services& services, const AttemptInput& input, EventSequence& events, http::ResponseWriter& writer);
+    Attempt(Services& services, const AttemptInput& input, EventSequence& events, StreamTiming& timing,
+        http::ResponseWriter& writer);
 
     [[nodiscard]] http::Task<AttemptEnd> run(const membership::ListedTarget& target);
     /** The caller has left: the target must stop working. */
@@ -49,6 +51,7 @@
     Services& services;
     const AttemptInput& input;
     EventSequence& events;
+    StreamTiming& timing;
     http::ResponseWriter& writer;
     http::Cancellation cancellation;
     std::unique_ptr<http::ResponseStream> stream;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -12,6 +12,15 @@
 
 using base::RefusalReason;
 
+namespace internal {
+
+std::int64_t wholeMilliseconds(std::chrono::nanoseconds time)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace internal
+
 RequestRun::RequestRun(boost::asio::any_io_executor executor, Services& services, const http::Request& request,
     http::ResponseWriter& writer)
     : services { services }
@@ -22,6 +31,7 @@
     , id { base::randomRequestId(services.random) }
     , targetWait { std::move(executor), services.clock, services.dispatcher }
     , events { this->head.lastEventId }
+    , timing { this->arrived }
 {
 }
 
@@ -135,7 +145,7 @@
             .kind = delivery::EventKind::ConnectFailed, .notRun = true, .detail = "the target has left the list"
         };
     }
-    this->attempt = std::make_unique<Attempt>(this->services, input, this->events, this->writer);
+    this->attempt = std::make_unique<Attempt>(this->services, input, this->events, this->timing, this->writer);
     // The list may change while the attempt runs.
     const auto copy = *target;
     auto end = co_await this->attempt->run(copy);
@@ -235,6 +245,10 @@
         .field("attempts", this->tried.size())
         .field("events", this->events.delivered())
         .field("ms", this->sinceArrival().count());
+    if (const auto first = this->timing.firstEvent()) {
+        event.field("first_ms", internal::wholeMilliseconds(*first))
+            .field("pause_ms", internal::wholeMilliseconds(this->timing.longestPause()));
+    }
     if (!this->tried.empty())
         event.field("target", this->tried.back());
     event.info();
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -39,6 +39,7 @@
     std::uint64_t fingerprint = 0;
     TargetWait targetWait;
     EventSequence events;
+    StreamTiming timing;
     std::unique_ptr<Attempt> attempt;
     std::vector<base::TargetId> tried;
     std::optional<http::Response> targetAnswer; ///< Newest failure of a target.
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -114,7 +114,9 @@
         co_return this->options.interval;
     if (!this->activation.idle() || own->maps.held) {
         co_await this->activate(*own);
-        co_return this->options.busyInterval;
+        const auto phase = this->activation.phase();
+        const bool isHeld = phase == ActivationPhase::Arming || phase == ActivationPhase::Releasing;
+        co_return isHeld ? this->options.heldInterval : this->options.busyInterval;
     }
     this->noteEnd(*own);
     if (!this->group)
--- a/src/group/group_agent.hpp
+++ b/src/group/group_agent.hpp
@@ -33,6 +33,8 @@
     std::chrono::milliseconds interval { 50 }; ///< Between two readings of the counts.
     /** Between two readings of the ranks during a change. Engines load the weights of a change in some 100 ms. */
     std::chrono::milliseconds busyInterval { 50 };
+    /** The same while a step is held, which all ranks wait for. */
+    std::chrono::milliseconds heldInterval { 5 };
     /** An accepted order whose effect no report shows is repeated after this time; reports of an engine that is not
      * read by its own agent are some 200 ms old. */
     std::chrono::milliseconds repeatAfter { 600 };
--- a/src/group/group_port.hpp
+++ b/src/group/group_port.hpp
@@ -79,8 +79,11 @@
 
 /** Time limits of calls through a port. */
 struct PortTimeouts {
-    /** Engines answer reports and orders without a queue; an order without an answer is repeated. */
-    std::chrono::milliseconds engine { 150 };
+    /**
+     * Engines answer reports and orders without a queue, those of the own machine within some milliseconds. An order
+     * without an answer is repeated; a held step waits for it.
+     */
+    std::chrono::milliseconds engine { 80 };
     watch::FeedTimeouts store;
 
     bool operator==(const PortTimeouts&) const = default;
--- a/src/group/rank_access.hpp
+++ b/src/group/rank_access.hpp
@@ -25,7 +25,7 @@
     std::chrono::milliseconds maxGrowthTime { 1'000 };
     /** Agents that are asked directly; each asks an equal share of the others. Bounds the traffic at one machine. */
     std::size_t maxParts = 16;
-    /** An agent answers from its own machine's engine, whose calls have a time-out of 150 ms. */
+    /** An agent answers from its own machine's engine, whose calls have a time-out of 80 ms each. */
     std::chrono::milliseconds agentTimeout { 250 };
     /** The same for one that asks others. */
     std::chrono::milliseconds relayTimeout { 400 };
