--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -54,11 +54,15 @@
     return std::max(left, std::chrono::milliseconds { 0 });
 }
 
+std::chrono::milliseconds Attempt::streamSilence() const
+{
+    return this->services.options.attempts.patience.silenceLimit(this->input.route);
+}
+
 std::chrono::milliseconds Attempt::silenceLimit() const
 {
     const auto left = this->timeUntil(this->limit);
-    return this->input.route.kind == RouteKind::Stream ? std::min(left, this->services.options.attempts.streamSilence)
-                                                       : left;
+    return this->input.route.kind == RouteKind::Stream ? std::min(left, this->streamSilence()) : left;
 }
 
 http::Request Attempt::makeRequest(const membership::ListedTarget& target) const
@@ -79,7 +83,7 @@
         return { .kind = delivery::EventKind::ConnectFailed, .notRun = true, .detail = reason.detail };
     if (this->timeUntil(this->limit) <= internal::timerTolerance)
         return { .kind = delivery::EventKind::TimedOut, .detail = reason.detail };
-    const bool wasSilent = this->services.clock.now() - this->started >= this->services.options.attempts.streamSilence;
+    const bool wasSilent = this->services.clock.now() - this->started >= this->streamSilence();
     return { .kind
         = this->events.delivered() > 0 ? delivery::EventKind::StreamBroken : delivery::EventKind::ConnectionLost,
         .crashed = !wasSilent,
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -59,6 +59,7 @@
     base::SteadyTime limit {};
 
     [[nodiscard]] std::chrono::milliseconds timeUntil(base::SteadyTime end) const;
+    [[nodiscard]] std::chrono::milliseconds streamSilence() const;
     [[nodiscard]] std::chrono::milliseconds silenceLimit() const;
     [[nodiscard]] http::Request makeRequest(const membership::ListedTarget& target) const;
     [[nodiscard]] AttemptEnd lost(const http::Error& reason) const;
--- a/src/gateway/configuration.hpp
+++ b/src/gateway/configuration.hpp
@@ -34,6 +34,7 @@
     std::vector<WeightedPool> pools;
     std::chrono::milliseconds timeout { 30'000 }; ///< Longest time for which a caller is kept waiting.
     std::chrono::milliseconds latencyObjective { 1'000 }; ///< For a stream, up to its first event.
+    std::chrono::milliseconds pauseObjective { 0 }; ///< Longest pause between two events of a stream that is on time.
     std::uint32_t priority = 0; ///< 0 is the most important.
     std::uint32_t maxAttempts = 1; ///< Targets to which one request may be sent.
     bool open = false; ///< Needs no key.
--- a/src/gateway/options.cpp
+++ b/src/gateway/options.cpp
@@ -38,6 +38,13 @@
 
 } // namespace internal
 
+std::chrono::milliseconds StreamPatience::silenceLimit(const Route& route) const noexcept
+{
+    const auto patience = std::max({ this->minimum, internal::share(route.latencyObjective, this->objectives),
+        internal::share(route.pauseObjective, this->pauses) });
+    return std::max(patience - this->margin, std::chrono::milliseconds { 0 });
+}
+
 watch::WatchOptions configurationWatch(const ChangeBounds& bounds) { return { .wait = internal::longestWait(bounds) }; }
 
 watch::WatchOptions targetsWatch(const ChangeBounds& bounds)
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/configuration.hpp"
 #include "gateway/dispatcher.hpp"
 #include "gateway/header_names.hpp"
 #include "membership/listed_targets.hpp"
@@ -13,12 +14,23 @@
 
 namespace chivewinch::gateway {
 
+/** How long callers wait for the next event of a stream before they leave; the platform states the figures. */
+struct StreamPatience {
+    std::chrono::milliseconds minimum { 2'000 };
+    double objectives = 4; ///< Times the latency objective of the route, if that is longer.
+    double pauses = 8; ///< Times the pause objective of the route, if that is longer.
+    /** Time for the first event of another target before the caller leaves. */
+    std::chrono::milliseconds margin { 200 };
+
+    /** A stream of the route without an event for this long is resumed elsewhere. */
+    [[nodiscard]] std::chrono::milliseconds silenceLimit(const Route& route) const noexcept;
+};
+
 /** Time limits of requests and attempts. */
 struct AttemptOptions {
     /** A target on the same network accepts a connection within a millisecond; it is tried elsewhere after this. */
     std::chrono::milliseconds connectTimeout { 300 };
-    /** A stream without an event for this long is resumed elsewhere. Callers leave after 2 s. */
-    std::chrono::milliseconds streamSilence { 1'800 };
+    StreamPatience patience;
     /** Share of the time left that an attempt may take if the request can be sent to another target afterwards. */
     double firstAttemptShare = 0.55;
     /** Wait beyond the time limit for the target's own answer that its time is over. */
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -80,7 +80,7 @@
         options.dispatcher.router.compareAll = true;
         options.dispatcher.router.spill.onlyWithoutLocalCapacity = false;
         options.dispatcher.router.retryBudget.constant = 5;
-        options.attempts.streamSilence = 300ms;
+        options.attempts.patience = { .minimum = 500ms, .objectives = 0, .pauses = 0, .margin = 200ms };
         this->listen = options.listen;
         this->readiness = options.readiness;
         const Decoders decoders { .configuration = [kind](const auto&, auto&) { return configuration(kind); },
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -13,7 +13,7 @@
 using namespace std::chrono_literals;
 
 const std::string configurationText = R"({"version":7,"routes":[{"name":"r","hostname":"h.example","prefix":"/a/",
-"kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"priority":1,"weightedBackends":[{"service":"s","weight":90},
+"kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"gapTargetMs":120,"priority":1,"weightedBackends":[{"service":"s","weight":90},
 {"service":"u","weight":10}],"maxAttempts":2,"noAuth":false,"sticky":true,"resumeStreams":true,"gapTargetMs":120},
 {"name":"q","hostname":"h.example","prefix":"/b/","kind":"never heard of","service":"s"}],
 "services":[{"name":"s","healthPath":"/health","engine":{"slots":12,"sets":4,"experts":64,"placements":5,"spare":2}}],
@@ -35,6 +35,8 @@
     EXPECT_EQ(route.kind, gateway::RouteKind::Stream);
     EXPECT_TRUE(route.repeatable());
     EXPECT_EQ(route.timeout, 8s);
+    EXPECT_EQ(route.latencyObjective, 400ms);
+    EXPECT_EQ(route.pauseObjective, 120ms);
     EXPECT_EQ(route.pools,
         (std::vector<gateway::WeightedPool> { { .pool = "s", .weight = 90 }, { .pool = "u", .weight = 10 } }));
     EXPECT_EQ(configuration->teams.front().keys, (std::vector<std::string> { "k1", "k2" }));
