Eject no target while most of its pool fails

Cause: each entry could eject a third of a pool for 5 s and more after three failures in a row; when a zone is cut off or a step is held, the ranks of a joint group fail together, and the ejections outlast the outage.

--- a/src/routing/options.hpp
+++ b/src/routing/options.hpp
@@ -18,6 +18,8 @@
     double errorRate = 0.5; ///< Moving average that ejects a target after minResults.
     std::uint32_t minResults = 20;
     double maxShare = 1.0 / 3; ///< Of the subset, at once.
+    /** If the last result of more than this share of the subset was a failure, the cause is not in single targets. */
+    double maxFailingShare = 0.5;
     std::chrono::nanoseconds baseTime { std::chrono::seconds { 5 } }; ///< Doubles with each ejection in a row.
     std::chrono::nanoseconds maxTime { std::chrono::minutes { 2 } };
     std::uint32_t successesToForget = 50; ///< Successes in a row that reset the doubling.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -335,6 +335,12 @@
     for (const auto& [name, pool] : this->pools) {
         if (std::ranges::find(pool->local, &slot) == pool->local.end())
             continue;
+        const auto failing = std::ranges::count_if(pool->local, [this, now](const auto* member) {
+            return member->outlier.recentFailures(this->options.failureMemory, now) > 0;
+        });
+        if (static_cast<double>(failing)
+            > this->options.ejection.maxFailingShare * static_cast<double>(pool->local.size()))
+            return false;
         const auto ejected
             = std::ranges::count_if(pool->local, [now](const auto* member) { return member->outlier.ejected(now); });
         if (static_cast<double>(ejected + 1)
