--- /dev/null
+++ b/tests/gateway/stream_timing_test.cpp
@@ -0,0 +1,27 @@
+#include "gateway/stream_timing.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chivewinch::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against a log that blames the first event for a pause in the middle of a stream, or the other way round.
+TEST(StreamTiming, TellsTheFirstEventFromThePauses)
+{
+    const base::SteadyTime arrived { 1h };
+    StreamTiming timing { arrived };
+    EXPECT_EQ(timing.firstEvent(), std::nullopt);
+    timing.note(arrived + 300ms);
+    EXPECT_EQ(timing.firstEvent(), 300ms);
+    EXPECT_EQ(timing.longestPause(), 0ms);
+    timing.note(arrived + 350ms);
+    timing.note(arrived + 500ms);
+    timing.note(arrived + 560ms);
+    EXPECT_EQ(timing.firstEvent(), 300ms);
+    EXPECT_EQ(timing.longestPause(), 150ms);
+}
+
+} // namespace
+} // namespace chivewinch::gateway
