Take what targets say about themselves: leaving, closed for a while, bytes without end

Change: TargetNotices goes before the list, for one incarnation; a closed target is passed over, not ejected, and a request that finds all targets closed is refused at once with the time of the first to open. Heads, chunk heads, whole answers and events are bounded in bytes; a whole answer is bounded in time.

--- a/src/gateway/answer_check.cpp
+++ b/src/gateway/answer_check.cpp
@@ -1,5 +1,7 @@
 #include "gateway/answer_check.hpp"
 
+#include "http/status.hpp"
+
 #include <algorithm>
 #include <array>
 
@@ -7,8 +9,7 @@
 
 namespace internal {
 
-constexpr unsigned misdirected = 421;
-constexpr std::array<unsigned, 4> promises { 408, misdirected, 429, 503 };
+constexpr std::array<unsigned, 4> promises { 408, http::status::misdirected, 429, http::status::unavailable };
 constexpr std::array<std::string_view, 5> names { "success", "failure", "not_run", "unproved", "foreign" };
 
 } // namespace internal
@@ -22,7 +23,7 @@
 {
     const bool isSuccess = head.status >= 200 && head.status < 300;
     // A target that is not the expected one may refuse before it has looked at the request's identity.
-    if (head.status == internal::misdirected && (head.requestId.empty() || head.requestId == requestId))
+    if (head.status == http::status::misdirected && (head.requestId.empty() || head.requestId == requestId))
         return AnswerKind::NotRun;
     if (head.requestId != requestId)
         return AnswerKind::Foreign;
--- a/src/gateway/answer_check.hpp
+++ b/src/gateway/answer_check.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace chivewinch::gateway {
@@ -19,6 +21,8 @@
     std::string_view requestId; ///< As echoed by the target.
     bool hasSeal = false;
     bool statesNotRun = false;
+    bool statesLeaving = false; ///< The target finishes its work and takes nothing new.
+    std::optional<std::chrono::milliseconds> retryAfter; ///< The target wants no requests for this long.
     bool hasContentEncoding = false; ///< Callers ask for none, so the bytes are not the target's body.
 };
 
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/attempt.hpp"
 
-#include "gateway/answer_check.hpp"
+#include "http/status.hpp"
+#include "logging/event.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -62,7 +63,10 @@
 std::chrono::milliseconds Attempt::silenceLimit() const
 {
     const auto left = this->timeUntil(this->limit);
-    return this->input.route.kind == RouteKind::Stream ? std::min(left, this->streamSilence()) : left;
+    if (this->input.route.kind != RouteKind::Stream)
+        return left;
+    // Bytes that complete no event keep no caller waiting any longer.
+    return std::min(left, this->timeUntil(this->lastEventAt + this->streamSilence()));
 }
 
 http::Request Attempt::makeRequest(const membership::ListedTarget& target) const
@@ -83,17 +87,36 @@
         return { .kind = delivery::EventKind::ConnectFailed, .notRun = true, .detail = reason.detail };
     if (this->timeUntil(this->limit) <= internal::timerTolerance)
         return { .kind = delivery::EventKind::TimedOut, .detail = reason.detail };
-    const bool wasSilent = this->services.clock.now() - this->started >= this->streamSilence();
+    const bool wasSilent = this->timeUntil(this->lastEventAt + this->streamSilence()) <= internal::timerTolerance;
     return { .kind
         = this->events.delivered() > 0 ? delivery::EventKind::StreamBroken : delivery::EventKind::ConnectionLost,
         .crashed = !wasSilent,
         .detail = reason.detail };
 }
 
+void Attempt::noteTarget(const membership::ListedTarget& target, const AnswerHead& head)
+{
+    // Another target at the same address answers this one; what it says concerns itself.
+    if (head.status == http::status::misdirected)
+        return;
+    const auto now = this->services.clock.now();
+    if (head.statesLeaving)
+        this->services.dispatcher.targetLeaves(target.id, target.incarnation, now);
+    if (!head.retryAfter || head.status != http::status::unavailable)
+        return;
+    this->services.dispatcher.targetCloses(target.id, target.incarnation, now + *head.retryAfter, now);
+    logging::Event { "target_closed" }
+        .field("request", this->input.head.id)
+        .field("target", target.id)
+        .field("ms", head.retryAfter->count())
+        .info();
+}
+
 http::Task<AttemptEnd> Attempt::run(const membership::ListedTarget& target)
 {
     const auto& options = this->services.options.attempts;
     this->started = this->services.clock.now();
+    this->lastEventAt = this->started;
     this->limit = this->input.deadline + options.deadlineGrace;
     if (!this->input.isLast && this->input.route.kind == RouteKind::Repeatable) {
         const auto share
@@ -115,8 +138,12 @@
         .requestId = this->stream->header(names.requestId),
         .hasSeal = !this->stream->header(names.seal).empty(),
         .statesNotRun = !this->stream->header(names.notRun).empty(),
+        .statesLeaving = this->stream->header(names.leaving) == "1",
+        .retryAfter = parseRetryAfter(this->stream->header("Retry-After")),
         .hasContentEncoding = !this->stream->header("Content-Encoding").empty() };
     const auto kind = judge(head, this->input.head.id);
+    if (kind != AnswerKind::Foreign)
+        this->noteTarget(target, head);
     switch (kind) {
     case AnswerKind::Success:
         if (this->input.route.kind == RouteKind::Stream)
@@ -127,7 +154,7 @@
     case AnswerKind::NotRun:
         co_return AttemptEnd { .kind = delivery::EventKind::Refused,
             .notRun = true,
-            .result = routing::Result::Refused,
+            .result = head.retryAfter ? routing::Result::Cancelled : routing::Result::Refused,
             .detail = "status " + std::to_string(head.status) };
     case AnswerKind::Unproved:
     case AnswerKind::Foreign:
@@ -149,6 +176,11 @@
         if (bytes->empty())
             break;
         response.body += *bytes;
+        // A body without a length can go on without end.
+        if (response.body.size() > this->services.options.attempts.maxAnswerBytes) {
+            this->stream->cancel();
+            co_return AttemptEnd { .kind = delivery::EventKind::ConnectionLost, .detail = "the answer is too long" };
+        }
     }
     if (!isSuccess) {
         co_return AttemptEnd { .kind = delivery::EventKind::ConnectionLost,
@@ -185,7 +217,8 @@
         const bool started = co_await this->startStream();
         if (!started)
             co_return internal::callerFailed();
-        this->timing.note(this->services.clock.now());
+        this->lastEventAt = this->services.clock.now();
+        this->timing.note(this->lastEventAt);
         const bool written = co_await this->writer.write(ready);
         if (!written)
             co_return internal::callerFailed();
@@ -209,6 +242,10 @@
         splitter.append(*bytes);
         if (auto end = co_await this->forwardEvents(splitter))
             co_return std::move(*end);
+        if (splitter.rest().size() > this->services.options.attempts.maxEventBytes) {
+            this->stream->cancel();
+            co_return AttemptEnd { .kind = delivery::EventKind::StreamBroken, .detail = "an event is too long" };
+        }
     }
     if (!splitter.rest().empty())
         co_return AttemptEnd { .kind = delivery::EventKind::StreamBroken, .detail = "the last event is not whole" };
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "delivery/delivery_plan.hpp"
+#include "gateway/answer_check.hpp"
 #include "gateway/event_sequence.hpp"
 #include "gateway/forwarding.hpp"
 #include "gateway/services.hpp"
@@ -57,11 +58,14 @@
     std::unique_ptr<http::ResponseStream> stream;
     base::SteadyTime started {};
     base::SteadyTime limit {};
+    base::SteadyTime lastEventAt {}; ///< Of the events for the caller; the start of the attempt before the first one.
 
     [[nodiscard]] std::chrono::milliseconds timeUntil(base::SteadyTime end) const;
     [[nodiscard]] std::chrono::milliseconds streamSilence() const;
     [[nodiscard]] std::chrono::milliseconds silenceLimit() const;
     [[nodiscard]] http::Request makeRequest(const membership::ListedTarget& target) const;
+    /** Takes over what the target says about itself in the head of its answer. */
+    void noteTarget(const membership::ListedTarget& target, const AnswerHead& head);
     [[nodiscard]] AttemptEnd lost(const http::Error& reason) const;
     [[nodiscard]] http::Task<AttemptEnd> relayWhole(bool isSuccess);
     [[nodiscard]] http::Task<AttemptEnd> relayEvents();
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -31,12 +31,39 @@
 }
 
 void Dispatcher::setTargets(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now)
+{
+    this->notices.update(listed, now);
+    this->useTargets(listed, now);
+}
+
+void Dispatcher::targetLeaves(const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime now)
+{
+    if (!this->notices.noteLeaving(target, incarnation, now))
+        return;
+    std::vector<membership::ListedTarget> known;
+    known.reserve(this->targets.size());
+    for (const auto& [id, listed] : this->targets)
+        known.push_back(listed);
+    this->useTargets(known, now);
+}
+
+void Dispatcher::targetCloses(
+    const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime until, base::SteadyTime now)
+{
+    this->notices.noteClosed(target, incarnation, until, now);
+    if (const auto found = this->targets.find(target);
+        found != this->targets.end() && found->second.incarnation == incarnation)
+        this->router.closeUntil(target, until);
+}
+
+void Dispatcher::useTargets(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now)
 {
     std::vector<membership::TargetView> views;
     views.reserve(listed.size());
     std::map<std::string, routing::PoolSpec> pools;
     this->targets.clear();
-    for (const auto& target : listed) {
+    for (auto target : listed) {
+        target.leaving = target.leaving || this->notices.isLeaving(target);
         views.push_back({ .target = target.id,
             .zone = target.zone,
             .address = settings::toString(target.endpoint),
@@ -46,7 +73,7 @@
         auto& pool = pools[target.pool];
         pool.name = target.pool;
         pool.targets.push_back(target.id);
-        this->targets.emplace(target.id, target);
+        this->targets.insert_or_assign(target.id, target);
     }
     std::vector<routing::PoolSpec> specs;
     specs.reserve(pools.size());
@@ -54,8 +81,11 @@
         specs.push_back(std::move(spec));
     this->router.setTargets(views);
     this->router.setPools(specs);
-    for (const auto& target : listed)
+    for (const auto& target : listed) {
         this->router.reported(target.id, { .capacity = target.capacity }, now);
+        if (const auto until = this->notices.closedUntil(target))
+            this->router.closeUntil(target.id, *until);
+    }
     this->advance(now);
 }
 
@@ -105,8 +135,15 @@
 
 bool Dispatcher::allowRetry(std::string_view pool, base::SteadyTime now) { return this->router.allowRetry(pool, now); }
 
-std::chrono::milliseconds Dispatcher::retryAfter(const std::string& pool, std::chrono::milliseconds timeLeft)
+std::chrono::milliseconds Dispatcher::retryAfter(
+    const std::string& pool, std::chrono::milliseconds timeLeft, base::SteadyTime now)
 {
+    // Before that time a caller would only be refused again.
+    if (const auto opening = this->router.reopensAt(pool, now)) {
+        const auto spread = static_cast<double>(this->options.maxRetryAfter.count()) * this->random.unit();
+        return std::chrono::ceil<std::chrono::milliseconds>(*opening - now)
+            + std::chrono::milliseconds { static_cast<std::int64_t>(spread) };
+    }
     const auto left = static_cast<double>(std::max<std::int64_t>(timeLeft.count(), 0));
     const auto failures = this->failuresInRow.find(pool);
     const bool isOut = failures != this->failuresInRow.end() && failures->second >= this->options.outageFailures;
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "base/id.hpp"
 #include "base/random.hpp"
 #include "base/reason.hpp"
+#include "gateway/target_notices.hpp"
 #include "membership/listed_targets.hpp"
 #include "routing/router.hpp"
 #include "routing/waiting_room.hpp"
@@ -66,13 +67,19 @@
     void cancel(const Demand& demand, base::SteadyTime now);
     /** An attempt that got a target has ended. */
     void finished(const std::string& pool, const base::TargetId& target, routing::Result result, base::SteadyTime now);
+    /** The target has said that it leaves: it gets nothing new, whatever the list shows. */
+    void targetLeaves(const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime now);
+    /** The target has asked for nothing new before this time. */
+    void targetCloses(
+        const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime until, base::SteadyTime now);
     /** Starts waiting requests and refuses those that cannot start in time. */
     void advance(base::SteadyTime now);
 
     /** Takes one retry from the pool's budget; false when it is spent. */
     [[nodiscard]] bool allowRetry(std::string_view pool, base::SteadyTime now);
     /** Time after which a refused caller with this time left should come back. */
-    [[nodiscard]] std::chrono::milliseconds retryAfter(const std::string& pool, std::chrono::milliseconds timeLeft);
+    [[nodiscard]] std::chrono::milliseconds retryAfter(
+        const std::string& pool, std::chrono::milliseconds timeLeft, base::SteadyTime now);
 
     /** The target if it is listed and not leaving; nullptr otherwise. */
     [[nodiscard]] const membership::ListedTarget* usable(const base::TargetId& target) const;
@@ -83,8 +90,11 @@
     base::RandomSource& random;
     routing::Router router;
     routing::WaitingRoom room;
+    TargetNotices notices;
     std::map<base::TargetId, membership::ListedTarget> targets;
     std::map<std::string, std::uint32_t> failuresInRow; ///< By pool.
+
+    void useTargets(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now);
 };
 
 } // namespace chivewinch::gateway
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -40,6 +40,10 @@
     std::chrono::milliseconds retryAfterWithoutTarget { 500 };
     std::chrono::milliseconds unacknowledgedTimeout { 2'000 };
     std::size_t maxIdleConnections = 4; ///< To each target.
+    /** Longest body of an answer, which is kept whole until its end; a broken target can send one without end. */
+    std::size_t maxAnswerBytes = std::size_t { 8 } << 20;
+    /** Longest event of a stream. */
+    std::size_t maxEventBytes = std::size_t { 1 } << 20;
 };
 
 /** How soon the deployment wants changes to take effect. */
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -218,11 +218,17 @@
     }
     Refusal refusal { .reason = last.reason, .outcome = last.outcome, .timedOut = this->timedOut };
     if (last.outcome == base::Outcome::NotRun)
-        refusal.retryAfter = this->services.dispatcher.retryAfter(
-            this->pool, std::chrono::floor<std::chrono::milliseconds>(this->deadline - this->services.clock.now()));
+        refusal.retryAfter = this->retryAfter();
     co_await this->refuse(refusal);
 }
 
+std::chrono::milliseconds RequestRun::retryAfter() const
+{
+    const auto now = this->services.clock.now();
+    return this->services.dispatcher.retryAfter(
+        this->pool, std::chrono::floor<std::chrono::milliseconds>(this->deadline - now), now);
+}
+
 http::Task<void> RequestRun::refuse(const Refusal& refusal)
 {
     this->services.metrics.registry.refused(refusal.reason);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -55,6 +55,8 @@
     [[nodiscard]] delivery::AttemptEvent eventOf(const AttemptEnd& end, const delivery::AttemptKey& key) const;
     [[nodiscard]] http::Task<void> finish(const delivery::Finish& last);
     [[nodiscard]] http::Task<void> refuse(const Refusal& refusal);
+    /** Time after which the refused caller should come back. */
+    [[nodiscard]] std::chrono::milliseconds retryAfter() const;
     [[nodiscard]] std::chrono::milliseconds sinceArrival() const;
     void logEnd(std::string_view outcome, std::string_view reason, unsigned status) const;
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -209,6 +209,9 @@
     current.maxIdleTime = this->options.maxIdleTime;
     current.pool = this->pool;
     current.parser.body_limit(this->options.maxBodyBytes);
+    current.parser.header_limit(this->options.maxHeadBytes);
+    // The parser does not bound what stands between the chunks of a body.
+    current.buffer.max_size(this->options.maxHeadBytes + internal::readChunkBytes);
 
     Cancellation none;
     auto& cancellation = sendOptions.cancellation != nullptr ? *sendOptions.cancellation : none;
@@ -239,11 +242,15 @@
 
 Task<std::optional<Response>> Client::send(Request request, SendOptions sendOptions, Error& reason)
 {
+    const auto readTimeout = sendOptions.readTimeout.value_or(this->options.readTimeout);
+    const auto latest = std::chrono::steady_clock::now() + readTimeout * this->options.maxReadTimeouts;
     const auto stream = co_await this->open(std::move(request), sendOptions, reason);
     if (!stream)
         co_return std::nullopt;
     Response response { .status = stream->status(), .contentType = std::string { stream->header("Content-Type") } };
     while (true) {
+        const auto left = std::chrono::floor<std::chrono::milliseconds>(latest - std::chrono::steady_clock::now());
+        stream->setReadTimeout(std::clamp(left, std::chrono::milliseconds { 0 }, readTimeout));
         auto bytes = co_await stream->read(reason);
         if (!bytes)
             co_return std::nullopt;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -41,7 +41,11 @@
     std::chrono::milliseconds maxIdleTime { std::chrono::seconds { 10 } };
     /** A connection whose sent bytes are not acknowledged within this time is lost (TCP_USER_TIMEOUT); 0 for never. */
     std::chrono::milliseconds unacknowledgedTimeout { 0 };
-    std::uint64_t maxBodyBytes = 64U << 20;
+    std::uint64_t maxBodyBytes = 16U << 20;
+    /** Longest head of an answer, and longest chunk head or trailer in its body. */
+    std::uint32_t maxHeadBytes = 32U << 10;
+    /** A whole answer may take this many times the read time-out; single bytes now and then would never end. */
+    std::uint32_t maxReadTimeouts = 4;
 };
 
 /** Ends a request from outside, also before its answer has begun. Used on the client's executor only. */
@@ -108,7 +112,7 @@
     /** Sends a request and reads the head of its answer. The Host field of the request is kept if it has one. */
     [[nodiscard]] Task<std::unique_ptr<ResponseStream>> open(Request request, SendOptions options, Error& reason);
 
-    /** Sends a request and reads its whole answer. */
+    /** Sends a request and reads its whole answer, within a multiple of the read time-out. */
     [[nodiscard]] Task<std::optional<Response>> send(Request request, SendOptions options, Error& reason);
 
     /** Closes the kept connections, for instance after the process was suspended. */
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -157,7 +157,7 @@
         if (slot.outlier.probing() && slot.ownInFlight > 0)
             return false;
     }
-    return !isExcluded(slot, request);
+    return now >= slot.closedUntil && !isExcluded(slot, request);
 }
 
 bool Router::isExcluded(const Slot& slot, const RouteRequest& request)
@@ -289,7 +289,7 @@
     for (const auto* members : { &pool.local, &pool.suspect }) {
         this->candidates.clear();
         for (auto* slot : *members)
-            if (!isExcluded(*slot, request))
+            if (now >= slot->closedUntil && !isExcluded(*slot, request))
                 this->candidates.push_back({ .slot = slot, .load = this->loadOf(*slot, now) });
         if (const auto* slot = this->pickOfTwo())
             return internal::choiceOf(*slot, ChoiceKind::LastResort);
@@ -356,6 +356,28 @@
         found->second.report(load, now);
 }
 
+void Router::closeUntil(const base::TargetId& target, base::SteadyTime until)
+{
+    if (const auto found = this->slots.find(target); found != this->slots.end())
+        found->second.closedUntil = std::max(found->second.closedUntil, until);
+}
+
+std::optional<base::SteadyTime> Router::reopensAt(std::string_view pool, base::SteadyTime now) const
+{
+    const auto found = this->pools.find(pool);
+    if (found == this->pools.end())
+        return std::nullopt;
+    std::optional<base::SteadyTime> first;
+    for (const auto* members : { &found->second->local, &found->second->suspect, &found->second->remote }) {
+        for (const auto* slot : *members) {
+            if (now >= slot->closedUntil)
+                return std::nullopt;
+            first = std::min(first.value_or(slot->closedUntil), slot->closedUntil);
+        }
+    }
+    return first;
+}
+
 bool Router::allowRetry(std::string_view pool, base::SteadyTime now)
 {
     const auto found = this->pools.find(pool);
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -57,6 +57,11 @@
     /** Load from a heartbeat. */
     void reported(const base::TargetId& target, const LoadReport& load, base::SteadyTime now);
 
+    /** The target has asked for no attempts before this time. It is passed over and does not count as failing. */
+    void closeUntil(const base::TargetId& target, base::SteadyTime until);
+    /** When the first target of a pool opens whose targets are all closed; nullopt if one is open. */
+    [[nodiscard]] std::optional<base::SteadyTime> reopensAt(std::string_view pool, base::SteadyTime now) const;
+
     /** Takes one retry from the pool's budget; false when it is spent. */
     [[nodiscard]] bool allowRetry(std::string_view pool, base::SteadyTime now);
 
--- a/src/routing/target_slot.hpp
+++ b/src/routing/target_slot.hpp
@@ -26,6 +26,7 @@
     std::uint32_t capacity = 0;
     double perCapacity = 0; ///< 1 / capacity; 0 when the capacity is unknown.
     double usualOthersLoad = 0; ///< Moving average of othersLoad.
+    base::SteadyTime closedUntil {}; ///< The target has asked for no requests before this time.
     base::SteadyTime reportedAt {};
     Outlier outlier;
 
@@ -33,6 +34,7 @@
     void forgetIncarnation() noexcept
     {
         this->outlier = {};
+        this->closedUntil = {};
         this->othersLoad = 0;
         this->usualOthersLoad = 0;
     }
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -73,6 +73,51 @@
     EXPECT_EQ(this->dispatcher.usable("a"), nullptr);
 }
 
+// Guards against a list that is older than the target's own word, also one that is read again after the target has
+// left.
+TEST_F(DispatcherTest, KeepsOutATargetThatHasSaidItLeaves)
+{
+    const std::vector listed { target("a"), target("b") };
+    this->dispatcher.setTargets(listed, this->now);
+    this->dispatcher.targetLeaves("b", {}, this->now);
+    EXPECT_EQ(this->dispatcher.usable("b"), nullptr);
+    this->dispatcher.setTargets(listed, this->now + 1s);
+    EXPECT_EQ(this->dispatcher.usable("b"), nullptr);
+    this->dispatcher.setTargets({ target("a") }, this->now + 2s);
+    this->dispatcher.setTargets(listed, this->now + 20s);
+    EXPECT_EQ(this->dispatcher.usable("b"), nullptr);
+    // The next incarnation is another target.
+    auto next = target("b");
+    next.incarnation = base::Incarnation { 7 };
+    this->dispatcher.setTargets({ target("a"), next }, this->now + 21s);
+    EXPECT_NE(this->dispatcher.usable("b"), nullptr);
+}
+
+// Guards against requests for a target that has asked for none, before and after a re-read of the list.
+TEST_F(DispatcherTest, PassesOverAClosedTargetUntilItOpens)
+{
+    const std::vector listed { target("a"), target("b") };
+    this->dispatcher.setTargets(listed, this->now);
+    this->dispatcher.targetCloses("a", {}, this->now + 2s, this->now);
+    this->dispatcher.setTargets(listed, this->now);
+    EXPECT_EQ(this->dispatcher.request(this->demand(1), {}, this->now).choice.value().target, "b");
+    EXPECT_EQ(this->dispatcher.request(this->demand(2), {}, this->now).choice.value().target, "b");
+    EXPECT_EQ(this->dispatcher.request(this->demand(3), {}, this->now).reason, RefusalReason::None);
+    this->now += 2s;
+    EXPECT_EQ(this->dispatcher.request(this->demand(4), {}, this->now).choice.value().target, "a");
+}
+
+// Guards against callers that wait for, or come back to, targets that are all closed.
+TEST_F(DispatcherTest, RefusesAtOnceWhileAllTargetsAreClosed)
+{
+    this->dispatcher.setTargets({ target("a"), target("b") }, this->now);
+    this->dispatcher.targetCloses("a", {}, this->now + 5s, this->now);
+    this->dispatcher.targetCloses("b", {}, this->now + 3s, this->now);
+    EXPECT_EQ(this->dispatcher.request(this->demand(1), {}, this->now).reason, RefusalReason::NoTarget);
+    EXPECT_GE(this->dispatcher.retryAfter("p", 1s, this->now), 3s);
+    EXPECT_LE(this->dispatcher.retryAfter("p", 1s, this->now), 4s);
+}
+
 TEST_F(DispatcherTest, ExcludesTargetsThatWereTried)
 {
     this->dispatcher.setTargets({ target("a"), target("b") }, this->now);
@@ -117,10 +162,10 @@
     auto earliest = 1'000'000ms;
     auto latest = 0ms;
     for (int i = 0; i < 200; ++i) {
-        const auto time = this->dispatcher.retryAfter("p", 8s);
+        const auto time = this->dispatcher.retryAfter("p", 8s, this->now);
         earliest = std::min(earliest, time);
         latest = std::max(latest, time);
-        EXPECT_LE(this->dispatcher.retryAfter("p", 300ms), 100ms);
+        EXPECT_LE(this->dispatcher.retryAfter("p", 300ms, this->now), 100ms);
     }
     EXPECT_GE(earliest, 100ms);
     EXPECT_LE(latest, 800ms);
@@ -137,12 +182,12 @@
         this->dispatcher.finished("p", "a", routing::Result::Refused, this->now);
     }
     for (int i = 0; i < 100; ++i) {
-        EXPECT_GE(this->dispatcher.retryAfter("p", 8s), 2s);
-        EXPECT_LE(this->dispatcher.retryAfter("p", 8s), 8'000ms / 3);
+        EXPECT_GE(this->dispatcher.retryAfter("p", 8s, this->now), 2s);
+        EXPECT_LE(this->dispatcher.retryAfter("p", 8s, this->now), 8'000ms / 3);
     }
     (void)this->dispatcher.request(this->demand(9), {}, this->now);
     this->dispatcher.finished("p", "a", routing::Result::Success, this->now);
-    EXPECT_LE(this->dispatcher.retryAfter("p", 8s), 800ms);
+    EXPECT_LE(this->dispatcher.retryAfter("p", 8s, this->now), 800ms);
 }
 
 } // namespace
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_future.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -80,6 +81,8 @@
         options.dispatcher.router.compareAll = true;
         options.dispatcher.router.spill.onlyWithoutLocalCapacity = false;
         options.dispatcher.router.retryBudget.constant = 5;
+        options.attempts.maxAnswerBytes = 100'000;
+        options.attempts.maxEventBytes = 100'000;
         options.attempts.patience = { .minimum = 500ms, .objectives = 0, .pauses = 0, .margin = 200ms };
         this->listen = options.listen;
         this->readiness = options.readiness;
@@ -287,6 +290,107 @@
     EXPECT_EQ(this->sentTo.size(), 2U);
 }
 
+// Guards against new work for a target that leaves while the list still shows it as live.
+TEST_F(GatewayTest, SendsNothingToATargetThatSaysItLeaves)
+{
+    this->start(RouteKind::NotRepeatable, [](int call, const auto& request, auto& writer) -> http::Task<void> {
+        auto response = sealed(request);
+        if (call == 1)
+            response.headers.emplace_back("T-Leaving", "1");
+        (void)co_await writer.send(std::move(response));
+    });
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(this->send(callerRequest()).status, 200U);
+    ASSERT_EQ(this->sentTo.size(), 6U);
+    EXPECT_EQ(std::ranges::count(this->sentTo, this->sentTo.front()), 1);
+}
+
+// Guards against requests for a target that has asked for none for a while, and against callers that wait for it or
+// come back too early.
+TEST_F(GatewayTest, LeavesClosedTargetsAloneUntilTheyOpen)
+{
+    this->start(RouteKind::NotRepeatable, [](int call, const auto& request, auto& writer) -> http::Task<void> {
+        auto response = sealed(request, call == 2 ? 200 : 503);
+        if (call != 2)
+            response.headers.emplace_back("T-Not-Run", "1");
+        if (call != 2)
+            response.headers.emplace_back("Retry-After", "20");
+        (void)co_await writer.send(std::move(response));
+    });
+    EXPECT_EQ(this->send(callerRequest()).status, 200U);
+    // The second target closes too, and nothing is left to try.
+    EXPECT_EQ(this->send(callerRequest()).status, 503U);
+    const auto begun = this->clock.now();
+    const auto refused = this->send(callerRequest());
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_LT(this->clock.now() - begun, 200ms);
+    EXPECT_GE(std::stod(headerOf(refused, "Retry-After")), 19);
+    EXPECT_EQ(this->sentTo.size(), 3U);
+}
+
+// Guards against a stalled stream that single bytes keep open.
+TEST_F(GatewayTest, ResumesAStreamThatCompletesNoEvent)
+{
+    this->start(RouteKind::Stream, [this](int call, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.start(sealed(request));
+        (void)co_await writer.write(eventText(call == 1 ? 0 : 1));
+        bool isOpen = call == 1;
+        while (isOpen) {
+            isOpen = co_await writer.write("x");
+            asio::steady_timer timer { this->context, 50ms };
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        (void)co_await writer.finish();
+    });
+    const auto begun = this->clock.now();
+    const auto response = this->send(callerRequest());
+    EXPECT_EQ(response.body, eventText(0) + eventText(1));
+    EXPECT_LT(this->clock.now() - begun, 700ms);
+    EXPECT_EQ(this->sentTo.size(), 2U);
+}
+
+// Guards against a slow but sound stream that is cut because it lasts longer than the patience with one event.
+TEST_F(GatewayTest, KeepsASlowSoundStream)
+{
+    this->start(RouteKind::Stream, [this](int, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.start(sealed(request));
+        for (std::uint64_t id = 0; id < 4; ++id) {
+            asio::steady_timer timer { this->context, 200ms };
+            co_await timer.async_wait(asio::use_awaitable);
+            (void)co_await writer.write(eventText(id));
+        }
+        (void)co_await writer.finish();
+    });
+    const auto response = this->send(callerRequest());
+    EXPECT_EQ(response.body, eventText(0) + eventText(1) + eventText(2) + eventText(3));
+    EXPECT_EQ(this->sentTo.size(), 1U);
+}
+
+// Guards against memory that grows with bytes without end, in an answer and in an event.
+TEST_F(GatewayTest, BoundsAnswersAndEventsWithoutEnd)
+{
+    std::size_t written = 0;
+    const auto endless = [&written](int, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.start(sealed(request));
+        const std::string piece(10'000, 'x');
+        bool isOpen = true;
+        while (isOpen && written < 50'000'000) {
+            isOpen = co_await writer.write(piece);
+            written += piece.size();
+        }
+        writer.abort();
+    };
+    for (const auto kind : { RouteKind::NotRepeatable, RouteKind::Stream }) {
+        written = 0;
+        this->start(kind, endless);
+        EXPECT_EQ(this->send(callerRequest()).status, 502U);
+        // What the buffers of the sockets of two attempts hold, and the limit.
+        EXPECT_LT(written, 20'000'000U);
+        this->gateway.reset();
+        this->targets.clear();
+    }
+}
+
 // Guards against a caller that is kept waiting beyond the route's time.
 TEST_F(GatewayTest, AnswersWhenTheTimeIsOver)
 {
--- a/tests/gateway/names.hpp
+++ b/tests/gateway/names.hpp
@@ -19,6 +19,7 @@
         .team = "T-Team",
         .expectedTarget = "T-Target",
         .notRun = "T-Not-Run",
+        .leaving = "T-Leaving",
         .seal = "T-Seal",
         .lastEventId = "Last-Event-Id",
         .targetPriority = "T-Priority" };
--- /dev/null
+++ b/tests/gateway/target_notices_test.cpp
@@ -0,0 +1,35 @@
+#include "gateway/target_notices.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chivewinch::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(TargetNotices, ReadsSeconds)
+{
+    EXPECT_EQ(parseRetryAfter("2"), 2'000ms);
+    EXPECT_EQ(parseRetryAfter("0.25"), 250ms);
+    // A time far beyond the life of a target must not shut it out for ever.
+    EXPECT_EQ(parseRetryAfter("1e12"), 1h);
+    for (const auto* value : { "", "0", "-1", "soon", "1s", "nan", "inf", "Fri, 04 Dec 2026 10:00:00 GMT" })
+        EXPECT_EQ(parseRetryAfter(value), std::nullopt) << value;
+}
+
+// Guards against memory that grows with every target that has ever left.
+TEST(TargetNotices, ForgetsTargetsThatAreGoneForLong)
+{
+    TargetNotices notices;
+    const membership::ListedTarget target { .id = "a" };
+    const base::SteadyTime now { 1h };
+    EXPECT_TRUE(notices.noteLeaving("a", {}, now));
+    EXPECT_FALSE(notices.noteLeaving("a", {}, now));
+    notices.update({ target }, now + 1h);
+    EXPECT_TRUE(notices.isLeaving(target));
+    notices.update({}, now + TargetNotices::memory);
+    EXPECT_FALSE(notices.isLeaving(target));
+}
+
+} // namespace
+} // namespace chivewinch::gateway
--- a/tests/http/framing_test.cpp
+++ b/tests/http/framing_test.cpp
@@ -22,12 +22,13 @@
 using namespace std::chrono_literals;
 using Tcp = asio::ip::tcp;
 
-/** Server that writes fixed bytes after each request head and counts its connections. */
+/** Server that writes fixed bytes after each request head, then others now and then, and counts its connections. */
 class RawServer {
 public:
-    explicit RawServer(std::string answer, std::string later = {})
+    explicit RawServer(std::string answer, std::string later = {}, int repetitions = 1)
         : answer { std::move(answer) }
         , later { std::move(later) }
+        , repetitions { repetitions }
         , acceptor { this->context, Tcp::endpoint { asio::ip::make_address("127.0.0.1"), 0 } }
         , thread { [this] { this->run(); } }
     {
@@ -56,6 +57,7 @@
     asio::io_context context;
     std::string answer;
     std::string later;
+    int repetitions;
     Tcp::acceptor acceptor;
     std::atomic<int> accepted { 0 };
     std::atomic<bool> isStopped { false };
@@ -86,8 +88,10 @@
             asio::write(socket, asio::buffer(this->answer), error);
             if (this->later.empty())
                 continue;
-            std::this_thread::sleep_for(30ms);
-            asio::write(socket, asio::buffer(this->later), error);
+            for (int i = 0; i < this->repetitions && !error; ++i) {
+                std::this_thread::sleep_for(30ms);
+                asio::write(socket, asio::buffer(this->later), error);
+            }
         }
     }
 };
@@ -147,6 +151,58 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+/** Error of one request. */
+Error oneRequest(const settings::Endpoint& endpoint)
+{
+    asio::io_context context;
+    const auto task = [&]() -> Task<Error> {
+        Client client { context.get_executor(),
+            { .server = endpoint, .readTimeout = 200ms, .maxBodyBytes = 1U << 20, .maxHeadBytes = 8U << 10 } };
+        Error reason;
+        const SendOptions options;
+        (void)co_await client.send(makeRequest("GET", "/"), options, reason);
+        co_return reason;
+    };
+    auto result = asio::co_spawn(context, task(), asio::use_future);
+    context.run();
+    return result.get();
+}
+
+// Guards against memory that grows, and a connection that is kept, while a broken server sends bytes that are no
+// answer.
+TEST(ClientFraming, EndsBytesWithoutEnd)
+{
+    std::string lines;
+    std::string informational;
+    for (int i = 0; i < 200'000; ++i)
+        lines += "X-Field: value\r\n";
+    for (int i = 0; i < 100'000; ++i)
+        informational += "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(4U << 20, 'x');
+    const std::vector<std::string> answers { head + lines, head + "X-Long: " + filler, std::string(4U << 20, '\n'),
+        filler, head + "\r\n" + filler, chunked + "1;" + filler, chunked + "0\r\n" + lines, chunked + filler };
+    for (const auto& answer : answers) {
+        RawServer server { answer };
+        const auto begun = std::chrono::steady_clock::now();
+        EXPECT_EQ(oneRequest(server.endpoint()).code, ErrorCode::NoAnswer) << answer.substr(0, 60);
+        EXPECT_LT(std::chrono::steady_clock::now() - begun, 1'500ms) << answer.substr(0, 60);
+    }
+    // The first informational answer is taken for the answer; what follows must not be the next request's.
+    RawServer server { informational };
+    EXPECT_EQ(oneRequest(server.endpoint()).code, ErrorCode::None);
+}
+
+// Guards against an answer that never ends because a byte arrives now and then.
+TEST(ClientFraming, EndsAnAnswerThatTricklesWithoutEnd)
+{
+    RawServer server { "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", "x", 100 };
+    const auto begun = std::chrono::steady_clock::now();
+    EXPECT_EQ(oneRequest(server.endpoint()).code, ErrorCode::NoAnswer);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 1'500ms);
+}
+
 class ServerFraming : public testing::Test {
 protected:
     ServerFraming()
@@ -210,6 +266,24 @@
     EXPECT_EQ(this->served, 0);
 }
 
+// Guards against callers that send bytes without end.
+TEST_F(ServerFraming, EndsBytesWithoutEnd)
+{
+    std::string lines;
+    for (int i = 0; i < 100'000; ++i)
+        lines += "X-Field: value\r\n";
+    const std::string filler(2U << 20, 'x');
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto& bytes : { head + lines, head + "X-Long: " + filler, std::string(2U << 20, '\n'), filler,
+             chunked + "1;" + filler, chunked + "0\r\n" + lines }) {
+        const auto begun = std::chrono::steady_clock::now();
+        EXPECT_EQ(this->raw(bytes).find("200 OK"), std::string::npos);
+        EXPECT_LT(std::chrono::steady_clock::now() - begun, 1'500ms) << bytes.substr(0, 60);
+    }
+    EXPECT_EQ(this->served, 0);
+}
+
 TEST_F(ServerFraming, ServesProperRequests)
 {
     EXPECT_TRUE(this->raw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
