Let one entry of each zone read the store for the others

Change: module relay. Entries enter themselves in the store; the first one of a zone that is well reads, and the others ask it for changes with a meaning. A process reads the store itself when its source is silent, not in contact, too old, or reads at a peer, after a suspension, and until it has found one. Nothing older is taken over.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,12 +61,28 @@
         .strikes = this->strikes,
         .metrics = this->requestMetrics }
     , configurationWatcher { context.get_executor(), feeds.configuration, feeds.configurationWatch,
-        { .onAll = [this](const auto& rows) { this->readConfiguration(rows); },
-            .onChanges = [this](const auto& rows) { this->readConfiguration(rows); },
+        { .onAll =
+                [this, table = feeds.configurationWatch.table](const auto& rows) {
+                    this->readConfiguration(rows);
+                    this->noteRows(table, rows, true);
+                },
+            .onChanges =
+                [this, table = feeds.configurationWatch.table](const auto& rows) {
+                    this->readConfiguration(rows);
+                    this->noteRows(table, rows, false);
+                },
             .onContact = [](bool) {} } }
     , targetsWatcher { context.get_executor(), feeds.targets, feeds.targetsWatch,
-        { .onAll = [this](const auto& rows) { this->readTargets(rows, true); },
-            .onChanges = [this](const auto& rows) { this->readTargets(rows, false); },
+        { .onAll =
+                [this, table = feeds.targetsWatch.table](const auto& rows) {
+                    this->readTargets(rows, true);
+                    this->noteRows(table, rows, true);
+                },
+            .onChanges =
+                [this, table = feeds.targetsWatch.table](const auto& rows) {
+                    this->readTargets(rows, false);
+                    this->noteRows(table, rows, false);
+                },
             .onContact =
                 [this](bool isInContact) {
                     if (isInContact)
@@ -76,6 +92,18 @@
                 } } }
     , ticker { context }
 {
+    if (!this->options.relay || feeds.peers == nullptr || feeds.peersSink == nullptr)
+        return;
+    this->relay = std::make_unique<relay::Relay>(
+        context.get_executor(), *this->options.relay, clock, *feeds.peers, *feeds.peersSink);
+    // Targets report all the time; only what concerns requests is passed on.
+    const auto isSame = [decode = this->decoders.target](const std::string& left, const std::string& right) {
+        std::string reason;
+        const auto first = decode({}, left, reason);
+        return first && first == decode({}, right, reason);
+    };
+    this->relay->add(feeds.targetsWatch.table, this->targetsWatcher, isSame);
+    this->relay->add(feeds.configurationWatch.table, this->configurationWatcher);
 }
 
 Gateway::~Gateway() = default;
@@ -114,6 +142,10 @@
         if (!this->metricsServer)
             return false;
     }
+    if (this->relay && !this->relay->start()) {
+        this->reason = this->relay->lastReason();
+        return false;
+    }
     asio::co_spawn(this->context, this->configurationWatcher.run(), asio::detached);
     asio::co_spawn(this->context, this->targetsWatcher.run(), asio::detached);
     asio::co_spawn(this->context, this->tick(), asio::detached);
@@ -147,6 +179,12 @@
     (void)co_await writer.send(std::move(response));
 }
 
+void Gateway::noteRows(const std::string& table, const std::vector<watch::RowChange>& rows, bool isWhole)
+{
+    if (this->relay)
+        this->relay->note(table, rows, isWhole);
+}
+
 void Gateway::readConfiguration(const std::vector<watch::RowChange>& rows)
 {
     for (const auto& row : rows) {
@@ -232,6 +270,9 @@
     // What was known before is old, and peers may have closed the connections meanwhile.
     logging::Event { "resumed_after_suspension" }.warning();
     this->clients.dropIdle();
+    // Only the store itself proves that nothing has changed.
+    if (this->relay)
+        this->relay->doubtSource();
     this->configurationWatcher.hurry();
     this->targetsWatcher.hurry();
 }
@@ -243,6 +284,8 @@
     this->drainingSince = this->clock.now();
     logging::Event { "drain" }.field("open_requests", this->callerServer->openRequests()).info();
     this->callerServer->closeAfterAnswers();
+    if (this->relay)
+        this->relay->drain();
 }
 
 void Gateway::advanceDrain(base::SteadyTime now)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -35,6 +35,9 @@
     watch::RowFeed& targets;
     watch::WatchOptions configurationWatch;
     watch::WatchOptions targetsWatch;
+    /** Table in which the entries find each other; needed with GatewayOptions::relay only. */
+    watch::RowFeed* peers = nullptr;
+    watch::RowSink* peersSink = nullptr;
 };
 
 /** Serves callers in front of targets that are reached directly. Runs on one thread. */
@@ -73,6 +76,7 @@
     Services services;
     watch::RowWatcher configurationWatcher;
     watch::RowWatcher targetsWatcher;
+    std::unique_ptr<relay::Relay> relay;
     std::shared_ptr<http::Server> callerServer;
     std::shared_ptr<http::Server> readinessServer;
     std::shared_ptr<http::Server> metricsServer;
@@ -86,6 +90,8 @@
         const settings::Endpoint& listen, std::size_t maxConnections, http::Server::Handler handler);
     [[nodiscard]] http::Task<void> serveCaller(const http::Request& request, http::ResponseWriter& writer);
     [[nodiscard]] http::Task<void> serveStatus(const http::Request& request, http::ResponseWriter& writer) const;
+    /** Rows of a watcher; notes them for the peers. */
+    void noteRows(const std::string& table, const std::vector<watch::RowChange>& rows, bool isWhole);
     void readConfiguration(const std::vector<watch::RowChange>& rows);
     void readTargets(const std::vector<watch::RowChange>& rows, bool isWhole);
     void applyTargets();
--- a/src/gateway/options.cpp
+++ b/src/gateway/options.cpp
@@ -54,6 +54,20 @@
     return { .wait = internal::longestWait(bounds), .pause = internal::share(bounds.leaving, 0.4) };
 }
 
+relay::RelayOptions zoneRelay(
+    const std::string& instance, const base::ZoneId& zone, const settings::Endpoint& listen, const ChangeBounds& bounds)
+{
+    // What a process knows is at most as old as the pause of the reading peer, 0.4 of the bound, and the time until the
+    // loss of that peer is noticed. The rest of the bound is for the own reading that follows.
+    const auto bound = std::min(bounds.leaving, bounds.configuration);
+    return { .instance = instance,
+        .zone = zone,
+        .listen = listen,
+        .wait = internal::share(bound, 0.2),
+        .slack = internal::share(bound, 0.1),
+        .maxAge = internal::share(bound, 0.55) };
+}
+
 suspect::StrikeOptions directStrikes() noexcept
 {
     // A lost answer looks like a crash, and equal requests share a fingerprint: a block must need several targets and
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -4,6 +4,7 @@
 #include "gateway/dispatcher.hpp"
 #include "gateway/header_names.hpp"
 #include "membership/listed_targets.hpp"
+#include "relay/relay.hpp"
 #include "settings/value_type.hpp"
 #include "suspect/strike_table.hpp"
 #include "watch/row_watcher.hpp"
@@ -53,6 +54,10 @@
     std::chrono::milliseconds contact { 3'000 }; ///< After a fault of its connections a process is excused this long.
 };
 
+/** One process of each zone reads the store for the others, within the bounds. */
+[[nodiscard]] relay::RelayOptions zoneRelay(const std::string& instance, const base::ZoneId& zone,
+    const settings::Endpoint& listen, const ChangeBounds& bounds);
+
 /** Watches that keep the bounds with few calls to the store. */
 [[nodiscard]] watch::WatchOptions configurationWatch(const ChangeBounds& bounds);
 [[nodiscard]] watch::WatchOptions targetsWatch(const ChangeBounds& bounds);
@@ -95,6 +100,7 @@
     DispatcherOptions dispatcher;
     membership::ListedTargetsOptions targets;
     suspect::StrikeOptions strikes = directStrikes();
+    std::optional<relay::RelayOptions> relay; ///< nullopt: this process reads the store itself.
 };
 
 } // namespace chivewinch::gateway
--- /dev/null
+++ b/src/relay/codec.cpp
@@ -0,0 +1,103 @@
+#include "relay/codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace chivewinch::relay {
+
+namespace internal {
+
+using Json = nlohmann::json;
+
+// A longer wait is a mistake of the sender.
+constexpr std::uint64_t maxWait = 60'000;
+
+std::string cborOf(const Json& value)
+{
+    std::string bytes;
+    Json::to_cbor(value, bytes);
+    return bytes;
+}
+
+std::uint64_t unsignedOf(const Json& value)
+{
+    if (!value.is_number_unsigned())
+        throw std::out_of_range { "unsigned number" };
+    return value.get<std::uint64_t>();
+}
+
+Json jsonOf(const TableNews& news)
+{
+    auto rows = Json::array();
+    for (const auto& row : news.page.rows)
+        rows.push_back(Json::array({ row.key, row.value ? Json(*row.value) : Json() }));
+    return Json::array({ news.page.version, news.isWhole, std::move(rows) });
+}
+
+TableNews newsOf(const Json& value)
+{
+    TableNews news { .page = { .version = unsignedOf(value.at(0)) }, .isWhole = value.at(1).get<bool>() };
+    for (const auto& row : value.at(2)) {
+        watch::RowChange change { .key = row.at(0).get<std::string>() };
+        if (!row.at(1).is_null())
+            change.value = row.at(1).get<std::string>();
+        news.page.rows.push_back(std::move(change));
+    }
+    return news;
+}
+
+template <typename Decode>
+auto decodeCbor(const std::string& body, Decode decode) -> std::optional<decltype(decode(std::declval<const Json&>()))>
+{
+    try {
+        return decode(Json::from_cbor(body));
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    } catch (const std::out_of_range&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace internal
+
+std::string encode(const RelayQuery& query)
+{
+    return internal::cborOf({ { "since", query.since }, { "wait", query.wait.count() } });
+}
+
+std::optional<RelayQuery> decodeQuery(const std::string& body)
+{
+    return internal::decodeCbor(body, [](const internal::Json& value) {
+        RelayQuery query;
+        for (const auto& [table, version] : value.at("since").items())
+            query.since.emplace(table, internal::unsignedOf(version));
+        const auto wait = internal::unsignedOf(value.at("wait"));
+        query.wait = std::chrono::milliseconds { std::min(wait, internal::maxWait) };
+        return query;
+    });
+}
+
+std::string encode(const RelayAnswer& answer)
+{
+    auto tables = internal::Json::object();
+    for (const auto& [name, news] : answer.tables)
+        tables[name] = internal::jsonOf(news);
+    return internal::cborOf(tables);
+}
+
+std::optional<RelayAnswer> decodeAnswer(const std::string& body)
+{
+    return internal::decodeCbor(body, [](const internal::Json& value) {
+        if (!value.is_object())
+            throw std::out_of_range { "tables" };
+        RelayAnswer answer;
+        for (const auto& [name, news] : value.items())
+            answer.tables.emplace(name, internal::newsOf(news));
+        return answer;
+    });
+}
+
+} // namespace chivewinch::relay
--- /dev/null
+++ b/src/relay/peers.cpp
@@ -0,0 +1,79 @@
+#include "relay/peers.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewinch::relay {
+
+std::string encode(const Peer& peer)
+{
+    return nlohmann::json { { "zone", peer.zone }, { "address", settings::toString(peer.endpoint) } }.dump();
+}
+
+std::optional<Peer> decodePeer(const std::string& instance, const std::string& value)
+{
+    const auto object = nlohmann::json::parse(value, nullptr, false);
+    if (!object.is_object())
+        return std::nullopt;
+    const auto zone = object.find("zone");
+    const auto address = object.find("address");
+    if (zone == object.end() || !zone->is_string() || address == object.end() || !address->is_string())
+        return std::nullopt;
+    const auto endpoint = settings::parseEndpoint(address->get<std::string>());
+    if (!endpoint)
+        return std::nullopt;
+    return Peer { .instance = instance, .zone = zone->get<std::string>(), .endpoint = *endpoint };
+}
+
+void PeerList::put(const watch::RowChange& row)
+{
+    auto peer = row.value ? decodePeer(row.key, *row.value) : std::nullopt;
+    if (!peer || peer->zone != this->own.zone) {
+        this->peers.erase(row.key);
+        return;
+    }
+    // A machine with a new address is another one.
+    const auto known = this->peers.find(row.key);
+    if (known == this->peers.end() || known->second != *peer)
+        this->bad.erase(row.key);
+    this->peers.insert_or_assign(row.key, std::move(*peer));
+}
+
+void PeerList::replace(const std::vector<watch::RowChange>& rows)
+{
+    const auto before = std::exchange(this->peers, {});
+    for (const auto& row : rows) {
+        if (const auto known = before.find(row.key); known != before.end())
+            this->peers.insert(*known);
+        this->put(row);
+    }
+}
+
+void PeerList::change(const std::vector<watch::RowChange>& rows)
+{
+    for (const auto& row : rows)
+        this->put(row);
+}
+
+std::optional<Peer> PeerList::source(base::SteadyTime now) const
+{
+    for (const auto& [instance, peer] : this->peers) {
+        if (instance >= this->own.instance)
+            break;
+        const auto found = this->bad.find(instance);
+        if (found == this->bad.end() || now >= found->second.until)
+            return peer;
+    }
+    return std::nullopt;
+}
+
+void PeerList::noteBad(const std::string& instance, base::SteadyTime now)
+{
+    auto& entry = this->bad[instance];
+    entry.time = std::clamp(entry.time * 2, this->badTime, this->maxBadTime);
+    entry.until = now + entry.time;
+}
+
+} // namespace chivewinch::relay
--- /dev/null
+++ b/src/relay/relay.cpp
@@ -0,0 +1,248 @@
+#include "relay/relay.hpp"
+
+#include "http/status.hpp"
+#include "logging/event.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewinch::relay {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+// Each peer of a zone holds one connection; a zone of the largest planned installation has some hundred.
+constexpr std::size_t maxConnections = 500;
+
+} // namespace internal
+
+Relay::Relay(asio::any_io_executor executor, RelayOptions given, const base::Clock& clock, watch::RowFeed& peersFeed,
+    watch::RowSink& peersSink)
+    : executor { executor }
+    , options { std::move(given) }
+    , clock { clock }
+    , sink { peersSink }
+    , peers { { .instance = this->options.instance, .zone = this->options.zone, .endpoint = this->options.listen },
+        this->options.badTime, this->options.maxBadTime }
+    , peersWatcher { executor, peersFeed, this->options.peersWatch,
+        { .onAll =
+                [this](const auto& rows) {
+                    this->peers.replace(rows);
+                    this->note(this->options.peersWatch.table, rows, true);
+                },
+            .onChanges =
+                [this](const auto& rows) {
+                    this->peers.change(rows);
+                    this->note(this->options.peersWatch.table, rows, false);
+                },
+            .onContact = [](bool) {} } }
+    , clients { executor,
+        { .connectTimeout = this->options.slack,
+            .readTimeout = this->options.wait + this->options.slack,
+            .maxIdleConnections = 1,
+            .maxReadTimeouts = 1 } }
+    , timer { executor }
+{
+}
+
+Relay::~Relay() = default;
+
+void Relay::add(std::string table, watch::RowWatcher& watcher, TableCopy::SameMeaning isSame)
+{
+    this->tables.push_back({ .name = std::move(table), .watcher = &watcher, .copy = TableCopy { std::move(isSame) } });
+}
+
+void Relay::note(const std::string& table, const std::vector<watch::RowChange>& rows, bool isWhole)
+{
+    const auto found = std::ranges::find(this->tables, table, &RelayedTable::name);
+    if (found == this->tables.end())
+        return;
+    const auto before = found->copy.changedAt();
+    if (isWhole)
+        found->copy.replace(rows, found->watcher->currentVersion());
+    else
+        found->copy.change(rows, found->watcher->currentVersion());
+    if (found->copy.changedAt() == before)
+        return;
+    for (const auto& waiter : std::exchange(this->waiting, {}))
+        waiter->cancel();
+}
+
+bool Relay::start()
+{
+    this->add(this->options.peersWatch.table, this->peersWatcher);
+    this->server = std::make_shared<http::Server>(
+        this->executor,
+        http::ServerOptions { .listen = this->options.listen, .maxConnections = internal::maxConnections },
+        [this](const http::Request& request, http::ResponseWriter& writer) { return this->serve(request, writer); },
+        [](http::BadInput kind) { logging::Event { "bad_input" }.field("reason", http::toString(kind)).info(); });
+    if (!this->server->start()) {
+        this->reason = this->server->lastReason();
+        return false;
+    }
+    asio::co_spawn(this->executor, this->run(), asio::detached);
+    return true;
+}
+
+void Relay::doubtSource()
+{
+    if (this->relayed)
+        this->peers.noteBad(this->source, this->clock.now());
+    this->setRelayed({});
+}
+
+void Relay::drain() { this->isDraining = true; }
+
+void Relay::stop()
+{
+    this->isStopped = true;
+    this->timer.cancel();
+    this->peersWatcher.stop();
+    if (this->server)
+        this->server->abort();
+}
+
+http::Task<void> Relay::sleep(std::chrono::milliseconds time)
+{
+    if (this->isStopped)
+        co_return;
+    this->timer.expires_after(time);
+    (void)co_await this->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+http::Task<void> Relay::enter()
+{
+    const Peer own { .instance = this->options.instance, .zone = this->options.zone, .endpoint = this->options.listen };
+    while (!this->isStopped) {
+        const bool written = co_await this->sink.put(own.instance, encode(own));
+        if (written)
+            break;
+        co_await this->sleep(this->options.retryTime);
+    }
+}
+
+http::Task<void> Relay::run()
+{
+    co_await this->enter();
+    co_await this->sleep(this->options.settleTime);
+    asio::co_spawn(this->executor, this->peersWatcher.run(), asio::detached);
+    while (!this->isStopped) {
+        const auto peer = this->peers.source(this->clock.now());
+        if (!peer) {
+            this->setRelayed({});
+            co_await this->sleep(this->options.retryTime);
+            continue;
+        }
+        const bool followed = co_await this->follow(*peer);
+        if (followed)
+            this->peers.noteGood(peer->instance);
+        else
+            this->peers.noteBad(peer->instance, this->clock.now());
+        this->setRelayed(followed ? peer->instance : std::string {});
+    }
+}
+
+void Relay::setRelayed(const std::string& from)
+{
+    if (from == this->source && this->relayed == !from.empty())
+        return;
+    this->source = from;
+    this->relayed = !from.empty();
+    for (auto& table : this->tables)
+        table.watcher->setPaused(this->relayed);
+    logging::Event { "rows_source" }.field("source", from.empty() ? "store" : from).info();
+}
+
+http::Task<bool> Relay::follow(Peer peer)
+{
+    RelayQuery query { .wait = this->options.wait };
+    for (const auto& table : this->tables)
+        query.since.emplace(table.name, table.watcher->hasWhole() ? table.watcher->currentVersion() : 0);
+    const auto client = this->clients.of(peer.endpoint);
+    http::Error error;
+    const http::SendOptions send;
+    const auto response
+        = co_await client->send(http::makeRequest("POST", path, encode(query), "application/cbor"), send, error);
+    if (!response || response->status != http::status::ok)
+        co_return false;
+    const auto answer = decodeAnswer(response->body);
+    co_return answer&& this->takeOver(*answer);
+}
+
+bool Relay::takeOver(const RelayAnswer& answer)
+{
+    bool isComplete = true;
+    for (auto& table : this->tables) {
+        const auto found = answer.tables.find(table.name);
+        isComplete = found != answer.tables.end() && table.watcher->adopt(found->second.page, found->second.isWhole)
+            && isComplete;
+    }
+    return isComplete;
+}
+
+bool Relay::canServe() const
+{
+    if (this->relayed || this->isDraining || this->tables.empty())
+        return false;
+    const bool isInContact = std::ranges::all_of(
+        this->tables, [](const auto& table) { return table.watcher->inContact() && table.copy.isKnown(); });
+    return isInContact && this->clock.now() - this->tables.front().watcher->answeredAt() <= this->options.maxAge;
+}
+
+bool Relay::hasNews(const RelayQuery& query) const
+{
+    return std::ranges::any_of(this->tables, [&query](const auto& table) {
+        const auto known = query.since.find(table.name);
+        return known != query.since.end() && table.copy.changedAt() > known->second;
+    });
+}
+
+http::Task<void> Relay::awaitNews(const RelayQuery& query)
+{
+    auto waiter = std::make_shared<asio::steady_timer>(this->executor);
+    waiter->expires_after(std::min(query.wait, this->options.wait));
+    this->waiting.push_back(waiter);
+    (void)co_await waiter->async_wait(asio::as_tuple(asio::use_awaitable));
+    std::erase(this->waiting, waiter);
+}
+
+RelayAnswer Relay::answerTo(const RelayQuery& query) const
+{
+    RelayAnswer answer;
+    for (const auto& table : this->tables) {
+        const auto known = query.since.find(table.name);
+        if (known == query.since.end())
+            continue;
+        // A peer that has read the store itself since then is ahead, and there is nothing newer here.
+        TableNews news { .page = { .version = std::max(known->second, table.watcher->currentVersion()) } };
+        auto changed = known->second == 0 ? std::nullopt : table.copy.since(known->second);
+        news.isWhole = !changed.has_value();
+        news.page.rows = changed ? std::move(*changed) : table.copy.all();
+        answer.tables.emplace(table.name, std::move(news));
+    }
+    return answer;
+}
+
+http::Task<void> Relay::serve(const http::Request& request, http::ResponseWriter& writer)
+{
+    http::Response response { .status = http::status::notFound };
+    if (http::pathOf(request) == path) {
+        const auto query = decodeQuery(request.body());
+        response.status = query ? http::status::unavailable : http::status::badRequest;
+        if (query && this->canServe() && !this->hasNews(*query))
+            co_await this->awaitNews(*query);
+        if (query && this->canServe())
+            response = {
+                .status = http::status::ok, .contentType = "application/cbor", .body = encode(this->answerTo(*query))
+            };
+    }
+    (void)co_await writer.send(std::move(response));
+}
+
+} // namespace chivewinch::relay
--- a/src/watch/row_watcher.cpp
+++ b/src/watch/row_watcher.cpp
@@ -12,6 +12,13 @@
 
 namespace asio = boost::asio;
 
+namespace internal {
+
+// A paused watcher is woken when it goes on.
+constexpr std::chrono::milliseconds longPause { std::chrono::minutes { 1 } };
+
+} // namespace internal
+
 RowWatcher::RowWatcher(const asio::any_io_executor& executor, RowFeed& feed, WatchOptions options, WatchEvents events)
     : timer { executor }
     , feed { feed }
@@ -40,6 +47,10 @@
 RowFeed::Task<void> RowWatcher::run()
 {
     while (!this->isStopped) {
+        if (this->isPaused) {
+            co_await this->sleep(internal::longPause);
+            continue;
+        }
         const bool answered = co_await this->step();
         if (answered) {
             co_await this->sleep(this->options.pause);
@@ -54,6 +65,7 @@
 {
     FeedError reason;
     const bool whole = !this->hasAll;
+    const auto askedSince = this->version;
     // GCC 12 destroys the operands of a conditional expression with co_await twice.
     std::optional<Page> page;
     if (whole)
@@ -62,6 +74,9 @@
         page = co_await this->feed.changes(this->version, this->options.wait, reason);
     if (this->isStopped)
         co_return true;
+    // Newer rows came on another way meanwhile.
+    if (this->version != askedSince && (!page || page->version < this->version))
+        co_return true;
     if (!page) {
         this->noteFailure(reason);
         // The loss of the history is an answer: the table can be read whole at once.
@@ -72,14 +87,35 @@
         this->noteFailure({ .code = FeedErrorCode::Malformed, .detail = "the version of the table went back" });
         co_return false;
     }
+    this->takeOver(*page, whole);
+    co_return true;
+}
+
+void RowWatcher::takeOver(const Page& page, bool isWhole)
+{
     this->noteContact();
-    this->version = page->version;
+    this->lastAnswer = std::chrono::steady_clock::now();
+    this->version = page.version;
     this->hasAll = true;
-    if (whole)
-        this->events.onAll(page->rows);
-    else if (!page->rows.empty())
-        this->events.onChanges(page->rows);
-    co_return true;
+    if (isWhole)
+        this->events.onAll(page.rows);
+    else if (!page.rows.empty())
+        this->events.onChanges(page.rows);
+}
+
+bool RowWatcher::adopt(const Page& page, bool isWhole)
+{
+    if (!isWhole && !this->hasAll)
+        return false;
+    if (page.version >= this->version)
+        this->takeOver(page, isWhole);
+    return true;
+}
+
+void RowWatcher::setPaused(bool paused) noexcept
+{
+    this->isPaused = paused;
+    this->timer.cancel();
 }
 
 void RowWatcher::noteContact()
--- a/src/watch/row_watcher.hpp
+++ b/src/watch/row_watcher.hpp
@@ -45,6 +45,20 @@
     void stop() noexcept;
     /** Ends a pause between calls, for instance after the process was suspended. */
     void hurry() noexcept { this->timer.cancel(); }
+    /** While paused, the rows come on another way and the feed is not called. */
+    void setPaused(bool paused) noexcept;
+    /**
+     * Takes over rows that came on another way; older ones than those known change nothing. False for changes of a
+     * table that was not read whole.
+     * @param isWhole The rows are the whole table.
+     */
+    [[nodiscard]] bool adopt(const Page& page, bool isWhole);
+
+    [[nodiscard]] std::uint64_t currentVersion() const noexcept { return this->version; }
+    [[nodiscard]] bool hasWhole() const noexcept { return this->hasAll; }
+    [[nodiscard]] bool inContact() const noexcept { return this->isInContact; }
+    /** Time of the last answer, on any way. */
+    [[nodiscard]] std::chrono::steady_clock::time_point answeredAt() const noexcept { return this->lastAnswer; }
 
 private:
     boost::asio::steady_timer timer;
@@ -55,9 +69,12 @@
     bool hasAll = false;
     bool isInContact = false;
     bool isStopped = false;
+    bool isPaused = false;
+    std::chrono::steady_clock::time_point lastAnswer {};
     std::chrono::milliseconds retry;
 
     [[nodiscard]] RowFeed::Task<bool> step();
+    void takeOver(const Page& page, bool isWhole);
     void noteContact();
     void noteFailure(const FeedError& reason);
     [[nodiscard]] RowFeed::Task<void> sleep(std::chrono::milliseconds time);
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -10,7 +10,7 @@
 
 const std::string entryText = "node=front-1\nzone=z\nlisten.front=10.1.0.40:8227\nlisten.ready=10.1.0.40:8220\n"
                               "platform.address=10.200.1.7:8223\nbounds.graceS=8\nbounds.budgetSlack=94\n"
-                              "bounds.retryBudgetRatio=0.2\nsomething.new=1\n";
+                              "bounds.retryBudgetRatio=0.2\nportRange=7340,7355\nsomething.new=1\n";
 
 std::optional<EntrySettings> entry(const std::string& text, std::string& reason)
 {
@@ -27,6 +27,7 @@
     EXPECT_EQ(settings->gateway.listen.port, 8227);
     EXPECT_EQ(settings->store.address, "10.200.1.7");
     EXPECT_LT(settings->gateway.drain.total, 8s);
+    EXPECT_EQ(settings->gateway.relay.value().listen, (settings::Endpoint { .address = "10.1.0.40", .port = 7340 }));
     EXPECT_DOUBLE_EQ(settings->gateway.dispatcher.router.retryBudget.share, 0.2);
 }
 
@@ -35,7 +36,7 @@
 {
     const std::vector<std::pair<std::string, std::string>> cases { { "listen.front=here", "listen.front" },
         { "listen.ready=", "listen.ready" }, { "bounds.graceS=soon", "bounds.graceS" },
-        { "bounds.retryBudgetRatio=7", "bounds.retryBudgetRatio" }, { "zone=", "zone" },
+        { "bounds.retryBudgetRatio=7", "bounds.retryBudgetRatio" }, { "zone=", "zone" }, { "portRange=0", "portRange" },
         { "no equals", "NAME=VALUE" } };
     for (const auto& [line, name] : cases) {
         std::string reason;
--- /dev/null
+++ b/tests/relay/peers_test.cpp
@@ -0,0 +1,93 @@
+#include "relay/codec.hpp"
+#include "relay/peers.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chivewinch::relay {
+namespace {
+
+using namespace std::chrono_literals;
+
+Peer peer(const std::string& instance, const std::string& zone = "z")
+{
+    return { .instance = instance, .zone = zone, .endpoint = { .address = "10.0.0.1", .port = 80 } };
+}
+
+watch::RowChange row(const std::string& instance, const std::string& zone = "z")
+{
+    return { .key = instance, .value = encode(peer(instance, zone)) };
+}
+
+TEST(PeerList, ReadsAtTheFirstPeerOfTheZone)
+{
+    PeerList peers { peer("e3"), 5s, 60s };
+    const base::SteadyTime now { 1h };
+    EXPECT_EQ(peers.source(now), std::nullopt);
+    peers.replace({ row("e1", "y"), row("e2"), row("e3"), row("e4") });
+    EXPECT_EQ(peers.source(now), peer("e2"));
+    peers.change({ { .key = "e2", .value = std::nullopt } });
+    EXPECT_EQ(peers.source(now), std::nullopt);
+}
+
+// Guards against processes that wait for a peer that is gone for good, and against two that read at each other.
+TEST(PeerList, PassesOverBadPeersForALongerTimeEachTime)
+{
+    PeerList peers { peer("e3"), 5s, 60s };
+    base::SteadyTime now { 1h };
+    peers.replace({ row("e1"), row("e2"), row("e3"), row("e4") });
+    peers.noteBad("e1", now);
+    EXPECT_EQ(peers.source(now), peer("e2"));
+    peers.noteBad("e2", now);
+    EXPECT_EQ(peers.source(now), std::nullopt);
+    now += 5s;
+    EXPECT_EQ(peers.source(now), peer("e1"));
+    peers.noteBad("e1", now);
+    now += 9s;
+    EXPECT_EQ(peers.source(now), peer("e2"));
+    now += 1s;
+    EXPECT_EQ(peers.source(now), peer("e1"));
+    peers.noteGood("e1");
+    peers.noteBad("e1", now);
+    EXPECT_EQ(peers.source(now + 5s), peer("e1"));
+}
+
+// Guards against an address that another machine has now.
+TEST(PeerList, TakesOverANewAddress)
+{
+    PeerList peers { peer("e3"), 5s, 60s };
+    const base::SteadyTime now { 1h };
+    peers.replace({ row("e1") });
+    peers.noteBad("e1", now);
+    auto moved = peer("e1");
+    moved.endpoint.address = "10.0.0.2";
+    peers.change({ { .key = "e1", .value = encode(moved) } });
+    EXPECT_EQ(peers.source(now), moved);
+}
+
+TEST(PeerList, IgnoresRowsThatNameNoPeer)
+{
+    PeerList peers { peer("e3"), 5s, 60s };
+    for (const auto* value : { "", "null", "[]", "{}", R"({"zone":"z"})", R"({"zone":"z","address":7})",
+             R"({"zone":"z","address":"somewhere"})" }) {
+        peers.replace({ { .key = "e1", .value = value } });
+        EXPECT_EQ(peers.source(base::SteadyTime { 1h }), std::nullopt) << value;
+    }
+}
+
+TEST(RelayCodec, IsItsOwnInverse)
+{
+    const RelayQuery query { .since = { { "a", 7 }, { "b", 0 } }, .wait = 400ms };
+    EXPECT_EQ(decodeQuery(encode(query)), query);
+    const RelayAnswer answer { .tables
+        = { { "a",
+            { .page = { .rows = { { .key = "k", .value = "v" }, { .key = "gone" } }, .version = 9 },
+                .isWhole = true } } } };
+    EXPECT_EQ(decodeAnswer(encode(answer)), answer);
+    for (const auto* body : { "", "{", "\xf6", "text" }) {
+        EXPECT_EQ(decodeQuery(body), std::nullopt);
+        EXPECT_EQ(decodeAnswer(body), std::nullopt);
+    }
+}
+
+} // namespace
+} // namespace chivewinch::relay
--- /dev/null
+++ b/tests/relay/relay_test.cpp
@@ -0,0 +1,289 @@
+#include "base/random.hpp"
+#include "relay/relay.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace chivewinch::relay {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+/** Store in memory; each process reaches it through feeds of its own, which count the calls. */
+struct FakeStore {
+    std::map<std::string, std::map<std::string, std::pair<std::optional<std::string>, std::uint64_t>>> tables;
+    std::uint64_t version = 1;
+    bool isAway = false;
+
+    void put(const std::string& table, const std::string& key, std::optional<std::string> value)
+    {
+        this->tables[table][key] = { std::move(value), ++this->version };
+    }
+};
+
+class FakeFeed final : public watch::RowFeed, public watch::RowSink {
+public:
+    FakeFeed(asio::io_context& context, FakeStore& store, std::string table, const bool& isCut)
+        : context { context }
+        , store { store }
+        , table { std::move(table) }
+        , isCut { isCut }
+    {
+    }
+
+    int calls = 0;
+
+    [[nodiscard]] RowFeed::Task<std::optional<watch::Page>> readAll(watch::FeedError& reason) override
+    {
+        co_return co_await this->read(0, reason);
+    }
+
+    [[nodiscard]] RowFeed::Task<std::optional<watch::Page>> changes(
+        std::uint64_t since, std::chrono::milliseconds /*wait*/, watch::FeedError& reason) override
+    {
+        co_return co_await this->read(since, reason);
+    }
+
+    [[nodiscard]] RowSink::Task<bool> put(std::string key, std::string value) override
+    {
+        if (this->isCut || this->store.isAway)
+            co_return false;
+        this->store.put(this->table, key, std::move(value));
+        co_return true;
+    }
+
+private:
+    asio::io_context& context;
+    FakeStore& store;
+    std::string table;
+    const bool& isCut;
+
+    RowFeed::Task<std::optional<watch::Page>> read(std::uint64_t since, watch::FeedError& reason)
+    {
+        ++this->calls;
+        asio::steady_timer timer { this->context, 2ms };
+        co_await timer.async_wait(asio::use_awaitable);
+        if (this->isCut || this->store.isAway) {
+            reason.code = watch::FeedErrorCode::Unavailable;
+            co_return std::nullopt;
+        }
+        watch::Page page { .version = this->store.version };
+        for (const auto& [key, row] : this->store.tables[this->table]) {
+            if (row.second > since && (since > 0 || row.first))
+                page.rows.push_back({ .key = key, .value = row.first });
+        }
+        co_return page;
+    }
+};
+
+/** Processes of one zone on loopback addresses, which read one table. */
+class RelayTest : public testing::Test {
+protected:
+    struct Process {
+        bool isCut = false; ///< From the store.
+        std::unique_ptr<FakeFeed> feed;
+        std::unique_ptr<FakeFeed> peers;
+        std::map<std::string, std::string> rows;
+        std::unique_ptr<watch::RowWatcher> watcher;
+        std::unique_ptr<Relay> relay;
+    };
+
+    ~RelayTest() override
+    {
+        for (auto& process : this->processes)
+            this->stop(*process);
+        this->context.run_for(50ms);
+    }
+
+    static RelayOptions options(std::size_t index, std::uint16_t port)
+    {
+        return { .instance = "e" + std::to_string(index),
+            .zone = "z",
+            .listen = { .address = "127.0.88." + std::to_string(index + 1), .port = port },
+            .wait = 60ms,
+            .slack = 60ms,
+            .maxAge = 120ms,
+            .badTime = 100ms,
+            .maxBadTime = 200ms,
+            .settleTime = 20ms,
+            .retryTime = 10ms,
+            .peersWatch = { .table = "peers", .wait = 0ms, .pause = 50ms } };
+    }
+
+    void start(std::size_t count)
+    {
+        asio::ip::tcp::acceptor free { this->context, { asio::ip::make_address("127.0.88.1"), 0 } };
+        const auto port = free.local_endpoint().port();
+        free.close();
+        for (std::size_t index = 0; index < count; ++index) {
+            auto process = std::make_unique<Process>();
+            auto& own = *process;
+            own.feed = std::make_unique<FakeFeed>(this->context, this->store, "t", own.isCut);
+            own.peers = std::make_unique<FakeFeed>(this->context, this->store, "peers", own.isCut);
+            const auto note = [&own](const auto& rows, bool isWhole) {
+                if (isWhole)
+                    own.rows.clear();
+                for (const auto& row : rows) {
+                    if (row.value)
+                        own.rows[row.key] = *row.value;
+                    else
+                        own.rows.erase(row.key);
+                }
+                own.relay->note("t", rows, isWhole);
+            };
+            own.watcher = std::make_unique<watch::RowWatcher>(this->context.get_executor(), *own.feed,
+                watch::WatchOptions { .table = "t", .pause = 20ms, .maxRetry = 50ms },
+                watch::WatchEvents { .onAll = [note](const auto& rows) { note(rows, true); },
+                    .onChanges = [note](const auto& rows) { note(rows, false); },
+                    .onContact = [](bool) {} });
+            own.relay = std::make_unique<Relay>(
+                this->context.get_executor(), options(index, port), this->clock, *own.peers, *own.peers);
+            own.relay->add("t", *own.watcher);
+            ASSERT_TRUE(own.relay->start()) << own.relay->lastReason();
+            asio::co_spawn(this->context, own.watcher->run(), asio::detached);
+            this->processes.push_back(std::move(process));
+        }
+        this->context.run_for(300ms);
+    }
+
+    void stop(Process& process)
+    {
+        process.relay->stop();
+        process.watcher->stop();
+    }
+
+    /** Time until all processes but the one left out have the value. */
+    std::chrono::milliseconds timeUntilSeen(const std::string& value, std::size_t leftOut = 1'000)
+    {
+        const auto begun = std::chrono::steady_clock::now();
+        const auto isSeen = [&] {
+            for (std::size_t index = 0; index < this->processes.size(); ++index) {
+                if (index != leftOut && this->processes[index]->rows["k"] != value)
+                    return false;
+            }
+            return true;
+        };
+        while (!isSeen() && std::chrono::steady_clock::now() - begun < 3s)
+            this->context.run_for(5ms);
+        return std::chrono::floor<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begun);
+    }
+
+    int callsOf(std::size_t index) const { return this->processes[index]->feed->calls; }
+
+    asio::io_context context;
+    base::SystemClock clock;
+    FakeStore store;
+    std::vector<std::unique_ptr<Process>> processes;
+};
+
+// Guards against calls to the store that grow with the number of processes.
+TEST_F(RelayTest, OneProcessReadsForItsZone)
+{
+    this->start(6);
+    EXPECT_TRUE(this->processes[0]->relay->canServe());
+    std::vector<int> before;
+    for (std::size_t index = 0; index < 6; ++index) {
+        EXPECT_EQ(this->processes[index]->relay->isRelayed(), index > 0) << index;
+        before.push_back(this->callsOf(index));
+    }
+    this->store.put("t", "k", "1");
+    EXPECT_LT(this->timeUntilSeen("1"), 150ms);
+    this->store.put("t", "k", std::nullopt);
+    EXPECT_LT(this->timeUntilSeen(""), 150ms);
+    EXPECT_GT(this->callsOf(0), before[0]);
+    for (std::size_t index = 1; index < 6; ++index)
+        EXPECT_EQ(this->callsOf(index), before[index]) << index;
+}
+
+// Guards against a zone that misses changes because the process that reads for it is cut off from the store.
+TEST_F(RelayTest, ReadsTheStoreItselfWhenItsSourceIsCutOff)
+{
+    this->start(4);
+    this->processes[0]->isCut = true;
+    this->store.put("t", "k", "1");
+    // The age of the source, one wait, and a reading.
+    EXPECT_LT(this->timeUntilSeen("1", 0), 400ms);
+    this->processes[0]->isCut = false;
+    this->store.put("t", "k", "2");
+    EXPECT_LT(this->timeUntilSeen("2"), 400ms);
+}
+
+// Guards against the same when that process is gone or silent.
+TEST_F(RelayTest, ReadsTheStoreItselfWhenItsSourceIsGone)
+{
+    this->start(4);
+    this->stop(*this->processes[0]);
+    this->store.put("t", "k", "1");
+    EXPECT_LT(this->timeUntilSeen("1", 0), 400ms);
+    this->context.run_for(500ms);
+    EXPECT_FALSE(this->processes[1]->relay->isRelayed());
+    EXPECT_TRUE(this->processes[3]->relay->isRelayed());
+}
+
+// Guards against a process that drains while others still read there.
+TEST_F(RelayTest, LeavesASourceThatDrains)
+{
+    this->start(3);
+    this->processes[0]->relay->drain();
+    this->store.put("t", "k", "1");
+    EXPECT_LT(this->timeUntilSeen("1", 0), 400ms);
+}
+
+// Guards against a process that wakes from a suspension and acts on what a peer, which may have stood still too, says.
+TEST_F(RelayTest, ReadsTheStoreItselfAfterADoubt)
+{
+    this->start(2);
+    const auto calls = this->callsOf(1);
+    this->processes[1]->relay->doubtSource();
+    EXPECT_FALSE(this->processes[1]->relay->isRelayed());
+    this->context.run_for(50ms);
+    EXPECT_GT(this->callsOf(1), calls);
+}
+
+// Guards against old rows, at any moment, under cuts from the store of any process, an outage of the store, and
+// processes that end: a value that a process has seen is never replaced by an older one, and every change arrives in
+// bounded time.
+TEST_F(RelayTest, NeverGoesBackAndCatchesUp)
+{
+    constexpr std::uint64_t seed = 20'261'207;
+    base::SeededRandom random { seed };
+    this->start(4);
+    std::vector<int> newest(4, 0);
+    int written = 0;
+    for (int round = 0; round < 120; ++round) {
+        auto& process = *this->processes[random.below(4)];
+        if (random.below(3) == 0)
+            process.isCut = !process.isCut;
+        if (random.below(12) == 0)
+            this->store.isAway = !this->store.isAway;
+        if (random.below(20) == 0)
+            process.relay->doubtSource();
+        if (!this->store.isAway)
+            this->store.put("t", "k", std::to_string(++written));
+        this->context.run_for(15ms);
+        for (std::size_t index = 0; index < 4; ++index) {
+            const auto& value = this->processes[index]->rows["k"];
+            const int seen = value.empty() ? 0 : std::stoi(value);
+            ASSERT_GE(seen, newest[index]) << "seed " << seed << ", round " << round;
+            newest[index] = seen;
+        }
+    }
+    this->store.isAway = false;
+    for (auto& process : this->processes)
+        process->isCut = false;
+    this->store.put("t", "k", "1000");
+    EXPECT_LT(this->timeUntilSeen("1000"), 600ms);
+}
+
+} // namespace
+} // namespace chivewinch::relay
