--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -100,8 +100,8 @@
     if (head.status == http::status::misdirected)
         return;
     const auto now = this->services.clock.now();
-    if (head.statesLeaving)
-        this->services.dispatcher.targetLeaves(target.id, target.incarnation, now);
+    if (head.statesLeaving && this->services.dispatcher.targetLeaves(target.id, target.incarnation, now))
+        logging::Event { "target_leaves" }.field("request", this->input.head.id).field("target", target.id).info();
     if (!head.retryAfter || head.status != http::status::unavailable)
         return;
     this->services.dispatcher.targetCloses(target.id, target.incarnation, now + *head.retryAfter, now);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -36,15 +36,16 @@
     this->useTargets(listed, now);
 }
 
-void Dispatcher::targetLeaves(const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime now)
+bool Dispatcher::targetLeaves(const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime now)
 {
     if (!this->notices.noteLeaving(target, incarnation, now))
-        return;
+        return false;
     std::vector<membership::ListedTarget> known;
     known.reserve(this->targets.size());
     for (const auto& [id, listed] : this->targets)
         known.push_back(listed);
     this->useTargets(known, now);
+    return true;
 }
 
 void Dispatcher::targetCloses(
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -67,8 +67,8 @@
     void cancel(const Demand& demand, base::SteadyTime now);
     /** An attempt that got a target has ended. */
     void finished(const std::string& pool, const base::TargetId& target, routing::Result result, base::SteadyTime now);
-    /** The target has said that it leaves: it gets nothing new, whatever the list shows. */
-    void targetLeaves(const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime now);
+    /** The target has said that it leaves: it gets nothing new, whatever the list shows. False if that was known. */
+    bool targetLeaves(const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime now);
     /** The target has asked for nothing new before this time. */
     void targetCloses(
         const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime until, base::SteadyTime now);
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -79,7 +79,8 @@
 {
     const std::vector listed { target("a"), target("b") };
     this->dispatcher.setTargets(listed, this->now);
-    this->dispatcher.targetLeaves("b", {}, this->now);
+    EXPECT_TRUE(this->dispatcher.targetLeaves("b", {}, this->now));
+    EXPECT_FALSE(this->dispatcher.targetLeaves("b", {}, this->now));
     EXPECT_EQ(this->dispatcher.usable("b"), nullptr);
     this->dispatcher.setTargets(listed, this->now + 1s);
     EXPECT_EQ(this->dispatcher.usable("b"), nullptr);
