--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -22,8 +22,8 @@
 
 } // namespace internal
 
-Relay::Relay(asio::any_io_executor executor, RelayOptions given, const base::Clock& clock, watch::RowFeed& peersFeed,
-    watch::RowSink& peersSink)
+Relay::Relay(const asio::any_io_executor& executor, RelayOptions given, const base::Clock& clock,
+    watch::RowFeed& peersFeed, watch::RowSink& peersSink)
     : executor { executor }
     , options { std::move(given) }
     , clock { clock }
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -59,7 +59,7 @@
     static constexpr const char* path = "/relay";
 
     /** @param peersFeed, peersSink The table in which the processes enter themselves. */
-    Relay(boost::asio::any_io_executor executor, RelayOptions options, const base::Clock& clock,
+    Relay(const boost::asio::any_io_executor& executor, RelayOptions options, const base::Clock& clock,
         watch::RowFeed& peersFeed, watch::RowSink& peersSink);
     Relay(const Relay&) = delete;
     Relay& operator=(const Relay&) = delete;
