State the planned map only with orders that load it

Cause: each round of orders compared the maps and made a digest, also those that arm and release while a step is held; the update was dropped when the query was split.

--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -348,8 +348,8 @@
     }
     if (query.orders.empty())
         co_return;
-    // Only the agent that planned a map can prepare it.
-    if (this->planned)
+    // Only the agent that planned a map can prepare it. A held step does not wait for an update that nobody needs.
+    if (this->planned && needMap(query.orders))
         query.map = this->plannedUpdate();
     const auto answers = co_await this->ranks.ask(query, true);
     for (const auto& answer : answers.replies)
--- a/src/group/rank_query.hpp
+++ b/src/group/rank_query.hpp
@@ -43,6 +43,9 @@
     bool operator==(const RankAnswers&) const = default;
 };
 
+/** True if one of the orders is to load a map; all others do without it. */
+[[nodiscard]] bool needMap(const std::vector<expert::MapOrder>& orders);
+
 /** Queries that together ask all members, each with at most one share of them and the orders for these. */
 [[nodiscard]] std::vector<RankQuery> split(const RankQuery& query, std::size_t maxParts);
 
