Log the request limits that targets state

The incident's logs cannot show whether an entry has read a target's limit, so they cannot separate entries that ignore it from entries that each keep all of it for themselves. target_limit states each change once, with the request whose answer contained it; target_limit_invalid an unreadable value. No decision uses the limit yet.

--- a/src/gateway/answer_check.hpp
+++ b/src/gateway/answer_check.hpp
@@ -22,6 +22,7 @@
     bool hasSeal = false;
     bool statesNotRun = false;
     bool statesLeaving = false; ///< The target finishes its open requests and accepts no new ones.
+    std::optional<std::string_view> requestLimit; ///< As stated by the target; may be invalid.
     std::optional<std::chrono::milliseconds> retryAfter; ///< The target asks for no requests during this time.
     /** Callers request no encoding, so an encoded body was not sent by the target itself. */
     bool hasContentEncoding = false;
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "http/status.hpp"
 #include "logging/event.hpp"
+#include "quota/request_limit.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -15,6 +16,8 @@
 // Timeouts are rounded down to milliseconds, so a read can time out just before its limit.
 constexpr std::chrono::milliseconds timerTolerance { 2 };
 
+constexpr std::size_t maxLoggedValueSize = 64;
+
 AttemptResult complete() { return { .kind = EventKind::Complete, .result = routing::Result::Success }; }
 
 AttemptResult callerFailed()
@@ -102,6 +105,7 @@
     const auto now = this->services.clock.now();
     if (head.statesLeaving && this->services.dispatcher.markTargetLeaving(target.id, target.incarnation, now))
         logging::Event { "target_leaves" }.field("request", this->input.head.id).field("target", target.id).info();
+    this->recordRequestLimit(target, head, now);
     if (!head.retryAfter || head.status != http::status::unavailable)
         return;
     this->services.dispatcher.markTargetClosed(target.id, target.incarnation, now + *head.retryAfter, now);
@@ -112,6 +116,30 @@
         .info();
 }
 
+void Attempt::recordRequestLimit(const membership::ListedTarget& target, const AnswerHead& head, base::SteadyTime now)
+{
+    auto& dispatcher = this->services.dispatcher;
+    const auto limit = head.requestLimit ? quota::parseRequestLimit(*head.requestLimit) : std::nullopt;
+    if (head.requestLimit && !limit) {
+        if (dispatcher.recordInvalidLimit(target.id, *head.requestLimit)) {
+            logging::Event { "target_limit_invalid" }
+                .field("request", this->input.head.id)
+                .field("target", target.id)
+                .field("value", head.requestLimit->substr(0, internal::maxLoggedValueSize))
+                .warning();
+        }
+        return;
+    }
+    const auto change = dispatcher.recordLimit(target.id, target.incarnation, limit, this->started, now);
+    if (change == quota::LimitChange::None)
+        return;
+    logging::Event event { "target_limit" };
+    event.field("request", this->input.head.id).field("target", target.id).field("change", quota::toString(change));
+    if (limit)
+        event.field("limit", *limit);
+    event.info();
+}
+
 http::Task<AttemptResult> Attempt::run(const membership::ListedTarget& target)
 {
     const auto& options = this->services.options.attempts;
@@ -139,6 +167,9 @@
         .hasSeal = !this->stream->header(names.seal).empty(),
         .statesNotRun = !this->stream->header(names.notRun).empty(),
         .statesLeaving = this->stream->header(names.leaving) == "1",
+        .requestLimit = this->stream->hasHeader(names.requestLimit)
+            ? std::optional { this->stream->header(names.requestLimit) }
+            : std::nullopt,
         .retryAfter = parseRetryAfter(this->stream->header("Retry-After")),
         .hasContentEncoding = !this->stream->header("Content-Encoding").empty() };
     const auto kind = classifyAnswer(head, this->input.head.id);
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -67,6 +67,7 @@
     [[nodiscard]] http::Request makeRequest(const membership::ListedTarget& target) const;
     /** Records the state that the target reports in the header fields of its answer. */
     void recordTargetState(const membership::ListedTarget& target, const AnswerHead& head);
+    void recordRequestLimit(const membership::ListedTarget& target, const AnswerHead& head, base::SteadyTime now);
     [[nodiscard]] AttemptResult transportFailure(const http::Error& reason) const;
     [[nodiscard]] http::Task<AttemptResult> relayBufferedAnswer(bool isSuccess);
     [[nodiscard]] http::Task<AttemptResult> relayEvents();
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -33,6 +33,10 @@
 void Dispatcher::setTargets(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now)
 {
     this->notices.update(listed, now);
+    std::map<base::TargetId, base::Incarnation> incarnations;
+    for (const auto& target : listed)
+        incarnations.emplace(target.id, target.incarnation);
+    this->limits.update(incarnations, now);
     this->rebuildRouter(listed, now);
 }
 
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "base/reason.hpp"
 #include "gateway/target_notices.hpp"
 #include "membership/listed_targets.hpp"
+#include "quota/stated_limits.hpp"
 #include "routing/pool_queues.hpp"
 #include "routing/router.hpp"
 
@@ -80,6 +81,17 @@
     /** Records that the target has asked for no new requests before the given time. */
     void markTargetClosed(
         const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime until, base::SteadyTime now);
+    /** Applies what an answer of the target states about its request limit; see quota::StatedLimits::observe. */
+    quota::LimitChange recordLimit(const base::TargetId& target, base::Incarnation incarnation,
+        std::optional<double> limit, base::SteadyTime sentAt, base::SteadyTime now)
+    {
+        return this->limits.observe(target, incarnation, limit, sentAt, now);
+    }
+    /** Records an invalid request limit of the target; returns false if the same value was recorded last. */
+    bool recordInvalidLimit(const base::TargetId& target, std::string_view value)
+    {
+        return this->limits.recordInvalid(target, value);
+    }
     /** Starts waiting requests for which a target is available; refuses those that can no longer start in time. */
     void advance(base::SteadyTime now);
 
@@ -101,6 +113,7 @@
     routing::Router router;
     routing::PoolQueues waitQueue;
     TargetNotices notices;
+    quota::StatedLimits limits;
     std::map<base::TargetId, membership::ListedTarget> targets;
     std::map<std::string, std::uint32_t> consecutiveFailures; ///< By pool.
 
--- a/src/gateway/header_names.hpp
+++ b/src/gateway/header_names.hpp
@@ -13,6 +13,7 @@
     std::string expectedTarget; ///< A target with another ID refuses the request with 421.
     std::string notRun; ///< On an answer: the target states that it did not run the request.
     std::string leaving; ///< On an answer: the target finishes its open requests and accepts no new ones.
+    std::string requestLimit; ///< On an answer: requests per second that the target takes from all processes together.
     std::string seal; ///< On an answer: shows that the target itself sent it.
     std::string lastEventId; ///< The stream continues after this event.
     std::string targetPriority; ///< Priority in the target's queue; set by this process only.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -121,6 +121,11 @@
     return view(this->state->parser.get()[beast::string_view { name.data(), name.size() }]);
 }
 
+bool ResponseStream::hasHeader(std::string_view name) const
+{
+    return this->state->parser.get().count(beast::string_view { name.data(), name.size() }) > 0;
+}
+
 Headers ResponseStream::headers() const
 {
     Headers all;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -88,7 +88,9 @@
     ~ResponseStream();
 
     [[nodiscard]] unsigned status() const;
+    /** Value of the first header field with this name; empty if there is none. */
     [[nodiscard]] std::string_view header(std::string_view name) const;
+    [[nodiscard]] bool hasHeader(std::string_view name) const;
     /** All header fields in the order in which they arrived. */
     [[nodiscard]] Headers headers() const;
     /** Returns the next bytes of the body; empty at its end; nullopt and an error if the body is incomplete. */
--- a/tests/gateway/names.hpp
+++ b/tests/gateway/names.hpp
@@ -20,6 +20,7 @@
         .expectedTarget = "T-Target",
         .notRun = "T-Not-Run",
         .leaving = "T-Leaving",
+        .requestLimit = "T-Limit",
         .seal = "T-Seal",
         .lastEventId = "Last-Event-Id",
         .targetPriority = "T-Priority" };
