Test waiting and refusals at request limits, and show limits in explain

A refusal with reason target_limit could not be explained: the line that states the limit names the request whose answer contained it, and explain skipped the lines of other requests. The lines about the state of a target are shown now, also those of targets that leave or are closed; ExplanationTest.ShowsWhatTargetsStatedInAnswersToOtherRequests fails without that. The tests of the gateway cover invalid values, a wait within the latency objective, and refusals at once with a turn of its own for each caller.

--- a/app/ctl/explanation.cpp
+++ b/app/ctl/explanation.cpp
@@ -16,6 +16,9 @@
 // Reasons for which a failed attempt decides the outcome. For any other reason the end of the request is the deciding
 // line.
 constexpr std::array<std::string_view, 3> attemptFailureReasons { "attempt_failed", "retry_budget", "target_down" };
+// Events about the state of a target. They name the request whose answer showed it, but concern all requests.
+constexpr std::array<std::string_view, 4> targetStateEvents { "target_leaves", "target_closed", "target_limit",
+    "target_limit_invalid" };
 constexpr std::string_view completedOutcome = "done";
 
 bool contains(const auto& list, std::string_view text) { return std::ranges::find(list, text) != list.end(); }
@@ -25,14 +28,16 @@
     return contains(failedAttemptEvents, line.field("event")) && line.field("outcome") != completedOutcome;
 }
 
-/** Returns the newest line of each kind of event of the instances up to the given time. Skips lines of requests. */
-std::vector<logging::Line> newestStateLines(
-    const std::vector<logging::Line>& all, const std::vector<std::string_view>& instances, std::string_view time)
+/** Returns the newest line of each kind of state event of the instances up to the given time. */
+std::vector<logging::Line> newestStateLines(const std::vector<logging::Line>& all, std::string_view request,
+    const std::vector<std::string_view>& instances, std::string_view time)
 {
     std::map<std::pair<std::string_view, std::string>, const logging::Line*> newest;
     for (const auto& line : all) {
         const auto instance = line.field("instance");
-        if (!line.field("request").empty() || line.field("time") > time || !contains(instances, instance))
+        const bool isState = line.field("request").empty()
+            || (line.field("request") != request && contains(targetStateEvents, line.field("event")));
+        if (!isState || line.field("time") > time || !contains(instances, instance))
             continue;
         // Each table, group and target has its own state, so the newest line is kept for each of them.
         const auto kind = std::string { line.field("event") } + ' ' + std::string { line.field("table") } + ' '
@@ -94,7 +99,7 @@
     }
     if (result.lines.empty())
         return std::nullopt;
-    for (auto& line : internal::newestStateLines(all, instances, last))
+    for (auto& line : internal::newestStateLines(all, request, instances, last))
         result.lines.push_back(std::move(line));
     std::ranges::stable_sort(result.lines, internal::isEarlier);
     result.deciding = internal::decidingLine(result.lines, request);
--- a/tests/ctl/explanation_test.cpp
+++ b/tests/ctl/explanation_test.cpp
@@ -75,6 +75,24 @@
     EXPECT_EQ(times, "11 12 14 ");
 }
 
+// Guards against a refusal that cannot be explained, because the limit was stated in the answer to another request.
+TEST_F(ExplanationTest, ShowsWhatTargetsStatedInAnswersToOtherRequests)
+{
+    this->add(10, "e1", "target_limit request=b target=t1 change=named limit=1");
+    this->add(11, "e1", "target_limit request=c target=t2 change=named limit=2");
+    this->add(12, "e1", "target_limit request=b target=t1 change=changed limit=3");
+    this->add(13, "e2", "target_limit request=d target=t1 change=ended");
+    this->add(14, "e1", "request request=b outcome=done");
+    this->add(15, "e1", "request request=a outcome=not-run reason=target_limit");
+    const auto explanation = explain("a", this->lines);
+    ASSERT_TRUE(explanation);
+    std::string times;
+    for (const auto& line : explanation->lines)
+        times += std::string { line.field("time").substr(17, 2) } + " ";
+    EXPECT_EQ(times, "11 12 15 ");
+    EXPECT_EQ(this->decidingSecond("a"), "15");
+}
+
 // Guards against showing the lines of several logs in the order of the files instead of by time.
 TEST_F(ExplanationTest, OrdersLinesOfSeveralProcessesByTime)
 {
--- a/tests/gateway/request_limit_test.cpp
+++ b/tests/gateway/request_limit_test.cpp
@@ -87,6 +87,7 @@
         unsigned status = 0;
         std::string retryAfter;
         std::chrono::nanoseconds time {};
+        base::SteadyTime receivedAt {};
     };
 
     void start(std::size_t entryCount, const std::vector<std::string>& targetNames)
@@ -195,14 +196,19 @@
         const auto sentAt = this->clock.now();
         http::Error error;
         const http::SendOptions options;
-        const auto response = co_await client.send(std::move(request), options, error);
-        CallerAnswer answer { .time = this->clock.now() - sentAt };
-        if (response) {
-            answer.status = response->status;
-            for (const auto& [name, value] : response->headers)
-                if (name == "Retry-After")
-                    answer.retryAfter = value;
+        const auto stream = co_await client.open(std::move(request), options, error);
+        CallerAnswer answer;
+        if (stream) {
+            answer.status = stream->status();
+            answer.retryAfter = stream->header("Retry-After");
+            while (true) {
+                const auto bytes = co_await stream->read(error);
+                if (!bytes || bytes->empty())
+                    break;
+            }
         }
+        answer.receivedAt = this->clock.now();
+        answer.time = answer.receivedAt - sentAt;
         this->answers.push_back(answer);
     }
 
@@ -260,5 +266,57 @@
     EXPECT_EQ(this->countAnswers(200), this->answers.size());
 }
 
+// Guards against a value that cannot be read and keeps requests from the target.
+TEST_F(RequestLimitTest, InvalidLimitsStopNoRequest)
+{
+    this->start(2, { "t1" });
+    for (const auto* value : { " ", "-1", "many", "nan", "1e400", "1e9" }) {
+        this->targets["t1"].limit = value;
+        this->sendFor(200ms, 10ms);
+    }
+    this->context.run_for(300ms);
+    EXPECT_EQ(this->countAnswers(200), this->sent);
+    EXPECT_EQ(this->targets["t1"].arrivals.size(), this->sent);
+}
+
+// Guards against callers that wait for their deadline, or are told a time at which they would be refused again, when
+// all targets have used up their limits.
+TEST_F(RequestLimitTest, RefusesAtOnceWhatNoTargetCanTakeInTime)
+{
+    this->start(1, { "t1" });
+    this->targets["t1"].limit = "1";
+    this->sendFor(500ms, 10ms);
+    this->context.run_for(500ms);
+    this->answers.clear();
+    this->sendFor(300ms, 50ms);
+    this->context.run_for(1'500ms);
+    ASSERT_EQ(this->answers.size(), 6U);
+    std::vector<base::SteadyTime> returns;
+    for (const auto& answer : this->answers) {
+        if (answer.status == 200)
+            continue;
+        EXPECT_EQ(answer.status, 503U);
+        EXPECT_LT(answer.time, 100ms);
+        ASSERT_FALSE(answer.retryAfter.empty());
+        returns.push_back(answer.receivedAt
+            + std::chrono::milliseconds { static_cast<std::int64_t>(1'000 * std::stod(answer.retryAfter)) });
+    }
+    ASSERT_GE(returns.size(), 4U);
+    // The target takes one request a second, so each caller gets a turn of its own.
+    for (std::size_t i = 1; i < returns.size(); ++i)
+        EXPECT_GE(returns[i] - returns[i - 1], 900ms) << i;
+}
+
+// Guards against refusing a request although a target can take it within the latency objective of 300 ms.
+TEST_F(RequestLimitTest, WaitsForATargetThatCanTakeTheRequestInTime)
+{
+    this->start(1, { "t1" });
+    this->targets["t1"].limit = "5";
+    this->sendFor(3s, 190ms);
+    this->context.run_for(500ms);
+    EXPECT_GE(this->countAnswers(200), this->answers.size() - 1);
+    EXPECT_EQ(this->answers.size(), this->sent);
+}
+
 } // namespace
 } // namespace chivewinch::gateway
