--- a/src/quota/target_limits.hpp
+++ b/src/quota/target_limits.hpp
@@ -61,7 +61,7 @@
  * A few members own equal shares of a limit, each as a token bucket. Which ones follows from the list of members alone,
  * so the sum is kept without agreement, whoever is alive or reachable. The other members ask the owners for permits for
  * single requests. The same messages spread what the targets have stated. All owners together allow, within any time T,
- * at most max(limit, owners) + limit * T requests. Not thread-safe.
+ * at most max(limit, owners) + limit * (T + permitLifetime) requests. Not thread-safe.
  */
 class TargetLimits {
 public:
