Ignore request limits in late answers of an ended incarnation

After the list showed a new incarnation, an answer of the old one that was read then recreated its limit, and the new incarnation got few requests. TargetLimits.IgnoresALateAnswerOfAnEndedIncarnation fails without the check.

--- a/src/quota/target_limits.cpp
+++ b/src/quota/target_limits.cpp
@@ -80,6 +80,9 @@
 LimitChange TargetLimits::observe(const base::TargetId& target, base::Incarnation incarnation,
     std::optional<double> limit, base::SteadyTime sentAt, base::SteadyTime now)
 {
+    const auto listed = this->targets.find(target);
+    if (listed != this->targets.end() && incarnation < listed->second.incarnation)
+        return LimitChange::None;
     const auto change = this->statements.observe(target, incarnation, limit, sentAt, now);
     if (change != LimitChange::None)
         this->refresh(target, now);
--- a/tests/quota/target_limits_test.cpp
+++ b/tests/quota/target_limits_test.cpp
@@ -135,6 +135,19 @@
     EXPECT_LE(fleet.worstExcess(), 0);
 }
 
+// Guards against applying the limit of an ended incarnation to the one that the list shows.
+TEST(TargetLimits, IgnoresALateAnswerOfAnEndedIncarnation)
+{
+    const base::SteadyTime now { 1h };
+    TargetLimits limits { { .instance = "e" } };
+    limits.setMembers({ { "e", "z" } }, now);
+    limits.setTargets({ { "t", { .incarnation = base::Incarnation { 2 }, .zone = "z" } } }, now);
+    EXPECT_EQ(limits.observe("t", base::Incarnation { 1 }, 1, now, now), LimitChange::None);
+    EXPECT_FALSE(limits.isLimited("t"));
+    EXPECT_EQ(limits.observe("t", base::Incarnation { 2 }, 1, now, now), LimitChange::Named);
+    EXPECT_TRUE(limits.isLimited("t"));
+}
+
 TEST(ChooseOwners, AddingAMemberReplacesOneOwnerAtMost)
 {
     std::vector<Member> members;
