Plan returns of refused callers for the current request limit only

Callers refused at a new limit were told times after the turns of callers that were refused at an earlier one: 3.5 s instead of 1 s in DispatcherTest.PlansReturnsForTheCurrentLimitOnly, which fails without the change.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -178,7 +178,9 @@
     const std::string& pool, std::chrono::milliseconds timeLeft, base::SteadyTime now)
 {
     const routing::RouteRequest route { .pool = pool };
-    if (this->router.hasLimitedTargets(route) && this->router.opensAt(route, 0, false, now))
+    if (!this->router.hasLimitedTargets(route))
+        this->plannedReturns.erase(pool);
+    else if (this->router.opensAt(route, 0, false, now))
         return this->planReturn(pool, now);
     // A caller that retries before this time would be refused again.
     if (const auto opening = this->router.opensAt(route, 0, false, now)) {
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -108,6 +108,28 @@
     EXPECT_EQ(this->dispatcher.request(this->targetRequest(4), {}, this->now).choice.value().target, "a");
 }
 
+// Guards against telling callers the times of an earlier limit: each refused caller gets the next free turn.
+TEST_F(DispatcherTest, PlansReturnsForTheCurrentLimitOnly)
+{
+    auto& limits = this->dispatcher.targetLimits();
+    limits.setMembers({ { .instance = {}, .zone = "z" } }, this->now);
+    this->dispatcher.setTargets({ target("a") }, this->now);
+    limits.observe("a", {}, 0.5, this->now, this->now);
+    EXPECT_EQ(this->dispatcher.request(this->targetRequest(1), {}, this->now).choice.value().target, "a");
+    EXPECT_EQ(this->dispatcher.request(this->targetRequest(2), {}, this->now).reason, RefusalReason::TargetLimit);
+    EXPECT_EQ(this->dispatcher.retryAfter("p", 9s, this->now), 2s);
+    EXPECT_EQ(this->dispatcher.retryAfter("p", 9s, this->now), 4s);
+    EXPECT_EQ(this->dispatcher.retryAfter("p", 9s, this->now), 6s);
+    this->now += 1s;
+    limits.observe("a", {}, std::nullopt, this->now, this->now);
+    EXPECT_LE(this->dispatcher.retryAfter("p", 9s, this->now), 1s);
+    limits.observe("a", {}, 1, this->now + 1ms, this->now + 1ms);
+    this->now += 1ms;
+    while (limits.mayStart("a", this->now))
+        limits.recordStart("a", this->now);
+    EXPECT_LE(this->dispatcher.retryAfter("p", 9s, this->now), 1s);
+}
+
 // Guards against queueing callers while all targets are closed, and against asking them to retry before one reopens.
 TEST_F(DispatcherTest, RefusesAtOnceWhileAllTargetsAreClosed)
 {
