Count a request once as demand for a permit

The router asks twice for a request that finds no other target, so that a single request passed for two, and owners lent permits to processes that let them expire. TargetLimits.CountsARequestOnceAsDemand fails without the change (2 instead of 1). Also moves comments to what they describe.

--- a/src/quota/target_limits.cpp
+++ b/src/quota/target_limits.cpp
@@ -45,7 +45,7 @@
 } // namespace internal
 
 TargetLimits::TargetLimits(TargetLimitsOptions given)
-    : options { std::move(given) } // Processes that start together ask different owners.
+    : options { std::move(given) }
     , queries { base::hash64(this->options.instance) % 1'024 }
 {
 }
@@ -180,7 +180,8 @@
     share->askedAt = now;
     if (now < share->permitUntil || hasOwnToken(*share, now))
         return true;
-    share->blockedAt = { now, share->blockedAt[0] };
+    if (share->blockedAt[0] != now)
+        share->blockedAt = { now, share->blockedAt[0] };
     return false;
 }
 
--- a/src/quota/target_limits.hpp
+++ b/src/quota/target_limits.hpp
@@ -67,6 +67,8 @@
 public:
     /** Time after its request for which a permit is valid. */
     static constexpr std::chrono::milliseconds permitLifetime { 600 };
+    /** Longest pause between two calls of advance while the process runs. */
+    static constexpr std::chrono::milliseconds maxStall { 300 };
     /** Mean pause between two queries to the owners. */
     static constexpr std::chrono::milliseconds queryInterval { 500 };
     /**
@@ -99,7 +101,7 @@
 
     /** The owner to ask next, and the query; nullopt if there is nothing to ask. Call it after each queryPause. */
     [[nodiscard]] std::optional<std::pair<std::string, LimitQuery>> nextQuery(base::SteadyTime now);
-    /** Must be called by a timer at least every maxStall. After a longer pause, this process was frozen. */
+    /** Must be called by a timer. After a pause of more than maxStall, this process counts as having been frozen. */
     void advance(base::SteadyTime now) noexcept;
 
     /**
@@ -112,13 +114,11 @@
     /** Must be called after this process was suspended: its permits may be used already. */
     void dropPermits() noexcept;
 
-    static constexpr std::chrono::milliseconds maxStall { 300 };
-
     /** Changes since the last call. */
     [[nodiscard]] std::vector<ShareChange> takeChanges() { return std::exchange(this->changes, {}); }
 
 private:
-    /** Share of one target's limit. It is kept for a while after the limit has ended, so that the others are told. */
+    /** Share of one target's limit. It is kept after the limit has ended, so that other processes are told. */
     struct Share {
         std::optional<double> limit;
         std::vector<std::string> owners;
@@ -147,7 +147,8 @@
     std::vector<ShareChange> changes;
     base::SteadyTime advancedAt {};
     base::SteadyTime stalledUntil {}; ///< Messages from the time of a freeze may be read until then.
-    std::size_t queries = 0; ///< Number of queries so far; rotates through the owners.
+    /** Rotates through the owners. It starts at another number in each process, so that they ask different owners. */
+    std::size_t queries = 0;
 
     void refreshAll(base::SteadyTime now);
     void refresh(const base::TargetId& target, base::SteadyTime now);
--- a/tests/quota/fleet.hpp
+++ b/tests/quota/fleet.hpp
@@ -16,7 +16,7 @@
 
 namespace chivewinch::quota {
 
-/** Bounds that the users' pages state for request limits. */
+/** Bounds on the requests to a target with a limit. */
 struct LimitRule {
     static constexpr std::chrono::seconds window { 4 };
     static constexpr std::chrono::seconds contact { 3 }; ///< Time to adapt to a new or lower limit.
--- a/tests/quota/target_limits_test.cpp
+++ b/tests/quota/target_limits_test.cpp
@@ -148,6 +148,28 @@
     EXPECT_TRUE(limits.isLimited("t"));
 }
 
+// Guards against lending to a process with few requests: the router asks twice for a request that finds no other
+// target.
+TEST(TargetLimits, CountsARequestOnceAsDemand)
+{
+    const base::SteadyTime now { 1h };
+    std::vector<Member> members;
+    for (int i = 0; i < 9; ++i)
+        members.push_back({ "e" + std::to_string(i), "z" });
+    const auto owners = chooseOwners("t", "z", members, ownerCount(1, members.size()));
+    const auto borrower = std::ranges::find_if(
+        members, [&owners](const auto& member) { return std::ranges::find(owners, member.instance) == owners.end(); });
+    TargetLimits limits { { .instance = borrower->instance } };
+    limits.setMembers(members, now);
+    limits.setTargets({ { "t", { .incarnation = base::Incarnation { 1 }, .zone = "z" } } }, now);
+    limits.observe("t", base::Incarnation { 1 }, 1, now, now);
+    EXPECT_FALSE(limits.mayStart("t", now));
+    EXPECT_FALSE(limits.mayStart("t", now));
+    EXPECT_EQ(limits.nextQuery(now).value().second.items.at(0).demand, 1U);
+    EXPECT_FALSE(limits.mayStart("t", now + 1ms));
+    EXPECT_EQ(limits.nextQuery(now + 1ms).value().second.items.at(0).demand, 2U);
+}
+
 TEST(ChooseOwners, AddingAMemberReplacesOneOwnerAtMost)
 {
     std::vector<Member> members;
