--- /dev/null
+++ b/tests/processes/crashing_request_test.py
@@ -0,0 +1,133 @@
+#!/usr/bin/env python3
+"""Sends a request that ends its engines to many entries, next to harmless ones, and counts what reaches the engines."""
+
+import argparse
+import itertools
+import random
+import sys
+import tempfile
+import threading
+import time
+
+from site_processes import Site, STATUS_OK
+
+# Retries that may reach engines once all entries had the time to learn of the third crash, as the users' rule states.
+CRASHES, ALLOWED_RETRIES = 3, 3
+# A harmless request must be served within this time, over all tries of its caller.
+SERVED_SECONDS = 12
+
+
+class Callers:
+    """Threads that send requests until a given time, each try to another entry."""
+
+    def __init__(self, site, seed, end):
+        self.site, self.end = site, end
+        self.random = random.Random(seed)
+        self.ids = itertools.count(1)
+        self.lock = threading.Lock()
+        self.served, self.unserved, self.statuses = 0, [], {}
+        self.threads = []
+
+    def start(self, target, *arguments):
+        self.threads.append(threading.Thread(target=target, args=arguments, daemon=True))
+        self.threads[-1].start()
+
+    def join(self):
+        for thread in self.threads:
+            thread.join()
+
+    def next_try(self):
+        with self.lock:
+            return self.random.randrange(len(self.site.entries)), f"id-{next(self.ids)}"
+
+    def send_crashing(self, body, pause):
+        while time.monotonic() < self.end:
+            entry, request = self.next_try()
+            status, retry_after = self.site.send(entry, body() if callable(body) else body, request)
+            with self.lock:
+                self.statuses[status] = self.statuses.get(status, 0) + 1
+            time.sleep(max(pause, min(retry_after, 1.0)))
+
+    def send_harmless(self, body, team="team-a"):
+        while time.monotonic() < self.end:
+            text, started = body() if callable(body) else body, time.monotonic()
+            while True:
+                entry, request = self.next_try()
+                status, retry_after = self.site.send(entry, text, request, team)
+                if status == STATUS_OK:
+                    with self.lock:
+                        self.served += 1
+                    break
+                if time.monotonic() - started > SERVED_SECONDS:
+                    with self.lock:
+                        self.unserved.append((text, team, status))
+                    break
+                time.sleep(max(0.05, min(retry_after, 1.0)))
+
+
+def start_harmless(callers):
+    numbers = itertools.count(1)
+    for _ in range(4):
+        callers.start(callers.send_harmless, lambda: f"own {next(numbers)}")
+    callers.start(callers.send_harmless, "popular")
+    callers.start(callers.send_harmless, "popular", "team-b")
+
+
+def retries_after_third_crash(site, prefix):
+    """Arrivals later than the contact time after the third crash, and the number of crashes."""
+    crashes, arrivals = site.journal("ends", prefix), site.journal("arrived", prefix)
+    if len(crashes) < CRASHES:
+        return [], len(crashes)
+    learnt = crashes[CRASHES - 1] + site.contact_ms / 1000
+    return [at - crashes[CRASHES - 1] for at in arrivals if at > learnt], len(crashes)
+
+
+def run(arguments, folder, body, restart_seconds, seconds, bodies_change=False):
+    with Site(arguments.binaries, folder, arguments.entries, arguments.engines, restart_seconds) as site:
+        callers = Callers(site, arguments.seed, time.monotonic() + seconds)
+        start_harmless(callers)
+        numbers = itertools.count(1)
+        for _ in range(3):
+            callers.start(callers.send_crashing, (lambda: f"{body} {next(numbers)}") if bodies_change else body, 0.1)
+        callers.join()
+        late, crashes = retries_after_third_crash(site, body)
+        print(f"seed {arguments.seed}: {crashes} crashes, {len(late)} retries reached engines later than "
+              f"{site.contact_ms} ms after the third; answers to the crashing request {callers.statuses}; "
+              f"{callers.served} harmless requests served, {len(callers.unserved)} not")
+        failures = [f"harmless request not served: {item}" for item in callers.unserved]
+        if crashes < CRASHES:
+            failures.append("the request has not crashed enough engines to check the rule")
+        if not bodies_change and len(late) > ALLOWED_RETRIES:
+            failures.append(f"{len(late)} retries, allowed {ALLOWED_RETRIES}: {[round(at, 2) for at in late]}")
+        return failures
+
+
+SCENARIOS = {
+    # Engines end at once and come back with a new start time.
+    "ends": {"body": "crash", "restart_seconds": 2.0, "seconds": 16},
+    # Engines stop answering, keep their connections, and are replaced after some seconds.
+    "silent": {"body": "silence", "restart_seconds": 3.0, "seconds": 24},
+    # Engines are back under the same id before a caller can try again.
+    "restarts_at_once": {"body": "crash", "restart_seconds": 0.0, "seconds": 16},
+    # Each crashing request has another body, so that none can be blocked; all other requests must still be served.
+    "changing_bodies": {"body": "crash", "restart_seconds": 1.0, "seconds": 12, "bodies_change": True},
+}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("scenario", choices=SCENARIOS)
+    parser.add_argument("--binaries", required=True)
+    parser.add_argument("--entries", type=int, default=9)
+    parser.add_argument("--engines", type=int, default=8)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--logs", help="folder for the logs of the processes; a temporary one by default")
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        failures = run(arguments, arguments.logs or folder, **SCENARIOS[arguments.scenario])
+    print("\n".join(failures) or "passed")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/processes/site_processes.py
@@ -0,0 +1,169 @@
+"""Runs entries and stand-ins of engines as processes on loopback, with the platform's store in this process."""
+
+import http.client
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+from store import Store
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+READY_SECONDS = 60
+STATUS_OK, STATUS_NONE = 200, 0
+TEAMS = {"team-a": "key-a", "team-b": "key-b"}
+
+
+def wait_until(condition, what, seconds=READY_SECONDS):
+    deadline = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            raise RuntimeError(f"timed out after {seconds} s waiting for: {what}")
+        time.sleep(0.05)
+
+
+class Engine:
+    """An engine process; the site starts it again when it has ended or fallen silent."""
+
+    def __init__(self, site, number):
+        self.site = site
+        self.id = f"i-{number}"
+        self.listen = f"{site.network}.{100 + number}:7000"
+        self.journal = site.folder / f"engine-{number}.journal"
+        self.child = None
+        self.down_since = None
+
+    def start(self):
+        with open(self.site.folder / f"{self.id}.log", "ab") as log:
+            self.child = subprocess.Popen(
+                [sys.executable, FOLDER / "engine.py", "--listen", self.listen, "--id", self.id, "--journal",
+                 self.journal], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        self.down_since = None
+        self.site.list_engine(self)
+
+    def advance(self):
+        if self.down_since is None:
+            pid, status = os.waitpid(self.child.pid, os.WNOHANG | os.WUNTRACED)
+            if pid:
+                self.down_since = time.monotonic()
+                if not os.WIFSTOPPED(status):
+                    self.child = None
+        elif time.monotonic() - self.down_since >= self.site.restart_seconds:
+            self.stop()
+            self.start()
+
+    def stop(self):
+        if self.child is not None and self.child.poll() is None:
+            self.child.send_signal(signal.SIGKILL)
+            self.child.wait()
+        self.child = None
+
+
+class Site:
+    def __init__(self, binaries, folder, entries, engines, restart_seconds, contact_ms=3000):
+        self.binaries, self.folder = pathlib.Path(binaries), pathlib.Path(folder)
+        self.restart_seconds, self.contact_ms = restart_seconds, contact_ms
+        self.network = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
+        self.store = Store(f"{self.network}.250")
+        self.started_at = time.monotonic()
+        self.stopping = threading.Event()
+        self.configure()
+        self.engines = [Engine(self, number) for number in range(engines)]
+        for engine in self.engines:
+            engine.start()
+        self.entries = [self.start_entry(number) for number in range(entries)]
+        self.supervisor = threading.Thread(target=self.supervise, daemon=True)
+        self.supervisor.start()
+        for number in range(entries):
+            wait_until(lambda: self.is_ready(number), f"entry {number} is ready")
+        time.sleep(2)  # The entries read the list of entries one second after their registration.
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stopping.set()
+        self.supervisor.join()
+        for child in self.entries:
+            child.send_signal(signal.SIGKILL)
+            child.wait()
+        for engine in self.engines:
+            engine.stop()
+        self.store.stop()
+
+    def configure(self):
+        route = {"kind": "idempotent", "service": "app", "timeoutMs": 4000, "targetLatencyMs": 1000, "maxAttempts": 2,
+                 "priority": 1}
+        self.store.put("op", "config", {
+            "version": 1, "services": [{"name": "app", "slots": 10}],
+            "routes": [route | {"name": "calls", "hostname": "h", "prefix": "/calls/"},
+                       route | {"name": "orders", "hostname": "h", "prefix": "/orders/", "kind": "non_idempotent",
+                                "maxAttempts": 1}],
+            "tenants": [{"name": name, "apiKeys": [key]} for name, key in TEAMS.items()]})
+
+    def list_engine(self, engine):
+        self.store.put("servers", engine.id, {
+            "service": "app", "address": engine.listen, "zone": "z0", "version": 1, "slots": 10, "state": "ready",
+            "coldRemainingMs": 0, "seq": 1, "born": int(time.time() * 1000)})
+
+    def start_entry(self, number):
+        address = f"{self.network}.{number + 1}"
+        settings = self.folder / f"entry-{number}.conf"
+        settings.write_text("\n".join([
+            f"node=front-{number}", f"zone=z{number % 3}", f"listen.front={address}:8227",
+            f"listen.ready={address}:8220", f"platform.address={self.store.address}", "portRange=7340,7355",
+            f"bounds.contactMs={self.contact_ms}", "bounds.drainMs=2000", "bounds.applyMs=2000", "bounds.graceS=8",
+            "bounds.retryBudgetRatio=0.2", "bounds.budgetSlack=94", "bounds.budgetWindowS=10", ""]))
+        with open(self.folder / f"entry-{number}.log", "ab") as log:
+            return subprocess.Popen([self.binaries / "chivewinch-platform-entry"], stdout=log, stderr=log,
+                                    stdin=subprocess.DEVNULL,
+                                    env=os.environ | {"CHIVEWINCH_SETTINGS": str(settings)})
+
+    def restart_entry(self, number):
+        self.entries[number].send_signal(signal.SIGKILL)
+        self.entries[number].wait()
+        self.entries[number] = self.start_entry(number)
+
+    def supervise(self):
+        while not self.stopping.wait(0.02):
+            for engine in self.engines:
+                engine.advance()
+
+    def is_ready(self, number):
+        try:
+            connection = http.client.HTTPConnection(f"{self.network}.{number + 1}", 8220, timeout=2)
+            connection.request("GET", "/api/ready")
+            return connection.getresponse().status == STATUS_OK
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def send(self, number, body, request_id, team="team-a", path="/calls/x", timeout=6):
+        """Status and Retry-After, in seconds, of the answer of one entry; STATUS_NONE if there was no answer."""
+        connection = http.client.HTTPConnection(f"{self.network}.{number + 1}", 8227, timeout=timeout)
+        try:
+            connection.request("POST", path, body, {"Host": "h", "X-Api-Key": TEAMS[team],
+                                                    "Chivewinch-Request-Id": request_id,
+                                                    "Chivewinch-Deadline-Ms": "4000"})
+            response = connection.getresponse()
+            response.read()
+            return response.status, float(response.getheader("Retry-After", 0))
+        except (OSError, http.client.HTTPException, socket.timeout):
+            return STATUS_NONE, 0.0
+        finally:
+            connection.close()
+
+    def journal(self, event, prefix):
+        """Times, in order, of this event for all requests whose body begins with the prefix."""
+        times = []
+        for engine in self.engines:
+            if engine.journal.exists():
+                for line in engine.journal.read_text().splitlines():
+                    at, name, _, body = line.split(" ", 3)
+                    if name == event and body.startswith(prefix):
+                        times.append(float(at))
+        return sorted(times)
--- /dev/null
+++ b/tests/processes/store.py
@@ -0,0 +1,99 @@
+"""Stand-in of the platform's store: rows with versions, read in full or as a feed of changes."""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, *_):
+        pass  # A reader that closes its connection is no error of the store.
+
+
+class Store:
+    def __init__(self, address):
+        self.changed = threading.Condition()
+        self.rows = {}  # (table, key) -> (version, value), with the value None for a deleted row
+        self.version = 1
+        self.server = Server((address, 0), self.handler())
+        self.address = f"{address}:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def put(self, table, key, value):
+        """Stores a JSON value, the bytes as they are, or, for None, deletes the row."""
+        data = value if value is None or isinstance(value, bytes) else json.dumps(value).encode()
+        with self.changed:
+            self.version += 1
+            self.rows[table, key] = (self.version, data)
+            self.changed.notify_all()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    @staticmethod
+    def row(table, key, version, data):
+        row = {"table": table, "part": "", "key": key, "ver": version}
+        if data is None:
+            return row | {"tombstone": True}
+        return row | {"value": base64.b64encode(data).decode()}
+
+    def read_all(self, table):
+        with self.changed:
+            rows = [self.row(table, key, version, data) for (name, key), (version, data) in sorted(self.rows.items())
+                    if name == table and data is not None]
+            return {"rows": rows, "ver": self.version, "truncated": False, "nowMs": 0}
+
+    def read_changes(self, table, since, wait):
+        deadline = time.monotonic() + wait
+        with self.changed:
+            while True:
+                newer = [(version, key, data) for (name, key), (version, data) in self.rows.items()
+                         if name == table and version > since]
+                left = deadline - time.monotonic()
+                if newer or left <= 0:
+                    break
+                self.changed.wait(left)
+            rows = [self.row(table, key, version, data) for version, key, data in sorted(newer, key=lambda row: row[0])]
+            return {"rows": rows, "ver": self.version, "nowMs": 0}
+
+    def handler(store):
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def do_GET(self):
+                path = urllib.parse.urlsplit(self.path)
+                query = {name: values[0] for name, values in urllib.parse.parse_qs(path.query).items()}
+                if path.path == "/api/rows-get":
+                    self.answer(store.read_all(query["table"]))
+                elif path.path == "/api/rows-feed":
+                    self.answer(store.read_changes(query["table"], int(query["sinceRev"]), int(query["waitMs"]) / 1000))
+                else:
+                    self.answer({}, 404)
+
+            def do_POST(self):
+                body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                for row in body["puts"]:
+                    store.put(row["table"], row["key"], base64.b64decode(row["value"]))
+                self.answer({"ver": store.version})
+
+            def answer(self, value, status=200):
+                data = json.dumps(value).encode()
+                try:
+                    self.send_response(status)
+                    self.send_header("Content-Length", str(len(data)))
+                    self.end_headers()
+                    self.wfile.write(data)
+                except OSError:
+                    pass  # The reader has closed its connection.
+
+            def log_message(self, *_):
+                pass
+
+        return Handler
