Log what counts as a crash of a target, with the fingerprint and the strikes

The logs showed neither which failed attempts an entry counts as crashes of their target, nor what it knows of a request when it refuses it, so that they could not tell whether entries count alone or do not count at all. attempt_failed and refusals of suspect requests now state the fingerprint, the incarnation, whether the attempt counts as a crash, and the number of strikes; chivewinch_attempt_crashes_total counts them. No decision changes.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -165,17 +165,26 @@
         this->services.strikes.recordCompletion(this->fingerprint);
         return;
     }
-    if (end.crashed && !this->isCallerGone)
+    const bool isCrash = end.crashed && !this->isCallerGone;
+    if (isCrash) {
+        this->services.metrics.crashes.Increment();
         this->services.strikes.recordCrash(choice.target, choice.incarnation, { &this->fingerprint, 1 });
-    logging::Event { "attempt_failed" }
-        .field("request", this->head.id)
+    }
+    logging::Event event { "attempt_failed" };
+    event.field("request", this->head.id)
         .field("attempt", number)
         .field("target", choice.target)
         .field("not_run", end.notRun)
         .field("events", this->events.delivered())
         .field("ms", this->sinceArrival().count())
-        .field("reason", end.detail)
-        .info();
+        .field("reason", end.detail);
+    if (!end.notRun) {
+        event.field("crash", isCrash)
+            .field("incarnation", static_cast<std::uint64_t>(choice.incarnation))
+            .field("fingerprint", suspect::fingerprintText(this->fingerprint))
+            .field("strikes", this->services.strikes.strikeCount(this->fingerprint));
+    }
+    event.info();
 }
 
 delivery::AttemptEvent RequestRun::toAttemptEvent(const AttemptResult& end, const delivery::AttemptKey& key) const
@@ -257,6 +266,10 @@
     }
     if (!this->tried.empty())
         event.field("target", this->tried.back());
+    if (reason == base::toString(RefusalReason::SuspectRequest)) {
+        event.field("fingerprint", suspect::fingerprintText(this->fingerprint))
+            .field("strikes", this->services.strikes.strikeCount(this->fingerprint));
+    }
     event.info();
 }
 
--- a/src/suspect/strike.hpp
+++ b/src/suspect/strike.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -33,4 +34,7 @@
 /** Hash of team, model and request body. For a plain service, model is its name, method and path. */
 [[nodiscard]] std::uint64_t fingerprint(std::string_view team, std::string_view model, std::string_view body) noexcept;
 
+/** The fingerprint as hexadecimal digits, for logs. */
+[[nodiscard]] std::string fingerprintText(std::uint64_t fingerprint);
+
 } // namespace chivewinch::suspect
