--- a/tests/processes/crashing_request_test.py
+++ b/tests/processes/crashing_request_test.py
@@ -82,8 +82,8 @@
     return [at - crashes[CRASHES - 1] for at in arrivals if at > learnt], len(crashes)
 
 
-def run(arguments, folder, body, restart_seconds, seconds, bodies_change=False):
-    with Site(arguments.binaries, folder, arguments.entries, arguments.engines, restart_seconds) as site:
+def run(arguments, folder, body, restart_seconds, seconds, list_delay=0, bodies_change=False):
+    with Site(arguments.binaries, folder, arguments.entries, arguments.engines, restart_seconds, list_delay) as site:
         callers = Callers(site, arguments.seed, time.monotonic() + seconds)
         start_harmless(callers)
         numbers = itertools.count(1)
@@ -109,6 +109,8 @@
     "silent": {"body": "silence", "restart_seconds": 3.0, "seconds": 24},
     # Engines are back under the same id before a caller can try again.
     "restarts_at_once": {"body": "crash", "restart_seconds": 0.0, "seconds": 16},
+    # The list shows a restart only some seconds later, so that several crashes seem to be of the same start.
+    "restarts_unlisted": {"body": "crash", "restart_seconds": 0.3, "seconds": 16, "list_delay": 5.0},
     # Each crashing request has another body, so that none can be blocked; all other requests must still be served.
     "changing_bodies": {"body": "crash", "restart_seconds": 1.0, "seconds": 12, "bodies_change": True},
 }
--- a/tests/processes/site_processes.py
+++ b/tests/processes/site_processes.py
@@ -37,6 +37,7 @@
         self.journal = site.folder / f"engine-{number}.journal"
         self.child = None
         self.down_since = None
+        self.is_listed = False
 
     def start(self):
         with open(self.site.folder / f"{self.id}.log", "ab") as log:
@@ -44,7 +45,8 @@
                 [sys.executable, FOLDER / "engine.py", "--listen", self.listen, "--id", self.id, "--journal",
                  self.journal], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         self.down_since = None
-        self.site.list_engine(self)
+        threading.Timer(self.site.list_delay if self.is_listed else 0, self.site.list_engine, [self]).start()
+        self.is_listed = True
 
     def advance(self):
         if self.down_since is None:
@@ -65,9 +67,9 @@
 
 
 class Site:
-    def __init__(self, binaries, folder, entries, engines, restart_seconds, contact_ms=3000):
+    def __init__(self, binaries, folder, entries, engines, restart_seconds, list_delay=0, contact_ms=3000):
         self.binaries, self.folder = pathlib.Path(binaries), pathlib.Path(folder)
-        self.restart_seconds, self.contact_ms = restart_seconds, contact_ms
+        self.restart_seconds, self.list_delay, self.contact_ms = restart_seconds, list_delay, contact_ms
         self.network = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.store = Store(f"{self.network}.250")
         self.started_at = time.monotonic()
