--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -89,11 +89,16 @@
     if (reason.code == http::ErrorCode::NotSent)
         return { .kind = delivery::EventKind::ConnectFailed, .notRun = true, .detail = reason.detail };
     if (this->timeUntil(this->limit) <= internal::timerTolerance)
-        return { .kind = delivery::EventKind::TimedOut, .detail = reason.detail };
+        return { .kind = delivery::EventKind::TimedOut,
+            .silentSince = this->lastEventAt,
+            .gaveUp = true,
+            .detail = reason.detail };
     const bool wasStalled = this->timeUntil(this->lastEventAt + this->eventTimeout()) <= internal::timerTolerance;
     return { .kind
         = this->events.delivered() > 0 ? delivery::EventKind::StreamBroken : delivery::EventKind::ConnectionLost,
         .crashed = !wasStalled,
+        .silentSince = this->lastEventAt,
+        .gaveUp = wasStalled,
         .detail = reason.detail };
 }
 
@@ -145,6 +150,7 @@
     const auto& options = this->services.options.attempts;
     this->started = this->services.clock.now();
     this->lastEventAt = this->started;
+    this->target = target.id;
     this->limit = this->input.deadline + options.deadlineGrace;
     if (!this->input.isLast && this->input.route.kind == RouteKind::Repeatable) {
         const auto share
@@ -173,8 +179,10 @@
         .retryAfter = parseRetryAfter(this->stream->header("Retry-After")),
         .hasContentEncoding = !this->stream->header("Content-Encoding").empty() };
     const auto kind = classifyAnswer(head, this->input.head.id);
-    if (kind != AnswerKind::Foreign)
+    if (kind != AnswerKind::Foreign) {
+        this->services.crashes.recordAnswer(target.id, this->services.clock.now());
         this->recordTargetState(target, head);
+    }
     switch (kind) {
     case AnswerKind::Success:
         if (this->input.route.kind == RouteKind::Stream)
@@ -249,6 +257,7 @@
         if (!started)
             co_return internal::callerFailed();
         this->lastEventAt = this->services.clock.now();
+        this->services.crashes.recordAnswer(this->target, this->lastEventAt);
         this->timing.recordWrite(this->lastEventAt);
         const bool written = co_await this->writer.write(ready);
         if (!written)
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -22,6 +22,9 @@
     delivery::EventKind kind = delivery::EventKind::ConnectionLost;
     bool notRun = false; ///< The target states that it has not run the request, or nothing was sent.
     bool crashed = false; ///< The connection was lost after the request was sent.
+    /** Last sign of the target, or start of the attempt, if the attempt ended without an answer. */
+    std::optional<base::SteadyTime> silentSince;
+    bool gaveUp = false; ///< The attempt was ended by a time limit of this process.
     bool callerFailed = false; ///< Writing to the caller failed.
     /** Failure from the target; sent to the caller if no attempt gets a better answer. */
     std::optional<http::Response> answer;
@@ -60,6 +63,7 @@
     base::SteadyTime started {};
     base::SteadyTime limit {};
     base::SteadyTime lastEventAt {}; ///< Time of the last event sent to the caller, or start of the attempt.
+    base::TargetId target;
 
     [[nodiscard]] std::chrono::milliseconds timeUntil(base::SteadyTime end) const;
     [[nodiscard]] std::chrono::milliseconds eventTimeout() const;
--- /dev/null
+++ b/src/gateway/crash_guard.cpp
@@ -0,0 +1,160 @@
+#include "gateway/crash_guard.hpp"
+
+#include "logging/event.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewinch::gateway {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+suspect::StrikeOptions withCrashSeed(suspect::StrikeOptions options, base::RandomSource& random)
+{
+    options.crashSeed = random.next();
+    return options;
+}
+
+} // namespace internal
+
+CrashGuard::CrashGuard(const asio::any_io_executor& executor, const base::Clock& clock, base::RandomSource& random,
+    const suspect::StrikeOptions& strikes, suspect::SharedStrikesOptions sharing, relay::Relay* relay)
+    : executor { executor }
+    , clock { clock }
+    , table { clock, internal::withCrashSeed(strikes, random) }
+    , shared { clock, random, this->table, sharing }
+    , strikeExpiry { strikes.expiry }
+    , instance { std::move(sharing.instance) }
+{
+    if (relay != nullptr)
+        this->exchange = std::make_unique<StrikeExchange>(executor, this->shared, *relay);
+}
+
+void CrashGuard::start()
+{
+    if (!this->exchange)
+        return;
+    for (std::size_t index = 0; index < this->exchange->senderCount(); ++index)
+        asio::co_spawn(this->executor, this->exchange->runSender(index), asio::detached);
+}
+
+void CrashGuard::stop()
+{
+    if (this->exchange)
+        this->exchange->stop();
+}
+
+void CrashGuard::sendNews()
+{
+    if (this->exchange && this->shared.hasNews())
+        this->exchange->wake();
+}
+
+void CrashGuard::advance(base::SteadyTime now)
+{
+    for (const auto& run : this->silence.takeConfirmed(now)) {
+        logging::Event { "target_silent" }
+            .field("target", run.target)
+            .field("fingerprint", suspect::fingerprintText(run.fingerprint))
+            .field("ms", std::chrono::floor<std::chrono::milliseconds>(now - run.lastAnswer).count())
+            .info();
+        this->recordCrash(run.fingerprint, run.target, run.incarnation, run.isTrial);
+    }
+}
+
+http::Task<CrashVerdict> CrashGuard::admit(std::uint64_t fingerprint)
+{
+    if (!this->isBlocked(fingerprint))
+        co_return CrashVerdict::Allowed;
+    const auto due = this->shared.trialAt(fingerprint);
+    if (!due || this->clock.now() < *due)
+        co_return CrashVerdict::Blocked;
+    std::optional<bool> isGranted;
+    for (const auto& granter : this->shared.trialGranters(fingerprint)) {
+        if (granter == this->instance)
+            isGranted = this->shared.grantTrial(fingerprint);
+        else if (this->exchange)
+            isGranted = co_await this->exchange->requestTrial(granter, fingerprint);
+        if (isGranted)
+            break;
+    }
+    // The answer can show that the fingerprint has completed a run elsewhere.
+    if (!this->isBlocked(fingerprint))
+        co_return CrashVerdict::Allowed;
+    logging::Event { "trial" }
+        .field("fingerprint", suspect::fingerprintText(fingerprint))
+        .field("granted", isGranted.value_or(false))
+        .field("answered", isGranted.has_value())
+        .info();
+    co_return isGranted.value_or(false) ? CrashVerdict::Trial : CrashVerdict::Blocked;
+}
+
+void CrashGuard::returnTrial(std::uint64_t fingerprint)
+{
+    for (const auto& granter : this->shared.trialGranters(fingerprint)) {
+        if (granter == this->instance)
+            this->shared.returnTrial(fingerprint);
+        else if (this->exchange)
+            asio::co_spawn(this->executor, this->exchange->returnTrial(granter, fingerprint), asio::detached);
+    }
+}
+
+std::chrono::milliseconds CrashGuard::retryAfter(std::uint64_t fingerprint) const
+{
+    constexpr std::chrono::milliseconds shortest { 500 };
+    const auto now = this->clock.now();
+    const auto last = this->table.lastStrike(fingerprint).value_or(now);
+    const auto due = this->shared.trialAt(fingerprint).value_or(last + this->strikeExpiry);
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(due - now), shortest);
+}
+
+std::vector<base::TargetId> CrashGuard::targetsToAvoid(std::uint64_t fingerprint) const
+{
+    auto avoided = this->table.struckTargets(fingerprint);
+    if (avoided.empty())
+        return avoided;
+    for (const auto& [target, fingerprints] : this->running) {
+        const auto isOther = [fingerprint](auto other) { return other != fingerprint; };
+        if (std::ranges::any_of(fingerprints, isOther))
+            avoided.push_back(target);
+    }
+    return avoided;
+}
+
+void CrashGuard::started(std::uint64_t fingerprint, const base::TargetId& target)
+{
+    if (this->table.verdict(fingerprint) != suspect::Verdict::Normal)
+        this->running[target].push_back(fingerprint);
+}
+
+void CrashGuard::finished(std::uint64_t fingerprint, const base::TargetId& target)
+{
+    const auto found = this->running.find(target);
+    if (found == this->running.end())
+        return;
+    auto& fingerprints = found->second;
+    if (const auto item = std::ranges::find(fingerprints, fingerprint); item != fingerprints.end())
+        fingerprints.erase(item);
+    if (fingerprints.empty())
+        this->running.erase(found);
+}
+
+void CrashGuard::recordCompletion(std::uint64_t fingerprint)
+{
+    this->shared.recordCompletion(fingerprint);
+    this->sendNews();
+}
+
+void CrashGuard::recordCrash(
+    std::uint64_t fingerprint, const base::TargetId& target, base::Incarnation incarnation, bool isTrial)
+{
+    this->shared.recordCrash(fingerprint, target, incarnation, isTrial);
+    this->sendNews();
+}
+
+} // namespace chivewinch::gateway
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -117,7 +117,7 @@
     }
     const auto reason = this->router.lastReason();
     const bool waitsForLimit = reason == base::RefusalReason::TargetLimit && this->opensInTime(targetRequest, now);
-    if (reason != base::RefusalReason::TargetBusy && !waitsForLimit)
+    if (!targetRequest.mayWait || (reason != base::RefusalReason::TargetBusy && !waitsForLimit))
         return { .reason = reason == base::RefusalReason::UnknownModel ? base::RefusalReason::NoTarget : reason };
     routing::PendingRequest pendingRequest;
     pendingRequest.request = { .id = targetRequest.id,
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -31,6 +31,7 @@
     std::uint32_t attempt = 1;
     std::vector<base::TargetId> excluded;
     base::SteadyTime latestStart {};
+    bool mayWait = true; ///< Off: the request is refused if no target is available now.
 };
 
 struct DispatcherOptions {
--- a/src/gateway/fwd.hpp
+++ b/src/gateway/fwd.hpp
@@ -4,6 +4,7 @@
 
 namespace chivewinch::gateway {
 
+class CrashGuard;
 class Dispatcher;
 class EventSequence;
 class Gateway;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,6 +43,15 @@
     return options;
 }
 
+std::unique_ptr<relay::Relay> makeRelay(
+    asio::io_context& context, const GatewayOptions& options, const base::Clock& clock, const Feeds& feeds)
+{
+    if (!options.relay || feeds.peers == nullptr || feeds.peersSink == nullptr)
+        return nullptr;
+    return std::make_unique<relay::Relay>(
+        context.get_executor(), *options.relay, clock, *feeds.peers, *feeds.peersSink);
+}
+
 /** Total time for which the machine has been suspended since it booted. */
 std::chrono::nanoseconds suspendedTime() { return clockTime(CLOCK_BOOTTIME) - clockTime(CLOCK_MONOTONIC); }
 
@@ -59,15 +68,6 @@
     , targets { this->options.targets }
     , dispatcher { this->options.dispatcher, random }
     , clients { context.get_executor(), this->options.attempts }
-    , strikes { clock, this->options.strikes }
-    , services { .options = this->options,
-        .clock = clock,
-        .random = random,
-        .snapshots = this->snapshots,
-        .dispatcher = this->dispatcher,
-        .clients = this->clients,
-        .strikes = this->strikes,
-        .metrics = this->requestMetrics }
     , configurationWatcher { context.get_executor(), feeds.configuration, feeds.configurationWatch,
         { .onSnapshot =
                 [this, table = feeds.configurationWatch.table](const auto& rows) {
@@ -98,14 +98,25 @@
                     else
                         this->targets.markDisconnected(this->clock.now());
                 } } }
+    , relay { internal::makeRelay(context, this->options, clock, feeds) }
+    , crashes { context.get_executor(), clock, random, this->options.strikes,
+        { .instance = this->options.instance, .share = this->options.shareStrikes }, this->relay.get() }
+    , services { .options = this->options,
+        .clock = clock,
+        .random = random,
+        .snapshots = this->snapshots,
+        .dispatcher = this->dispatcher,
+        .clients = this->clients,
+        .crashes = this->crashes,
+        .metrics = this->requestMetrics }
     , ticker { context }
 {
-    if (!this->options.relay || feeds.peers == nullptr || feeds.peersSink == nullptr) {
-        this->dispatcher.targetLimits().setMembers({ { this->options.instance, this->options.zone } }, clock.now());
+    if (!this->relay) {
+        const quota::Member own { this->options.instance, this->options.zone };
+        this->dispatcher.targetLimits().setMembers({ own }, clock.now());
+        this->crashes.setMembers({ own });
         return;
     }
-    this->relay = std::make_unique<relay::Relay>(
-        context.get_executor(), *this->options.relay, clock, *feeds.peers, *feeds.peersSink);
     // Targets report continuously; only changes that affect requests are relayed.
     const auto isSame = [decode = this->decoders.target](const std::string& left, const std::string& right) {
         std::string reason;
@@ -163,6 +174,7 @@
     asio::co_spawn(this->context, this->tick(), asio::detached);
     if (this->limitExchange)
         asio::co_spawn(this->context, this->limitExchange->run(), asio::detached);
+    this->crashes.start();
     logging::Event { "start" }
         .field("zone", this->options.zone)
         .field("listen", settings::toString(this->options.listen))
@@ -278,6 +290,7 @@
     this->updateRetryConstant();
     this->updateLimitMembers(now);
     this->dispatcher.targetLimits().advance(now);
+    this->crashes.advance(now);
     this->dispatcher.advance(now);
     this->logShareChanges();
     this->advanceDrain(now);
@@ -304,6 +317,7 @@
     std::vector<quota::Member> members;
     for (const auto& [instance, peer] : this->relay->knownPeers().all())
         members.push_back({ instance, peer.zone });
+    this->crashes.setMembers(members);
     this->dispatcher.targetLimits().setMembers(std::move(members), now);
 }
 
@@ -360,6 +374,7 @@
     this->isStopped = true;
     if (this->limitExchange)
         this->limitExchange->stop();
+    this->crashes.stop();
     this->context.stop();
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "base/random.hpp"
+#include "gateway/crash_guard.hpp"
 #include "gateway/limit_exchange.hpp"
 #include "gateway/options.hpp"
 #include "gateway/request_metrics.hpp"
@@ -74,11 +75,11 @@
     std::uint64_t targetsVersion = 0;
     Dispatcher dispatcher;
     TargetClients clients;
-    suspect::StrikeTable strikes;
-    Services services;
     watch::RowWatcher configurationWatcher;
     watch::RowWatcher targetsWatcher;
     std::unique_ptr<relay::Relay> relay;
+    CrashGuard crashes;
+    Services services;
     std::unique_ptr<LimitExchange> limitExchange;
     std::uint64_t peersVersion = 0; ///< Version of the peers among which the request limits are divided.
     SharePosition position; ///< Position among the entries that the relay knows.
--- a/src/gateway/options.cpp
+++ b/src/gateway/options.cpp
@@ -87,9 +87,12 @@
 
 suspect::StrikeOptions directStrikeOptions() noexcept
 {
-    // A lost answer looks like a crash, and equal requests share a fingerprint. A block therefore requires crashes of
-    // several targets and expires soon: without a completed run, nothing else would lift it.
-    return { .expiry = std::chrono::seconds { 30 }, .sendMargin = std::chrono::seconds { 0 }, .strikesToBlock = 3 };
+    // A lost answer looks like a crash, and equal requests share a fingerprint. A block therefore requires several
+    // crashes; a completed run or a trial lifts it.
+    return { .expiry = std::chrono::hours { 1 },
+        .strikesToBlock = 3,
+        .restartTime = std::chrono::milliseconds { 250 },
+        .completionProves = true };
 }
 
 } // namespace chivewinch::gateway
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -111,6 +111,7 @@
     DispatcherOptions dispatcher;
     membership::ListedTargetsOptions targets;
     suspect::StrikeOptions strikes = directStrikeOptions();
+    bool shareStrikes = true; ///< Off: each process counts the crashes that it has seen itself.
     RetryLimit retries; ///< The slack is divided among the processes that the relay knows.
     std::optional<relay::RelayOptions> relay; ///< If nullopt, this process reads the store itself.
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -19,6 +19,16 @@
     return std::chrono::floor<std::chrono::milliseconds>(time).count();
 }
 
+/** What a fingerprint contains of a request besides its team and body. */
+std::string modelOf(const RequestHead& head, const http::Request& request)
+{
+    std::string model { http::view(request.method_string()) };
+    model += ' ';
+    model += head.host;
+    model += http::view(request.target());
+    return model;
+}
+
 } // namespace internal
 
 RequestRun::RequestRun(boost::asio::any_io_executor executor, Services& services, const http::Request& request,
@@ -69,14 +79,12 @@
     const auto timeLeft = std::min(this->head.timeLeft.value_or(this->route->timeout), this->route->timeout);
     this->deadline = this->arrived + timeLeft;
     this->fingerprint = suspect::fingerprint(this->team == nullptr ? std::string_view {} : this->team->name,
-        this->head.host + std::string { http::view(this->request.target()) }, this->request.body());
-    if (this->services.strikes.verdict(this->fingerprint) == suspect::Verdict::Blocked) {
-        return Refusal { .reason = RefusalReason::SuspectRequest,
-            .retryAfter = this->services.options.attempts.retryAfterWithoutTarget };
-    }
+        internal::modelOf(this->head, this->request), this->request.body());
     return std::nullopt;
 }
 
+bool RequestRun::isBlocked() const { return !this->isTrial && this->services.crashes.isBlocked(this->fingerprint); }
+
 TargetRequest RequestRun::targetRequest(std::uint32_t attemptNumber) const
 {
     const auto& options = this->services.options.attempts;
@@ -92,12 +100,34 @@
         .latestStart = std::min(latest, this->deadline) };
 }
 
+http::Task<std::optional<routing::Choice>> RequestRun::acquireTarget(std::uint32_t attemptNumber)
+{
+    const auto avoided = this->services.crashes.targetsToAvoid(this->fingerprint);
+    if (!avoided.empty()) {
+        auto preferred = this->targetRequest(attemptNumber);
+        preferred.excluded.insert(preferred.excluded.end(), avoided.begin(), avoided.end());
+        // A request that waits for few targets would delay all that wait behind it.
+        preferred.mayWait = false;
+        auto choice = co_await this->targetWait.acquire(std::move(preferred));
+        if (choice)
+            co_return choice;
+    }
+    co_return co_await this->targetWait.acquire(this->targetRequest(attemptNumber));
+}
+
 http::Task<void> RequestRun::run()
 {
     if (const auto refusal = this->admit()) {
         co_await this->refuse(*refusal);
         co_return;
     }
+    const auto verdict = co_await this->services.crashes.admit(this->fingerprint);
+    this->isTrial = verdict == CrashVerdict::Trial;
+    if (verdict == CrashVerdict::Blocked) {
+        co_await this->refuse(
+            { .reason = RefusalReason::SuspectRequest, .retryAfter = this->retryAfter(RefusalReason::SuspectRequest) });
+        co_return;
+    }
     delivery::DeliveryPlan plan { this->id,
         { .repeatable = this->route->repeatable(),
             .resumable = this->route->kind == RouteKind::Stream && this->route->resumable,
@@ -107,6 +137,8 @@
     std::optional<delivery::Finish> last;
     while (!last)
         last = co_await this->runNextAttempt(plan);
+    if (this->isTrial)
+        this->services.crashes.returnTrial(this->fingerprint);
     co_await this->finish(*last);
 }
 
@@ -114,11 +146,19 @@
 {
     const delivery::Progress progress { .tokens = this->events.delivered(), .bytes = this->events.delivered() };
     const auto number = plan.attempts() + 1;
+    if (this->isBlocked())
+        co_return plan.giveUp(RefusalReason::SuspectRequest, progress);
     if (number > 1 && !this->services.dispatcher.allowRetry(this->pool, this->services.clock.now()))
         co_return plan.giveUp(RefusalReason::RetryBudget, progress);
-    const auto choice = co_await this->targetWait.acquire(this->targetRequest(number));
+    const auto choice = co_await this->acquireTarget(number);
     if (!choice)
         co_return plan.giveUp(this->targetWait.lastReason(), progress);
+    // Other processes may have reported crashes while the request was waiting.
+    if (this->isBlocked()) {
+        this->services.dispatcher.finished(
+            this->pool, choice->target, routing::Result::Cancelled, this->services.clock.now());
+        co_return plan.giveUp(RefusalReason::SuspectRequest, progress);
+    }
     const auto key = plan.begin(choice->incarnation);
     const AttemptInput input { .request = this->request,
         .head = this->head,
@@ -148,7 +188,9 @@
     this->attempt = std::make_unique<Attempt>(this->services, input, this->events, this->timing, this->writer);
     // The target is copied because the list may change while the attempt runs.
     const auto copy = *target;
+    this->services.crashes.started(this->fingerprint, copy.id);
     auto end = co_await this->attempt->run(copy);
+    this->services.crashes.finished(this->fingerprint, copy.id);
     this->attempt.reset();
     co_return end;
 }
@@ -161,15 +203,9 @@
     if (end.answer)
         this->targetAnswer = end.answer;
     this->timedOut = end.kind == delivery::EventKind::TimedOut;
-    if (end.kind == delivery::EventKind::Complete) {
-        this->services.strikes.recordCompletion(this->fingerprint);
+    const bool isCrash = this->recordCrash(choice, end);
+    if (end.kind == delivery::EventKind::Complete)
         return;
-    }
-    const bool isCrash = end.crashed && !this->isCallerGone;
-    if (isCrash) {
-        this->services.metrics.crashes.Increment();
-        this->services.strikes.recordCrash(choice.target, choice.incarnation, { &this->fingerprint, 1 });
-    }
     logging::Event event { "attempt_failed" };
     event.field("request", this->head.id)
         .field("attempt", number)
@@ -182,11 +218,38 @@
         event.field("crash", isCrash)
             .field("incarnation", static_cast<std::uint64_t>(choice.incarnation))
             .field("fingerprint", suspect::fingerprintText(this->fingerprint))
-            .field("strikes", this->services.strikes.strikeCount(this->fingerprint));
+            .field("strikes", this->services.crashes.strikeCount(this->fingerprint));
     }
     event.info();
 }
 
+bool RequestRun::recordCrash(const routing::Choice& choice, const AttemptResult& end)
+{
+    auto& crashes = this->services.crashes;
+    // A failure that the target itself answers shows as well that the request has not crashed it.
+    if (end.kind == delivery::EventKind::Complete || end.answer) {
+        crashes.recordCompletion(this->fingerprint);
+        return false;
+    }
+    // A trial ends with the first target that may have run the request.
+    const bool wasTrial = end.notRun ? false : std::exchange(this->isTrial, false);
+    if (end.crashed && !this->isCallerGone) {
+        this->services.metrics.crashes.Increment();
+        crashes.recordCrash(this->fingerprint, choice.target, choice.incarnation, wasTrial);
+        return true;
+    }
+    const auto now = this->services.clock.now();
+    if (end.silentSince && (end.gaveUp || now - *end.silentSince >= SilenceWatch::minSilence)) {
+        crashes.recordSilence({ .fingerprint = this->fingerprint,
+            .target = choice.target,
+            .incarnation = choice.incarnation,
+            .lastAnswer = *end.silentSince,
+            .givenUp = now,
+            .isTrial = wasTrial });
+    }
+    return false;
+}
+
 delivery::AttemptEvent RequestRun::toAttemptEvent(const AttemptResult& end, const delivery::AttemptKey& key) const
 {
     return { .key = key,
@@ -227,12 +290,14 @@
     }
     Refusal refusal { .reason = last.reason, .outcome = last.outcome, .timedOut = this->timedOut };
     if (last.outcome == base::Outcome::NotRun)
-        refusal.retryAfter = this->retryAfter();
+        refusal.retryAfter = this->retryAfter(last.reason);
     co_await this->refuse(refusal);
 }
 
-std::chrono::milliseconds RequestRun::retryAfter() const
+std::chrono::milliseconds RequestRun::retryAfter(RefusalReason reason) const
 {
+    if (reason == RefusalReason::SuspectRequest)
+        return this->services.crashes.retryAfter(this->fingerprint);
     const auto now = this->services.clock.now();
     return this->services.dispatcher.retryAfter(
         this->pool, std::chrono::floor<std::chrono::milliseconds>(this->deadline - now), now);
@@ -268,7 +333,7 @@
         event.field("target", this->tried.back());
     if (reason == base::toString(RefusalReason::SuspectRequest)) {
         event.field("fingerprint", suspect::fingerprintText(this->fingerprint))
-            .field("strikes", this->services.strikes.strikeCount(this->fingerprint));
+            .field("strikes", this->services.crashes.strikeCount(this->fingerprint));
     }
     event.info();
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -45,20 +45,26 @@
     std::optional<http::Response> targetAnswer; ///< Most recent failure answer of a target.
     bool isCallerGone = false;
     bool timedOut = false;
+    bool isTrial = false; ///< The request is blocked but may run at one target.
 
     /** Finds the route and the team; returns a refusal if the request is not allowed. */
     [[nodiscard]] std::optional<Refusal> admit();
+    /** True if the request must not be sent to another target because it crashes targets. */
+    [[nodiscard]] bool isBlocked() const;
     [[nodiscard]] TargetRequest targetRequest(std::uint32_t attemptNumber) const;
+    [[nodiscard]] http::Task<std::optional<routing::Choice>> acquireTarget(std::uint32_t attemptNumber);
     [[nodiscard]] http::Task<std::optional<delivery::Finish>> runNextAttempt(delivery::DeliveryPlan& plan);
     [[nodiscard]] http::Task<AttemptResult> runAttempt(
         const membership::ListedTarget* target, const AttemptInput& input);
     void recordAttempt(const routing::Choice& choice, const AttemptResult& end, std::uint32_t number);
+    /** Records what the attempt shows about the request as the cause of a crash; returns true for a crash. */
+    bool recordCrash(const routing::Choice& choice, const AttemptResult& end);
     [[nodiscard]] delivery::AttemptEvent toAttemptEvent(
         const AttemptResult& end, const delivery::AttemptKey& key) const;
     [[nodiscard]] http::Task<void> finish(const delivery::Finish& last);
     [[nodiscard]] http::Task<void> refuse(const Refusal& refusal);
-    /** Time after which the refused caller should retry. */
-    [[nodiscard]] std::chrono::milliseconds retryAfter() const;
+    /** Time after which a caller that is refused for this reason should retry. */
+    [[nodiscard]] std::chrono::milliseconds retryAfter(base::RefusalReason reason) const;
     [[nodiscard]] std::chrono::milliseconds sinceArrival() const;
     void logResult(std::string_view outcome, std::string_view reason, unsigned status) const;
 };
--- a/src/gateway/services.hpp
+++ b/src/gateway/services.hpp
@@ -2,12 +2,12 @@
 
 #include "base/clock.hpp"
 #include "base/random.hpp"
+#include "gateway/crash_guard.hpp"
 #include "gateway/dispatcher.hpp"
 #include "gateway/options.hpp"
 #include "gateway/request_metrics.hpp"
 #include "gateway/snapshot.hpp"
 #include "gateway/target_clients.hpp"
-#include "suspect/strike_table.hpp"
 
 namespace chivewinch::gateway {
 
@@ -19,7 +19,7 @@
     SnapshotHolder& snapshots;
     Dispatcher& dispatcher;
     TargetClients& clients;
-    suspect::StrikeTable& strikes;
+    CrashGuard& crashes;
     RequestMetrics& metrics;
 };
 
--- a/src/suspect/fwd.hpp
+++ b/src/suspect/fwd.hpp
@@ -5,11 +5,14 @@
 namespace chivewinch::suspect {
 
 class EntryGuard;
+class SharedStrikes;
 class StrikeTable;
 class TargetGuard;
 struct EntryGuardOptions;
 struct Placement;
+struct SharedStrikesOptions;
 struct Strike;
+struct StrikeMessage;
 struct StrikeOptions;
 struct StrikeReport;
 struct TargetGuardOptions;
--- /dev/null
+++ b/src/suspect/shared_strikes.cpp
@@ -0,0 +1,284 @@
+#include "suspect/shared_strikes.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivewinch::suspect {
+
+namespace internal {
+
+constexpr std::size_t trialGranters = 2;
+
+// Longest difference of the pause between comparisons from its mean, as a share of the mean.
+constexpr double pauseVariation = 0.2;
+
+bool contains(const std::vector<std::string>& names, const std::string& name)
+{
+    return std::ranges::find(names, name) != names.end();
+}
+
+} // namespace internal
+
+SharedStrikes::SharedStrikes(
+    const base::Clock& clock, base::RandomSource& random, StrikeTable& table, SharedStrikesOptions given)
+    : clock { clock }
+    , random { random }
+    , table { table }
+    , options { std::move(given) }
+{
+}
+
+bool SharedStrikes::isReachable(const std::string& instance) const
+{
+    const auto found = this->unreachableUntil.find(instance);
+    return found == this->unreachableUntil.end() || this->clock.now() >= found->second;
+}
+
+std::vector<quota::Member> SharedStrikes::reachableMembers() const
+{
+    std::vector<quota::Member> reachable;
+    for (const auto& member : this->members)
+        if (this->isReachable(member.instance))
+            reachable.push_back(member);
+    return reachable;
+}
+
+std::vector<std::string> SharedStrikes::chooseMembers(std::uint64_t fingerprint, std::size_t count) const
+{
+    return quota::chooseOwners(std::to_string(fingerprint), {}, this->reachableMembers(), count);
+}
+
+std::optional<std::string> SharedStrikes::randomPeer()
+{
+    auto reachable = this->reachableMembers();
+    std::erase_if(reachable, [this](const auto& member) { return member.instance == this->options.instance; });
+    if (reachable.empty())
+        return std::nullopt;
+    return reachable[this->random.below(reachable.size())].instance;
+}
+
+void SharedStrikes::recordCrash(
+    std::uint64_t fingerprint, const base::TargetId& target, base::Incarnation incarnation, bool isTrial)
+{
+    this->recordChanges(this->table.recordCrash(target, incarnation, { &fingerprint, 1 }, isTrial), true);
+}
+
+void SharedStrikes::recordCompletion(std::uint64_t fingerprint)
+{
+    this->recordChanges(this->table.recordCompletion(fingerprint), true);
+}
+
+void SharedStrikes::recordChanges(std::span<const Strike> changed, bool isOwn)
+{
+    if (!this->options.share)
+        return;
+    for (const auto& strike : changed) {
+        if (this->table.knownCrashes(strike.fingerprint) >= this->options.crashesToSpread)
+            this->spreadFingerprint(strike.fingerprint);
+        else if (isOwn)
+            this->addCollectors(this->pending[strike], strike.fingerprint);
+    }
+    this->forgetDonePending();
+}
+
+void SharedStrikes::spreadFingerprint(std::uint64_t fingerprint)
+{
+    for (const auto& report : this->table.reportsOf(fingerprint)) {
+        const auto known = this->spread.find(report.strike);
+        if (known != this->spread.end() && known->second == report.cleared)
+            continue;
+        this->spread.insert_or_assign(report.strike, report.cleared);
+        auto& item = this->pending[report.strike];
+        item.collectors.clear();
+        item.repeats = this->options.repeats;
+    }
+}
+
+void SharedStrikes::addCollectors(Pending& item, std::uint64_t fingerprint) const
+{
+    for (auto& collector : this->chooseMembers(fingerprint, this->options.collectors)) {
+        if (collector != this->options.instance && !internal::contains(item.told, collector)
+            && !internal::contains(item.collectors, collector))
+            item.collectors.push_back(std::move(collector));
+    }
+}
+
+void SharedStrikes::forgetDonePending()
+{
+    std::erase_if(
+        this->pending, [](const auto& item) { return item.second.collectors.empty() && item.second.repeats == 0; });
+}
+
+void SharedStrikes::forgetExpired()
+{
+    std::erase_if(this->spread, [this](const auto& item) { return !this->table.find(item.first); });
+    std::erase_if(this->trialsGranted,
+        [this](const auto& item) { return this->clock.now() - item.second >= this->options.trialTime; });
+    std::erase_if(this->unreachableUntil, [this](const auto& item) { return this->clock.now() >= item.second; });
+}
+
+std::optional<SharedStrikes::Outgoing> SharedStrikes::next()
+{
+    if (!this->options.share)
+        return std::nullopt;
+    auto outgoing = this->nextForCollector();
+    if (!outgoing)
+        outgoing = this->nextRepeat();
+    if (!outgoing)
+        outgoing = this->nextComparisonMessage();
+    this->forgetDonePending();
+    if (!outgoing)
+        return std::nullopt;
+    outgoing->message.digest = this->table.digest(this->options.crashesToSpread);
+    outgoing->message.wantsAll = !this->hasCompared || this->differences >= this->options.differencesToRequestAll;
+    return outgoing;
+}
+
+std::optional<SharedStrikes::Outgoing> SharedStrikes::nextForCollector()
+{
+    Outgoing outgoing { .isForCollector = true };
+    for (auto& [strike, item] : this->pending) {
+        if (outgoing.message.strikes.size() >= this->options.maxStrikes)
+            break;
+        const auto wanted = std::ranges::find_if(item.collectors, [this, &outgoing](const auto& collector) {
+            return outgoing.instance.empty() ? this->isReachable(collector) : collector == outgoing.instance;
+        });
+        if (wanted == item.collectors.end())
+            continue;
+        const auto report = this->table.find(strike);
+        if (!report) {
+            item.collectors.clear();
+            continue;
+        }
+        outgoing.instance = *wanted;
+        outgoing.message.strikes.push_back(*report);
+        item.collectors.erase(wanted);
+    }
+    return outgoing.message.strikes.empty() ? std::nullopt : std::optional { std::move(outgoing) };
+}
+
+std::optional<SharedStrikes::Outgoing> SharedStrikes::nextRepeat()
+{
+    Outgoing outgoing;
+    for (auto& [strike, item] : this->pending) {
+        if (outgoing.message.strikes.size() >= this->options.maxStrikes)
+            break;
+        if (item.repeats == 0)
+            continue;
+        const auto report = this->table.find(strike);
+        if (!report) {
+            item.repeats = 0;
+            continue;
+        }
+        outgoing.message.strikes.push_back(*report);
+    }
+    if (outgoing.message.strikes.empty())
+        return std::nullopt;
+    auto peer = this->randomPeer();
+    if (!peer)
+        return std::nullopt;
+    for (const auto& report : outgoing.message.strikes)
+        --this->pending[report.strike].repeats;
+    outgoing.instance = std::move(*peer);
+    return outgoing;
+}
+
+std::optional<SharedStrikes::Outgoing> SharedStrikes::nextComparisonMessage()
+{
+    if (this->clock.now() < this->nextComparison)
+        return std::nullopt;
+    this->forgetExpired();
+    const auto factor = 1 + internal::pauseVariation * (2 * this->random.unit() - 1);
+    this->nextComparison = this->clock.now()
+        + std::chrono::round<std::chrono::milliseconds>(
+            std::chrono::duration<double> { this->options.comparePause } * factor);
+    auto peer = this->randomPeer();
+    if (!peer)
+        return std::nullopt;
+    return Outgoing { .instance = std::move(*peer) };
+}
+
+void SharedStrikes::delivered(const Outgoing& outgoing, const StrikeMessage& answer)
+{
+    if (outgoing.isForCollector) {
+        for (const auto& report : outgoing.message.strikes) {
+            if (const auto found = this->pending.find(report.strike); found != this->pending.end())
+                found->second.told.push_back(outgoing.instance);
+        }
+    }
+    this->recordChanges(this->table.merge(answer.strikes), false);
+    this->hasCompared = true;
+    const bool isEqual = answer.digest == this->table.digest(this->options.crashesToSpread);
+    this->differences = isEqual || outgoing.message.wantsAll ? 0 : this->differences + 1;
+}
+
+void SharedStrikes::failed(const Outgoing& outgoing)
+{
+    this->unreachableUntil[outgoing.instance] = this->clock.now() + this->options.unreachableTime;
+    for (const auto& report : outgoing.message.strikes) {
+        auto& item = this->pending[report.strike];
+        if (outgoing.isForCollector)
+            this->addCollectors(item, report.strike.fingerprint);
+        else
+            ++item.repeats;
+    }
+    this->forgetDonePending();
+}
+
+StrikeMessage SharedStrikes::answer(const StrikeMessage& message)
+{
+    this->recordChanges(this->table.merge(message.strikes), false);
+    StrikeMessage reply { .digest = this->table.digest(this->options.crashesToSpread) };
+    if (message.wantsAll && reply.digest != message.digest)
+        reply.strikes = this->table.reportsWith(this->options.crashesToSpread, this->options.maxAllStrikes);
+    if (message.trial && message.returnsTrial) {
+        this->returnTrial(*message.trial);
+    } else if (message.trial) {
+        reply.grantsTrial = this->grantTrial(*message.trial);
+        for (auto& report : this->table.reportsOf(*message.trial))
+            reply.strikes.push_back(std::move(report));
+    }
+    return reply;
+}
+
+std::optional<base::SteadyTime> SharedStrikes::trialAt(std::uint64_t fingerprint) const
+{
+    const auto last = this->table.lastStrike(fingerprint);
+    if (!last)
+        return this->clock.now();
+    const auto failed = this->table.failedTrials(fingerprint);
+    return failed < this->options.trialDelays.size() ? std::optional { *last + this->options.trialDelays[failed] }
+                                                     : std::nullopt;
+}
+
+std::vector<std::string> SharedStrikes::trialGranters(std::uint64_t fingerprint) const
+{
+    const auto both = this->chooseMembers(fingerprint, internal::trialGranters);
+    auto ordered = this->chooseMembers(fingerprint, 1);
+    for (const auto& granter : both)
+        if (!internal::contains(ordered, granter))
+            ordered.push_back(granter);
+    return ordered;
+}
+
+StrikeMessage SharedStrikes::trialRequest(std::uint64_t fingerprint)
+{
+    return { .digest = this->table.digest(this->options.crashesToSpread),
+        .strikes = this->table.reportsOf(fingerprint),
+        .trial = fingerprint };
+}
+
+bool SharedStrikes::grantTrial(std::uint64_t fingerprint)
+{
+    const auto now = this->clock.now();
+    const auto due = this->trialAt(fingerprint);
+    if (!due || now < *due)
+        return false;
+    const auto [granted, isNew] = this->trialsGranted.try_emplace(fingerprint, now);
+    if (!isNew && now - granted->second < this->options.trialTime)
+        return false;
+    granted->second = now;
+    return true;
+}
+
+} // namespace chivewinch::suspect
--- a/src/suspect/strike.hpp
+++ b/src/suspect/strike.hpp
@@ -16,6 +16,8 @@
     std::uint64_t fingerprint = 0;
     base::TargetId target;
     base::Incarnation incarnation {};
+    /** Distinguishes the crashes of one incarnation, for targets that restart under the same incarnation; else 0. */
+    std::uint64_t crash = 0;
 
     auto operator<=>(const Strike&) const = default;
 };
@@ -25,6 +27,7 @@
     Strike strike;
     std::chrono::milliseconds age {}; ///< Time since the crash; as a duration, it needs no synchronized clocks.
     bool cleared = false; ///< The fingerprint has completed a run since the crash; the strike no longer counts.
+    bool trial = false; ///< The run was a trial of a blocked fingerprint.
 
     bool operator==(const StrikeReport&) const = default;
 };
--- a/src/suspect/strike_table.cpp
+++ b/src/suspect/strike_table.cpp
@@ -1,5 +1,7 @@
 #include "suspect/strike_table.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <tuple>
@@ -36,48 +38,99 @@
     return this->clock.now() - entry.at < this->options.expiry - this->options.sendMargin;
 }
 
-void StrikeTable::recordCrash(
-    const base::TargetId& target, base::Incarnation incarnation, std::span<const std::uint64_t> inFlight)
+bool StrikeTable::isProven(const Entries& entries) const noexcept
+{
+    return this->options.completionProves && std::ranges::any_of(entries, [this](const Entry& entry) {
+        return entry.cleared && (!this->options.expire || this->clock.now() - entry.at < this->options.expiry);
+    });
+}
+
+bool StrikeTable::counts(const Entries& entries, const Entry& entry) const noexcept
+{
+    return this->isActive(entry) && !this->isProven(entries);
+}
+
+const StrikeTable::Entries* StrikeTable::findEntries(std::uint64_t fingerprint) const
+{
+    const auto found = this->byFingerprint.find(fingerprint);
+    return found == this->byFingerprint.end() ? nullptr : &found->second;
+}
+
+std::vector<Strike> StrikeTable::recordCrash(
+    const base::TargetId& target, base::Incarnation incarnation, std::span<const std::uint64_t> inFlight, bool isTrial)
 {
     this->purge();
-    for (const auto fingerprint : inFlight)
-        this->add(
-            { .fingerprint = fingerprint, .target = target, .incarnation = incarnation }, this->clock.now(), false);
+    const auto now = this->clock.now();
+    const bool restarts = this->options.restartTime.count() > 0;
+    std::vector<Strike> added;
+    for (const auto fingerprint : inFlight) {
+        const auto* entries = this->findEntries(fingerprint);
+        const auto isSameCrash = [&](const Entry& entry) {
+            return entry.target == target && entry.incarnation == incarnation
+                && now - entry.at < this->options.restartTime;
+        };
+        if (entries != nullptr && (this->isProven(*entries) || std::ranges::any_of(*entries, isSameCrash)))
+            continue;
+        Strike strike { .fingerprint = fingerprint, .target = target, .incarnation = incarnation };
+        if (restarts)
+            strike.crash = base::combineHash(this->options.crashSeed, ++this->recordedCrashes);
+        if (this->add({ .strike = strike, .trial = isTrial }, now))
+            added.push_back(std::move(strike));
+    }
+    return added;
 }
 
-void StrikeTable::recordCompletion(std::uint64_t fingerprint)
+std::vector<Strike> StrikeTable::recordCompletion(std::uint64_t fingerprint)
 {
+    std::vector<Strike> cleared;
     const auto found = this->byFingerprint.find(fingerprint);
     if (found == this->byFingerprint.end() || !this->options.clear)
-        return;
+        return cleared;
     for (auto& entry : found->second) {
-        entry.reports = entry.cleared ? entry.reports : 0;
+        if (entry.cleared)
+            continue;
+        entry.reports = 0;
         entry.cleared = true;
+        cleared.push_back(this->reportOf(fingerprint, entry).strike);
     }
+    return cleared;
 }
 
-void StrikeTable::merge(const StrikeList& list)
+std::vector<Strike> StrikeTable::merge(const StrikeList& list)
 {
     this->purge();
+    std::vector<Strike> changed;
     for (const auto& report : list)
-        this->add(report.strike, this->clock.now() - report.age, report.cleared && this->options.clear);
+        if (this->add(report, this->clock.now() - report.age))
+            changed.push_back(report.strike);
+    return changed;
 }
 
-void StrikeTable::add(const Strike& strike, base::SteadyTime at, bool cleared)
+bool StrikeTable::add(const StrikeReport& report, base::SteadyTime at)
 {
+    const auto& strike = report.strike;
+    const bool cleared = report.cleared && this->options.clear;
     auto& entries = this->byFingerprint[strike.fingerprint];
-    const auto same = std::find_if(entries.begin(), entries.end(),
-        [&](const Entry& entry) { return entry.target == strike.target && entry.incarnation == strike.incarnation; });
+    const auto same = std::find_if(entries.begin(), entries.end(), [&](const Entry& entry) {
+        return entry.target == strike.target && entry.incarnation == strike.incarnation && entry.crash == strike.crash;
+    });
     if (same != entries.end()) {
-        same->reports = cleared && !same->cleared ? 0 : same->reports;
+        const bool isNewlyCleared = cleared && !same->cleared;
+        same->reports = isNewlyCleared ? 0 : same->reports;
         same->cleared = same->cleared || cleared;
         same->at = std::min(same->at, at);
-        return;
+        return isNewlyCleared;
     }
-    entries.push_back({ .target = strike.target, .incarnation = strike.incarnation, .at = at, .cleared = cleared });
+    entries.push_back({ .target = strike.target,
+        .incarnation = strike.incarnation,
+        .crash = strike.crash,
+        .at = at,
+        .cleared = cleared,
+        .trial = report.trial });
     ++this->total;
     if (this->total > this->options.maxStrikes)
         this->evict();
+    return true;
 }
 
 void StrikeTable::purge()
@@ -144,21 +197,118 @@
     for (std::size_t i = 0; i < count; ++i) {
         auto& [fingerprint, entry] = candidates[i];
         ++entry->reports;
-        list.push_back(
-            { .strike = { .fingerprint = fingerprint, .target = entry->target, .incarnation = entry->incarnation },
-                .age = std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - entry->at),
-                .cleared = entry->cleared });
+        list.push_back(this->reportOf(fingerprint, *entry));
     }
     return list;
 }
 
+StrikeReport StrikeTable::reportOf(std::uint64_t fingerprint, const Entry& entry) const
+{
+    return { .strike = { .fingerprint = fingerprint,
+                 .target = entry.target,
+                 .incarnation = entry.incarnation,
+                 .crash = entry.crash },
+        .age = std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - entry.at),
+        .cleared = entry.cleared,
+        .trial = entry.trial };
+}
+
+/** Counts strikes of one crash, which several processes may have seen, once. */
+std::size_t StrikeTable::countCrashes(std::vector<const Entry*> strikes) const
+{
+    if (this->options.restartTime.count() <= 0)
+        return strikes.size();
+    const auto identity = [](const Entry& entry) { return std::tie(entry.target, entry.incarnation); };
+    std::ranges::sort(strikes, [&identity](const Entry* left, const Entry* right) {
+        return std::tuple { identity(*left), left->at } < std::tuple { identity(*right), right->at };
+    });
+    std::size_t crashes = 0;
+    const Entry* first = nullptr;
+    for (const auto* strike : strikes) {
+        if (first != nullptr && identity(*first) == identity(*strike)
+            && strike->at - first->at < this->options.restartTime)
+            continue;
+        first = strike;
+        ++crashes;
+    }
+    return crashes;
+}
+
 std::size_t StrikeTable::strikeCount(std::uint64_t fingerprint) const
 {
-    const auto found = this->byFingerprint.find(fingerprint);
-    if (found == this->byFingerprint.end())
+    const auto* entries = this->findEntries(fingerprint);
+    if (entries == nullptr || this->isProven(*entries))
         return 0;
-    return static_cast<std::size_t>(std::count_if(
-        found->second.begin(), found->second.end(), [this](const Entry& entry) { return this->isActive(entry); }));
+    std::vector<const Entry*> strikes;
+    for (const auto& entry : *entries)
+        if (this->isActive(entry))
+            strikes.push_back(&entry);
+    return this->countCrashes(std::move(strikes));
+}
+
+std::size_t StrikeTable::knownCrashes(std::uint64_t fingerprint) const
+{
+    const auto* entries = this->findEntries(fingerprint);
+    if (entries == nullptr)
+        return 0;
+    std::vector<const Entry*> strikes;
+    for (const auto& entry : *entries)
+        strikes.push_back(&entry);
+    return this->countCrashes(std::move(strikes));
+}
+
+std::optional<StrikeReport> StrikeTable::find(const Strike& strike) const
+{
+    const auto reports = this->reportsOf(strike.fingerprint);
+    const auto found = std::ranges::find(reports, strike, &StrikeReport::strike);
+    return found == reports.end() ? std::nullopt : std::optional { *found };
+}
+
+StrikeList StrikeTable::reportsOf(std::uint64_t fingerprint) const
+{
+    StrikeList reports;
+    if (const auto* entries = this->findEntries(fingerprint)) {
+        for (const auto& entry : *entries)
+            if (this->isSendable(entry))
+                reports.push_back(this->reportOf(fingerprint, entry));
+    }
+    return reports;
+}
+
+StrikeList StrikeTable::reportsWith(std::size_t crashes, std::size_t maxReports) const
+{
+    std::vector<std::pair<std::size_t, std::uint64_t>> ranked;
+    for (const auto& [fingerprint, entries] : this->byFingerprint)
+        if (const auto known = this->knownCrashes(fingerprint); known >= crashes)
+            ranked.emplace_back(known, fingerprint);
+    std::ranges::sort(ranked, std::greater {});
+    StrikeList reports;
+    for (const auto& [known, fingerprint] : ranked) {
+        for (auto& report : this->reportsOf(fingerprint)) {
+            if (reports.size() >= maxReports)
+                return reports;
+            reports.push_back(std::move(report));
+        }
+    }
+    return reports;
+}
+
+std::uint64_t StrikeTable::digest(std::size_t crashes) const
+{
+    std::uint64_t digest = 0;
+    for (const auto& [fingerprint, entries] : this->byFingerprint) {
+        if (entries.size() < crashes || this->knownCrashes(fingerprint) < crashes)
+            continue;
+        for (const auto& entry : entries) {
+            if (!this->isSendable(entry))
+                continue;
+            const auto target
+                = base::combineHash(base::hash64(entry.target), static_cast<std::uint64_t>(entry.incarnation));
+            const auto crash = base::combineHash(target, base::combineHash(entry.crash, entry.cleared ? 1 : 0));
+            digest ^= base::combineHash(fingerprint, crash);
+        }
+    }
+    return digest;
 }
 
 Verdict StrikeTable::verdict(std::uint64_t fingerprint) const
@@ -171,21 +321,37 @@
 
 bool StrikeTable::hasStrikeOn(std::uint64_t fingerprint, const base::TargetId& target) const
 {
-    const auto found = this->byFingerprint.find(fingerprint);
-    return found != this->byFingerprint.end()
-        && std::any_of(found->second.begin(), found->second.end(),
-            [&](const Entry& entry) { return entry.target == target && this->isActive(entry); });
+    const auto struck = this->struckTargets(fingerprint);
+    return std::ranges::find(struck, target) != struck.end();
+}
+
+std::vector<base::TargetId> StrikeTable::struckTargets(std::uint64_t fingerprint) const
+{
+    std::vector<base::TargetId> targets;
+    if (const auto* entries = this->findEntries(fingerprint)) {
+        for (const auto& entry : *entries)
+            if (this->counts(*entries, entry))
+                targets.push_back(entry.target);
+    }
+    return targets;
+}
+
+std::size_t StrikeTable::failedTrials(std::uint64_t fingerprint) const
+{
+    const auto* entries = this->findEntries(fingerprint);
+    return entries == nullptr ? 0 : static_cast<std::size_t>(std::ranges::count_if(*entries, [&](const Entry& entry) {
+        return entry.trial && this->counts(*entries, entry);
+    }));
 }
 
 std::optional<base::SteadyTime> StrikeTable::lastStrike(std::uint64_t fingerprint) const
 {
     std::optional<base::SteadyTime> last;
-    const auto found = this->byFingerprint.find(fingerprint);
-    if (found == this->byFingerprint.end())
-        return last;
-    for (const auto& entry : found->second)
-        if (this->isActive(entry) && (!last || entry.at > *last))
-            last = entry.at;
+    if (const auto* entries = this->findEntries(fingerprint)) {
+        for (const auto& entry : *entries)
+            if (this->counts(*entries, entry) && (!last || entry.at > *last))
+                last = entry.at;
+    }
     return last;
 }
 
--- a/src/suspect/strike_table.hpp
+++ b/src/suspect/strike_table.hpp
@@ -24,6 +24,17 @@
     bool expire = true;
     bool clear = true;
     bool rememberExpired = true;
+    /**
+     * Shortest time in which a target restarts under the same incarnation. Strikes of one incarnation that are at least
+     * this far apart belong to different crashes; with 0, all belong to the same crash.
+     */
+    std::chrono::nanoseconds restartTime { 0 };
+    /**
+     * A fingerprint that has completed a run after a strike does not crash targets: no strike of it counts until that
+     * strike expires.
+     */
+    bool completionProves = false;
+    std::uint64_t crashSeed = 0; ///< Differs between processes, for the numbers of crashes.
 
     bool operator==(const StrikeOptions&) const = default;
 };
@@ -42,12 +53,16 @@
 public:
     explicit StrikeTable(const base::Clock& clock, StrikeOptions options = {});
 
-    /** Adds a strike for each fingerprint in flight; several reports of one crash count once. */
-    void recordCrash(
-        const base::TargetId& target, base::Incarnation incarnation, std::span<const std::uint64_t> inFlight);
-    /** Clears the strikes of a fingerprint that completed a run. */
-    void recordCompletion(std::uint64_t fingerprint);
-    void merge(const StrikeList& list);
+    /**
+     * Adds a strike for each fingerprint in flight; several reports of one crash count once. Returns the strikes that
+     * were added.
+     */
+    std::vector<Strike> recordCrash(const base::TargetId& target, base::Incarnation incarnation,
+        std::span<const std::uint64_t> inFlight, bool isTrial = false);
+    /** Clears the strikes of a fingerprint that completed a run. Returns the strikes that were cleared. */
+    std::vector<Strike> recordCompletion(std::uint64_t fingerprint);
+    /** Returns the strikes that were added or cleared. */
+    std::vector<Strike> merge(const StrikeList& list);
     /** Returns at most maxReported strikes: those with the fewest reports so far first, among equals the newest. */
     [[nodiscard]] StrikeList report();
 
@@ -58,6 +73,20 @@
     [[nodiscard]] bool hasStrikeOn(std::uint64_t fingerprint, const base::TargetId& target) const;
     /** Time of the newest strike of the fingerprint that counts. */
     [[nodiscard]] std::optional<base::SteadyTime> lastStrike(std::uint64_t fingerprint) const;
+    /** Number of trials of the fingerprint that ended with a crash. */
+    [[nodiscard]] std::size_t failedTrials(std::uint64_t fingerprint) const;
+    /** Targets on which the fingerprint has a strike that counts. */
+    [[nodiscard]] std::vector<base::TargetId> struckTargets(std::uint64_t fingerprint) const;
+
+    /** Number of crashes of which the fingerprint has a strike, whether they count or not. */
+    [[nodiscard]] std::size_t knownCrashes(std::uint64_t fingerprint) const;
+    /** The strike as it can be sent now; nullopt if it is unknown or expires soon. */
+    [[nodiscard]] std::optional<StrikeReport> find(const Strike& strike) const;
+    [[nodiscard]] StrikeList reportsOf(std::uint64_t fingerprint) const;
+    /** Strikes of the fingerprints with at least this many known crashes, those with the most crashes first. */
+    [[nodiscard]] StrikeList reportsWith(std::size_t crashes, std::size_t maxReports) const;
+    /** Hash of the strikes that reportsWith would return without a limit; equal if they are. */
+    [[nodiscard]] std::uint64_t digest(std::size_t crashes) const;
     [[nodiscard]] std::size_t size() const noexcept { return this->total; }
     /** Strikes dropped because the table was full. */
     [[nodiscard]] std::uint64_t evictions() const noexcept { return this->evicted; }
@@ -66,8 +95,10 @@
     struct Entry {
         base::TargetId target;
         base::Incarnation incarnation {};
+        std::uint64_t crash = 0;
         base::SteadyTime at;
         bool cleared = false;
+        bool trial = false;
         std::uint32_t reports = 0;
     };
     using Entries = std::vector<Entry>;
@@ -75,7 +106,14 @@
     [[nodiscard]] bool isActive(const Entry& entry) const noexcept;
     [[nodiscard]] bool isRemovable(const Entry& entry) const noexcept;
     [[nodiscard]] bool isSendable(const Entry& entry) const noexcept;
-    void add(const Strike& strike, base::SteadyTime at, bool cleared);
+    /** True if the strikes of the fingerprint do not count because it has completed a run. */
+    [[nodiscard]] bool isProven(const Entries& entries) const noexcept;
+    [[nodiscard]] bool counts(const Entries& entries, const Entry& entry) const noexcept;
+    [[nodiscard]] std::size_t countCrashes(std::vector<const Entry*> strikes) const;
+    [[nodiscard]] const Entries* findEntries(std::uint64_t fingerprint) const;
+    [[nodiscard]] StrikeReport reportOf(std::uint64_t fingerprint, const Entry& entry) const;
+    /** True if the strike was added or cleared. */
+    bool add(const StrikeReport& report, base::SteadyTime at);
     void purge();
     void evict();
 
@@ -84,6 +122,7 @@
     std::unordered_map<std::uint64_t, Entries> byFingerprint;
     std::size_t total = 0;
     std::uint64_t evicted = 0;
+    std::uint64_t recordedCrashes = 0;
     base::SteadyTime nextPurge;
 };
 
--- /dev/null
+++ b/tests/suspect/shared_strikes_test.cpp
@@ -0,0 +1,182 @@
+#include "support/schedules.hpp"
+#include "suspect/strike_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chivewinch::suspect {
+
+using namespace std::chrono_literals;
+
+namespace internal {
+
+/** Restarts, freezes, cuts and joins at random moments, in series and overlapping. */
+void runWithFaults(StrikeFleet& fleet, base::RandomSource& random, std::chrono::milliseconds time)
+{
+    for (auto passed = 0ms; passed < time; passed += 200ms) {
+        fleet.run(200ms);
+        const auto index = random.below(fleet.size());
+        const auto length = std::chrono::milliseconds { 500 + random.below(4'000) };
+        switch (random.below(20)) {
+        case 0:
+        case 1:
+            fleet.restart(index);
+            break;
+        case 2:
+            fleet.freeze(index, length);
+            break;
+        case 3:
+            fleet.cut(index, length);
+            break;
+        case 4:
+            fleet.join();
+            break;
+        default:
+            break;
+        }
+    }
+}
+
+} // namespace internal
+
+// Guards against entries that each count crashes alone, so that a request crashes more targets the more entries there
+// are.
+TEST(SharedStrikesTest, AllProcessesTogetherKeepTheBound)
+{
+    for (const std::size_t members : { 2U, 4U, 9U, 42U, 98U, 300U }) {
+        for (const bool isListed : { true, false }) {
+            StrikeFleet fleet { { .members = members, .targets = 24, .restartsAreListed = isListed }, 7 };
+            fleet.run(40s);
+            EXPECT_GE(fleet.crashCount(), CrashRule::crashes) << members;
+            EXPECT_LE(fleet.lateRetries(), CrashRule::allowedRetries) << members << " listed " << isListed;
+            EXPECT_EQ(fleet.unserved(10s), 0U) << members;
+        }
+    }
+}
+
+// Shows that the test above finds processes that count alone.
+TEST(SharedStrikesTest, ExceedsTheBoundIfStrikesAreNotShared)
+{
+    StrikeFleet fleet { { .members = 9, .share = false }, 7 };
+    fleet.run(40s);
+    EXPECT_GT(fleet.lateRetries(), CrashRule::allowedRetries);
+}
+
+// Guards against a bound that is lost, or harmless requests that stay blocked, when processes restart, freeze, join or
+// are cut off from the others.
+TEST(SharedStrikesTest, KeepsTheBoundUnderFaults)
+{
+    constexpr std::uint64_t firstSeed = 3'100;
+    const auto schedules = support::schedulesToRun(std::uint64_t { 300 });
+    RecordProperty("seeds", std::to_string(firstSeed) + " to " + std::to_string(firstSeed + schedules - 1));
+    for (auto seed = firstSeed; seed < firstSeed + schedules; ++seed) {
+        base::SeededRandom random { seed };
+        StrikeFleet fleet { { .members = 2 + random.below(20),
+                                .targets = 4 + random.below(20),
+                                .crashingPerSecond = 2.0 + static_cast<double>(random.below(40)),
+                                .restartsAreListed = random.below(2) == 0 },
+            seed };
+        internal::runWithFaults(fleet, random, 30s);
+        EXPECT_LE(fleet.lateRetries(), CrashRule::allowedRetries) << "seed " << seed;
+        EXPECT_EQ(fleet.unserved(20s), 0U) << "seed " << seed;
+    }
+}
+
+// Guards against a blocked fingerprint that never runs again although it crashes no target: it may have been in flight
+// beside another one each time.
+TEST(SharedStrikesTest, ACompletedTrialUnblocksTheFingerprintEverywhere)
+{
+    base::ManualClock clock;
+    base::SeededRandom random { 5 };
+    const StrikeOptions tableOptions { .strikesToBlock = 3, .restartTime = 250ms, .completionProves = true };
+    const std::vector<quota::Member> members { { "a", "z" }, { "b", "z" } };
+    StrikeTable firstTable { clock, tableOptions };
+    StrikeTable secondTable { clock, tableOptions };
+    SharedStrikes first { clock, random, firstTable, { .instance = "a" } };
+    SharedStrikes second { clock, random, secondTable, { .instance = "b" } };
+    first.setMembers(members);
+    second.setMembers(members);
+    const auto exchange = [&] {
+        while (const auto outgoing = first.next())
+            first.delivered(*outgoing, second.answer(outgoing->message));
+        while (const auto outgoing = second.next())
+            second.delivered(*outgoing, first.answer(outgoing->message));
+    };
+    for (const auto* target : { "t1", "t2", "t3" })
+        first.recordCrash(8, target, base::Incarnation { 1 }, false);
+    exchange();
+    ASSERT_EQ(secondTable.verdict(8), Verdict::Blocked);
+    EXPECT_FALSE(second.grantTrial(8));
+    clock.advance(1s);
+    EXPECT_TRUE(second.grantTrial(8));
+    EXPECT_FALSE(second.grantTrial(8)) << "a second trial at the same time";
+    second.recordCompletion(8);
+    exchange();
+    EXPECT_EQ(firstTable.verdict(8), Verdict::Normal);
+    EXPECT_EQ(secondTable.verdict(8), Verdict::Normal);
+}
+
+// Guards against a caller that gets a request of others blocked by crashing the targets on which it runs.
+TEST(SharedStrikesTest, AFingerprintThatHasCompletedIsNotBlockedByLaterCrashes)
+{
+    base::ManualClock clock;
+    base::SeededRandom random { 5 };
+    StrikeTable table { clock, { .strikesToBlock = 3, .restartTime = 250ms, .completionProves = true } };
+    SharedStrikes shared { clock, random, table, { .instance = "a" } };
+    shared.setMembers({ { "a", "z" } });
+    shared.recordCrash(8, "t0", base::Incarnation { 1 }, false);
+    shared.recordCompletion(8);
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        clock.advance(1s);
+        shared.recordCrash(8, "t" + std::to_string(i), base::Incarnation { 1 }, false);
+    }
+    EXPECT_EQ(table.verdict(8), Verdict::Normal);
+}
+
+// Guards against trials that together crash more targets than the bound allows.
+TEST(SharedStrikesTest, FailedTrialsBecomeRare)
+{
+    base::ManualClock clock;
+    base::SeededRandom random { 5 };
+    StrikeTable table { clock, { .expiry = 1h, .strikesToBlock = 3, .restartTime = 250ms, .completionProves = true } };
+    SharedStrikes shared { clock, random, table, { .instance = "a" } };
+    shared.setMembers({ { "a", "z" } });
+    for (const auto* target : { "t1", "t2", "t3" })
+        shared.recordCrash(8, target, base::Incarnation { 1 }, false);
+    std::size_t trials = 0;
+    for (auto passed = 0s; passed < 50min; passed += 1s) {
+        clock.advance(1s);
+        if (shared.grantTrial(8)) {
+            shared.recordCrash(8, "t4", base::Incarnation { static_cast<std::uint64_t>(passed.count()) }, true);
+            trials += passed > CrashRule::contact ? 1 : 0;
+        }
+    }
+    EXPECT_LE(trials, CrashRule::allowedRetries);
+    EXPECT_GE(trials, 1U);
+}
+
+// Guards against messages of other writers that end the process or are misread.
+TEST(StrikeMessageTest, RejectsWhatIsNoMessage)
+{
+    const StrikeMessage message { .digest = 7,
+        .wantsAll = true,
+        .strikes
+        = { { .strike = { .fingerprint = 1, .target = "t", .incarnation = base::Incarnation { 2 }, .crash = 3 },
+            .age = 40ms,
+            .cleared = true,
+            .trial = true } },
+        .trial = 9,
+        .returnsTrial = true };
+    const auto body = encode(message);
+    EXPECT_EQ(decodeStrikeMessage(body), message);
+    for (std::size_t length = 0; length < body.size(); ++length)
+        EXPECT_FALSE(decodeStrikeMessage(body.substr(0, length)));
+    for (std::size_t place = 0; place < body.size(); ++place) {
+        auto changed = body;
+        for (const int value : { 0x00, 0x1B, 0x3B, 0x5F, 0x9F, 0xBF, 0xF6, 0xFB, 0xFF }) {
+            changed[place] = static_cast<char>(value);
+            (void)decodeStrikeMessage(changed);
+        }
+    }
+}
+
+} // namespace chivewinch::suspect
