Grant the next trial of a blocked fingerprint as soon as one has failed

A harmless request that died beside crashing ones three times and in its first trial was refused for ten more seconds: the granter counted the trial as running although its crash had been reported. A trial ends with the next strike now. The test fails without it.

--- a/src/suspect/shared_strikes.cpp
+++ b/src/suspect/shared_strikes.cpp
@@ -275,7 +275,9 @@
     if (!due || now < *due)
         return false;
     const auto [granted, isNew] = this->trialsGranted.try_emplace(fingerprint, now);
-    if (!isNew && now - granted->second < this->options.trialTime)
+    const auto last = this->table.lastStrike(fingerprint);
+    const bool hasFailed = last && *last > granted->second;
+    if (!isNew && !hasFailed && now - granted->second < this->options.trialTime)
         return false;
     granted->second = now;
     return true;
--- a/tests/suspect/shared_strikes_test.cpp
+++ b/tests/suspect/shared_strikes_test.cpp
@@ -154,6 +154,24 @@
     EXPECT_GE(trials, 1U);
 }
 
+// Guards against a harmless fingerprint that stays blocked because its first trial died beside another one.
+TEST(SharedStrikesTest, TheNextTrialDoesNotWaitForOneThatHasFailed)
+{
+    base::ManualClock clock;
+    base::SeededRandom random { 5 };
+    StrikeTable table { clock, { .strikesToBlock = 3, .restartTime = 250ms, .completionProves = true } };
+    SharedStrikes shared { clock, random, table, { .instance = "a" } };
+    shared.setMembers({ { "a", "z" } });
+    for (const auto* target : { "t1", "t2", "t3" })
+        shared.recordCrash(8, target, base::Incarnation { 1 }, false);
+    clock.advance(1s);
+    ASSERT_TRUE(shared.grantTrial(8));
+    clock.advance(100ms);
+    shared.recordCrash(8, "t4", base::Incarnation { 1 }, true);
+    clock.advance(1'500ms);
+    EXPECT_TRUE(shared.grantTrial(8));
+}
+
 // Guards against messages of other writers that end the process or are misread.
 TEST(StrikeMessageTest, RejectsWhatIsNoMessage)
 {
