Reject odd entries of other writers in every encoding

Operators of similar systems saw machines that read a list end again and again because of one odd entry: deeply nested, with a number too large, or with a port out of range.

--- a/app/agent/answer_relay.cpp
+++ b/app/agent/answer_relay.cpp
@@ -1,5 +1,7 @@
 #include "agent/answer_relay.hpp"
 
+#include "wire/parse.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace chivewinch::agent {
@@ -61,7 +63,7 @@
 
 void AnswerRelay::readUsage(std::string_view json)
 {
-    const auto value = nlohmann::json::parse(json, nullptr, false);
+    const auto value = wire::parseJson(json);
     if (!value.is_object() || !value.contains("usage") || !value["usage"].is_object())
         return;
     const auto& counts = value["usage"];
--- a/app/agent/attempt_run.cpp
+++ b/app/agent/attempt_run.cpp
@@ -3,6 +3,7 @@
 #include "agent/agent.hpp"
 #include "logging/event.hpp"
 #include "protocol/convert.hpp"
+#include "wire/parse.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -33,7 +34,7 @@
  */
 bool requestUsage(std::string& body)
 {
-    auto json = nlohmann::ordered_json::parse(body, nullptr, false);
+    auto json = wire::parseJson<nlohmann::ordered_json>(body);
     if (!json.is_object())
         return false;
     auto& options = json["stream_options"];
--- a/app/agent/target_monitor.cpp
+++ b/app/agent/target_monitor.cpp
@@ -2,6 +2,7 @@
 
 #include "http/status.hpp"
 #include "logging/event.hpp"
+#include "wire/parse.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -69,7 +70,7 @@
 
 bool TargetMonitor::handleResponse(const std::string& body)
 {
-    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto json = wire::parseJson(body);
     if (!json.is_object() || !json.contains("incarnation") || !json["incarnation"].is_number_unsigned())
         return false;
     this->failures = 0;
--- a/app/entry/caller_request.cpp
+++ b/app/entry/caller_request.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "settings/value_type.hpp"
 #include "suspect/strike.hpp"
+#include "wire/parse.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -108,7 +109,7 @@
 
 bool readCompletion(const http::Request& request, CallerRequest& out, ApiError& reason)
 {
-    const auto body = Json::parse(request.body(), nullptr, false);
+    const auto body = wire::parseJson(request.body());
     if (!body.is_object())
         return refuse(reason, base::RefusalReason::BadRequest, "the body must be a JSON object");
     const bool chat = http::pathOf(request) == chatPath;
--- a/app/entry/stored_answer.cpp
+++ b/app/entry/stored_answer.cpp
@@ -1,5 +1,7 @@
 #include "entry/stored_answer.hpp"
 
+#include "wire/parse.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace chivewinch::entry {
@@ -18,7 +20,7 @@
 std::optional<http::Response> decodeAnswer(std::string_view bytes)
 {
     try {
-        const auto value = Json::from_cbor(bytes.begin(), bytes.end());
+        const auto value = wire::parseCbor(bytes);
         const auto& body = value.at("body").get_binary();
         http::Response answer;
         answer.status = value.at("status").get<unsigned>();
--- a/src/claim/claim_row.cpp
+++ b/src/claim/claim_row.cpp
@@ -1,5 +1,7 @@
 #include "claim/claim_row.hpp"
 
+#include "wire/parse.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -59,7 +61,7 @@
 
 std::optional<ClaimRow> decode(std::string_view value)
 {
-    const auto map = internal::Json::from_msgpack(value, true, false);
+    const auto map = wire::parseMsgpack(value);
     if (!map.is_object())
         return std::nullopt;
     try {
--- a/src/group/codec.cpp
+++ b/src/group/codec.cpp
@@ -1,10 +1,13 @@
 #include "group/codec.hpp"
 
+#include "wire/cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <limits>
 #include <stdexcept>
 #include <utility>
 
@@ -13,55 +16,16 @@
 namespace internal {
 
 using Json = nlohmann::json;
-
-/**
- * Parses and decodes a body. Returns nullopt if the body cannot be parsed or the value does not have the expected
- * structure.
- */
-template <typename Parse, typename Decode>
-auto decodeWith(Parse parse, Decode decode) -> std::optional<decltype(decode(std::declval<const Json&>()))>
-{
-    try {
-        return decode(parse());
-    } catch (const Json::exception&) {
-        return std::nullopt;
-    } catch (const std::out_of_range&) {
-        return std::nullopt;
-    }
-}
-
-template <typename Decode> auto decodeCbor(const std::string& body, Decode decode)
-{
-    return decodeWith([&body] { return Json::from_cbor(body); }, decode);
-}
-
-template <typename Decode> auto decodeJson(const std::string& body, Decode decode)
-{
-    return decodeWith([&body] { return Json::parse(body); }, decode);
-}
-
-std::string toCbor(const Json& value)
-{
-    std::string bytes;
-    Json::to_cbor(value, bytes);
-    return bytes;
-}
+using wire::parseUnsigned;
 
 template <typename Enum> Enum parseEnum(const Json& value, Enum last)
 {
-    const auto number = value.get<std::uint64_t>();
+    const auto number = parseUnsigned(value);
     if (number > static_cast<std::uint64_t>(last))
         throw std::out_of_range { "enumeration value is out of range" };
     return static_cast<Enum>(number);
 }
 
-std::uint64_t parseUnsigned(const Json& value)
-{
-    if (!value.is_number_unsigned())
-        throw std::out_of_range { "value is not an unsigned number" };
-    return value.get<std::uint64_t>();
-}
-
 std::optional<std::uint64_t> parseOptional(const Json& value)
 {
     return value.is_null() ? std::nullopt : std::optional { parseUnsigned(value) };
@@ -76,10 +40,13 @@
 
 Member parseMember(const Json& value)
 {
-    return { .id = value.at(0).get<std::string>(),
-        .endpoint = { .address = value.at(1).get<std::string>(), .port = value.at(2).get<std::uint16_t>() },
+    Member member { .id = value.at(0).get<std::string>(),
+        .endpoint = { .address = value.at(1).get<std::string>(), .port = parseUnsigned<std::uint16_t>(value.at(2)) },
         .epoch = parseUnsigned(value.at(3)),
-        .rank = value.at(4).get<std::uint32_t>() };
+        .rank = parseUnsigned<std::uint32_t>(value.at(4)) };
+    if (!settings::isConnectable(member.endpoint))
+        throw std::out_of_range { "the address of the member is invalid" };
+    return member;
 }
 
 Json toJson(const expert::MapOrder& order)
@@ -89,7 +56,7 @@
 
 expert::MapOrder parseOrder(const Json& value)
 {
-    return { .rank = value.at(0).get<std::uint32_t>(),
+    return { .rank = parseUnsigned<std::uint32_t>(value.at(0)),
         .kind = parseEnum(value.at(1), expert::MapOrderKind::Release),
         .epoch = parseUnsigned(value.at(2)),
         .version = parseUnsigned(value.at(3)),
@@ -109,8 +76,8 @@
 {
     const auto& armed = value.at(9);
     MemberReport report { .group = value.at(0).get<std::string>(),
-        .rank = value.at(1).get<std::uint32_t>(),
-        .size = value.at(2).get<std::uint32_t>(),
+        .rank = parseUnsigned<std::uint32_t>(value.at(1)),
+        .size = parseUnsigned<std::uint32_t>(value.at(2)),
         .pace = value.at(3).get<double>(),
         .maps = { .epoch = parseUnsigned(value.at(4)),
             .open = value.at(5).get<bool>(),
@@ -164,13 +131,21 @@
     {
         std::vector<std::uint16_t> experts;
         for (auto count = this->read(); count > 0; --count)
-            experts.push_back(static_cast<std::uint16_t>(this->read()));
+            experts.push_back(this->readExpert());
         return experts;
     }
 
 private:
     const std::vector<std::uint8_t>& bytes;
     std::size_t next = 0;
+
+    std::uint16_t readExpert()
+    {
+        const auto expert = this->read();
+        if (expert > std::numeric_limits<std::uint16_t>::max())
+            throw std::out_of_range { "the number of an expert is too large" };
+        return static_cast<std::uint16_t>(expert);
+    }
 };
 
 Json toJson(const std::vector<PlacementChange>& changes)
@@ -212,17 +187,25 @@
         toJson(update.changes), update.fullMap, update.digest });
 }
 
+GroupMap parseMap(const Json& value)
+{
+    GroupMap map;
+    for (const auto& layer : value)
+        map.push_back(parseLayers(layer));
+    return map;
+}
+
 MapUpdate parseUpdate(const Json& value)
 {
     if (value.is_null())
         return {};
     return { .version = parseUnsigned(value.at(0)),
         .base = parseUnsigned(value.at(1)),
-        .initial = { .layers = value.at(2).at(0).get<std::uint32_t>(),
-            .experts = value.at(2).at(1).get<std::uint32_t>(),
-            .ranks = value.at(2).at(2).get<std::uint32_t>() },
+        .initial = { .layers = parseUnsigned<std::uint32_t>(value.at(2).at(0)),
+            .experts = parseUnsigned<std::uint32_t>(value.at(2).at(1)),
+            .ranks = parseUnsigned<std::uint32_t>(value.at(2).at(2)) },
         .changes = parseChanges(value.at(3)),
-        .fullMap = value.at(4).get<GroupMap>(),
+        .fullMap = parseMap(value.at(4)),
         .digest = parseUnsigned(value.at(5)) };
 }
 
@@ -276,16 +259,31 @@
 
 } // namespace internal
 
+std::vector<std::vector<std::uint16_t>> parseLayers(const nlohmann::json& value)
+{
+    std::vector<std::vector<std::uint16_t>> layers;
+    if (!value.is_array())
+        throw std::out_of_range { "the layers are not an array" };
+    for (const auto& layer : value) {
+        if (!layer.is_array())
+            throw std::out_of_range { "the experts of a layer are not an array" };
+        auto& experts = layers.emplace_back();
+        for (const auto& expert : layer)
+            experts.push_back(wire::parseUnsigned<std::uint16_t>(expert));
+    }
+    return layers;
+}
+
 std::string encode(const RankQuery& query)
 {
-    return internal::toCbor(
+    return wire::toCbor(
         { { "group", query.group }, { "members", internal::toJsonArray(query.members) }, { "loads", query.wantsLoads },
             { "orders", internal::toJsonArray(query.orders) }, { "map", internal::toJson(query.map) } });
 }
 
 std::optional<RankQuery> decodeQuery(const std::string& body)
 {
-    return internal::decodeCbor(body, [](const internal::Json& value) {
+    return wire::decodeCbor(body, [](const internal::Json& value) {
         return RankQuery { .group = value.at("group").get<std::string>(),
             .members = internal::parseItems<Member>(value.at("members"), internal::parseMember),
             .wantsLoads = value.at("loads").get<bool>(),
@@ -302,13 +300,13 @@
     auto replies = internal::Json::array();
     for (const auto& answer : answers.replies)
         replies.push_back(internal::Json::array({ internal::toJson(answer.order), answer.reply }));
-    return internal::toCbor({ { "reports", std::move(reports) }, { "replies", std::move(replies) },
+    return wire::toCbor({ { "reports", std::move(reports) }, { "replies", std::move(replies) },
         { "loads", internal::toJson(answers.loads) } });
 }
 
 std::optional<RankAnswers> decodeAnswers(const std::string& body)
 {
-    return internal::decodeCbor(body, [](const internal::Json& value) {
+    return wire::decodeCbor(body, [](const internal::Json& value) {
         RankAnswers answers;
         for (auto& report : internal::parseItems<MemberReport>(value.at("reports"), internal::parseReport))
             answers.reports.emplace(report.rank, std::move(report));
@@ -330,10 +328,10 @@
 
 std::optional<RankExperts> decodeExperts(const std::string& body)
 {
-    return internal::decodeJson(body, [](const internal::Json& value) {
-        return RankExperts { .epoch = value.at("epoch").get<std::uint64_t>(),
-            .version = value.at("version").get<std::uint64_t>(),
-            .layers = value.at("layers").get<std::vector<std::vector<std::uint16_t>>>() };
+    return wire::decodeParsed(wire::parseJson(body), [](const internal::Json& value) {
+        return RankExperts { .epoch = wire::parseUnsigned(value.at("epoch")),
+            .version = wire::parseUnsigned(value.at("version")),
+            .layers = parseLayers(value.at("layers")) };
     });
 }
 
--- a/src/group/codec.hpp
+++ b/src/group/codec.hpp
@@ -3,8 +3,12 @@
 #include "group/group_port.hpp"
 #include "group/rank_query.hpp"
 
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace chivewinch::group {
 
@@ -21,5 +25,7 @@
 /** Encoded as JSON. */
 [[nodiscard]] std::string encode(const RankExperts& experts);
 [[nodiscard]] std::optional<RankExperts> decodeExperts(const std::string& body);
+/** Experts of each layer. Throws std::out_of_range unless the value is an array of arrays of 16-bit numbers. */
+[[nodiscard]] std::vector<std::vector<std::uint16_t>> parseLayers(const nlohmann::json& value);
 
 } // namespace chivewinch::group
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -186,8 +186,15 @@
         if (std::chrono::steady_clock::now() < kept.usableUntil && internal::hasNoPendingInput(kept.stream->socket()))
             co_return std::move(kept.stream);
     }
+    beast::error_code invalid;
+    const Tcp::endpoint endpoint { asio::ip::make_address(this->options.server.address, invalid),
+        this->options.server.port };
+    if (invalid) {
+        reason = { .code = ErrorCode::NotSent,
+            .detail = "address " + this->options.server.address + ": " + invalid.message() };
+        co_return nullptr;
+    }
     auto stream = std::make_unique<beast::tcp_stream>(this->executor);
-    const Tcp::endpoint endpoint { asio::ip::make_address(this->options.server.address), this->options.server.port };
     stream->expires_after(this->options.connectTimeout);
     const auto [error] = co_await stream->async_connect(endpoint, internal::awaitResult);
     if (error) {
--- a/src/relay/peers.cpp
+++ b/src/relay/peers.cpp
@@ -1,5 +1,7 @@
 #include "relay/peers.hpp"
 
+#include "wire/parse.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -15,7 +17,7 @@
 
 std::optional<Peer> decodePeer(const std::string& instance, const std::string& value)
 {
-    const auto object = nlohmann::json::parse(value, nullptr, false);
+    const auto object = wire::parseJson(value);
     if (!object.is_object())
         return std::nullopt;
     const auto zone = object.find("zone");
@@ -23,7 +25,7 @@
     if (zone == object.end() || !zone->is_string() || address == object.end() || !address->is_string())
         return std::nullopt;
     const auto endpoint = settings::parseEndpoint(address->get<std::string>());
-    if (!endpoint)
+    if (!endpoint || !settings::isConnectable(*endpoint))
         return std::nullopt;
     return Peer { .instance = instance, .zone = zone->get<std::string>(), .endpoint = *endpoint };
 }
--- a/src/settings/value_type.cpp
+++ b/src/settings/value_type.cpp
@@ -74,6 +74,13 @@
     return Endpoint { .address = std::string { address }, .port = *port };
 }
 
+bool isConnectable(const Endpoint& endpoint)
+{
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(endpoint.address, error);
+    return !error && endpoint.port != 0 && !address.is_unspecified() && !address.is_multicast();
+}
+
 std::string toString(const Endpoint& endpoint)
 {
     const bool isV6 = endpoint.address.find(':') != std::string::npos;
--- a/src/settings/value_type.hpp
+++ b/src/settings/value_type.hpp
@@ -20,6 +20,9 @@
 };
 
 /** Parses "address:port", with brackets around an IPv6 address; nullopt unless the address is numeric. */
+/** True if a connection can be opened to the endpoint: it has a port and the address of a single machine. */
+[[nodiscard]] bool isConnectable(const Endpoint& endpoint);
+
 [[nodiscard]] std::optional<Endpoint> parseEndpoint(std::string_view text);
 [[nodiscard]] std::string toString(const Endpoint& endpoint);
 
--- a/src/store_http/codec.cpp
+++ b/src/store_http/codec.cpp
@@ -1,5 +1,7 @@
 #include "store_http/codec.hpp"
 
+#include "wire/parse.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -48,11 +50,7 @@
 template <typename Decode>
 auto unpack(std::string_view bytes, Decode decode) -> std::optional<decltype(decode(std::declval<const Json&>()))>
 {
-    try {
-        return decode(Json::from_cbor(bytes.begin(), bytes.end()));
-    } catch (const Json::exception&) {
-        return std::nullopt;
-    }
+    return wire::decodeParsed(wire::parseCbor(bytes), decode);
 }
 
 template <typename Item, typename Encode> Json arrayOf(const std::vector<Item>& items, Encode encode)
--- a/src/store_http/http_services.cpp
+++ b/src/store_http/http_services.cpp
@@ -3,6 +3,7 @@
 #include "http/query.hpp"
 #include "http/status.hpp"
 #include "store_http/codec.hpp"
+#include "wire/parse.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -76,7 +77,7 @@
 
 std::optional<std::vector<std::string>> decodeNames(const std::string& body)
 {
-    const auto value = nlohmann::json::parse(body, nullptr, false);
+    const auto value = wire::parseJson(body);
     if (!value.is_array())
         return std::nullopt;
     std::vector<std::string> names;
--- a/src/suspect/strike_message.cpp
+++ b/src/suspect/strike_message.cpp
@@ -11,6 +11,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t maxTargetSize = 200;
+
 // Upper bound of ages in messages. A greater age is an error of the sender and is shortened to this.
 constexpr std::uint64_t maxAgeMs = 86'400'000;
 
@@ -23,6 +25,8 @@
 
 StrikeReport parseReport(const Json& value)
 {
+    if (value.at(1).get_ref<const std::string&>().size() > maxTargetSize)
+        throw std::out_of_range { "the name of the target is too long" };
     return { .strike = { .fingerprint = wire::parseUnsigned(value.at(0)),
                  .target = value.at(1).get<std::string>(),
                  .incarnation = base::Incarnation { wire::parseUnsigned(value.at(2)) },
--- a/src/usage/key.cpp
+++ b/src/usage/key.cpp
@@ -1,5 +1,7 @@
 #include "usage/key.hpp"
 
+#include "wire/parse.hpp"
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 #include <openssl/rand.h>
@@ -168,7 +170,7 @@
 
 std::optional<KeyList> KeyList::fromJson(std::string_view text, Error& reason)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = wire::parseJson(text);
     KeyList list;
     if (!json.is_array()) {
         reason = { .code = ErrorCode::BadKey, .detail = "a key list is a JSON array" };
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -1,12 +1,10 @@
 #pragma once
 
+#include "wire/parse.hpp"
+
 #include <nlohmann/json.hpp>
 
-#include <cstdint>
-#include <optional>
-#include <stdexcept>
 #include <string>
-#include <utility>
 
 namespace chivewinch::wire {
 
@@ -17,26 +15,10 @@
     return bytes;
 }
 
-/** Throws std::out_of_range unless the value is an unsigned number. */
-[[nodiscard]] inline std::uint64_t parseUnsigned(const nlohmann::json& value)
-{
-    if (!value.is_number_unsigned())
-        throw std::out_of_range { "value is not an unsigned number" };
-    return value.get<std::uint64_t>();
-}
-
 /** Parses and decodes a body; nullopt if it is not CBOR or does not have the structure that decode expects. */
-template <typename Decode>
-[[nodiscard]] auto decodeCbor(const std::string& body, Decode decode)
-    -> std::optional<decltype(decode(std::declval<const nlohmann::json&>()))>
+template <typename Decode> [[nodiscard]] auto decodeCbor(const std::string& body, Decode decode)
 {
-    try {
-        return decode(nlohmann::json::from_cbor(body));
-    } catch (const nlohmann::json::exception&) {
-        return std::nullopt;
-    } catch (const std::out_of_range&) {
-        return std::nullopt;
-    }
+    return decodeParsed(parseCbor(body), decode);
 }
 
 } // namespace chivewinch::wire
--- a/tests/group/codec_test.cpp
+++ b/tests/group/codec_test.cpp
@@ -2,6 +2,7 @@
 #include "group/codec.hpp"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace chivewinch::group {
 namespace {
@@ -101,5 +102,35 @@
     EXPECT_LT(encode(loads).size(), 2'000);
 }
 
+// Guards against a message that ends the process because reading it takes stack space for each level of nesting.
+TEST(GroupCodec, RejectsDeeplyNestedMessages)
+{
+    for (const std::size_t depth : { 65U, 1'000U, 1'000'000U }) {
+        EXPECT_FALSE(decodeQuery(std::string(depth, '\x81')));
+        EXPECT_FALSE(decodeAnswers(std::string(depth, '\x81')));
+        EXPECT_FALSE(decodeExperts(std::string(depth, '[')));
+    }
+}
+
+// Guards against numbers that are cut to fewer bits, and against an address that ends the process when it is used.
+TEST(GroupCodec, RejectsNumbersAndAddressesOutOfRange)
+{
+    const auto withMember = [](const nlohmann::json& member) {
+        auto value = nlohmann::json::from_cbor(encode(query()));
+        value["members"] = nlohmann::json::array({ member });
+        std::string body;
+        nlohmann::json::to_cbor(value, body);
+        return decodeQuery(body);
+    };
+    EXPECT_TRUE(withMember({ "i", "10.0.0.1", 80, 1, 2 }));
+    EXPECT_FALSE(withMember({ "i", "10.0.0.1", 65'536, 1, 2 }));
+    EXPECT_FALSE(withMember({ "i", "10.0.0.1", 0, 1, 2 }));
+    EXPECT_FALSE(withMember({ "i", "10.0.0.1", 80, 1, 4'294'967'296 }));
+    EXPECT_FALSE(withMember({ "i", "10.0.0.1", 80.5, 1, 2 }));
+    EXPECT_FALSE(withMember({ "i", "nowhere", 80, 1, 2 }));
+    EXPECT_FALSE(decodeExperts(R"({"epoch":1,"version":1,"layers":[[65536]]})"));
+    EXPECT_FALSE(decodeExperts(R"({"epoch":-1,"version":1,"layers":[[1]]})"));
+}
+
 } // namespace
 } // namespace chivewinch::group
--- /dev/null
+++ b/tests/relay/codec_test.cpp
@@ -0,0 +1,48 @@
+#include "quota/message.hpp"
+#include "relay/codec.hpp"
+#include "relay/peers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace chivewinch::relay {
+namespace {
+
+/** One array within the other, as CBOR. */
+std::string nestedCbor(std::size_t depth) { return std::string(depth, '\x81') + '\x00'; }
+
+// Guards against a message that ends the process because reading it takes stack space for each level of nesting.
+TEST(RelayCodec, RejectsDeeplyNestedMessages)
+{
+    for (const std::size_t depth : { 65U, 1'000U, 1'000'000U }) {
+        EXPECT_FALSE(decodeQuery(nestedCbor(depth)));
+        EXPECT_FALSE(decodeAnswer(nestedCbor(depth)));
+        EXPECT_FALSE(quota::decodeLimitQuery(nestedCbor(depth)));
+        EXPECT_FALSE(quota::decodeLimitAnswer(nestedCbor(depth)));
+    }
+}
+
+// Guards against a message that is read as an empty one although it is not CBOR.
+TEST(RelayCodec, RejectsWhatIsNotCbor)
+{
+    for (const std::string body : { "", "\xFF", "\x9B\xFF\xFF\xFF\xFF\xFF\xFF\xFF\xFF", "{}" }) {
+        EXPECT_FALSE(decodeQuery(body));
+        EXPECT_FALSE(decodeAnswer(body));
+        EXPECT_FALSE(quota::decodeLimitQuery(body));
+    }
+}
+
+// Guards against a row of another writer that is used as the address of a peer.
+TEST(RelayCodec, RejectsOddPeers)
+{
+    for (const std::string value : { "", "[]", R"({"zone":"z"})", R"({"zone":7,"address":"10.0.0.1:80"})",
+             R"({"zone":"z","address":"10.0.0.1:0"})", R"({"zone":"z","address":"10.0.0.1:65536"})",
+             R"({"zone":"z","address":"0.0.0.0:80"})", R"({"zone":"z","address":"nowhere:80"})" })
+        EXPECT_FALSE(decodePeer("e", value)) << value;
+    EXPECT_FALSE(decodePeer("e", R"({"zone":"z","address":)" + std::string(1'000'000, '[')));
+    EXPECT_TRUE(decodePeer("e", R"({"zone":"z","address":"10.0.0.1:80"})"));
+}
+
+} // namespace
+} // namespace chivewinch::relay
