Take no refusal without an id from a kept connection

A faulty target that writes an earlier refusal once more on a kept connection got a 421 without a request id taken for the answer to the next request: the caller was told 503, not run, for what the target ran. Refusals with an id were matched already, and requests that must not run twice use a new connection. A 421 without an id counts as 'not run' only as the first answer of a connection now. GatewayTest.TakesNoRepeatedRefusalWithoutAnIdForItsOwn failed before (503).

--- a/src/gateway/answer_check.cpp
+++ b/src/gateway/answer_check.cpp
@@ -23,7 +23,8 @@
 {
     const bool isSuccess = head.status >= 200 && head.status < 300;
     // A target other than the expected one may refuse the request before it reads the request ID.
-    if (head.status == http::status::misdirected && (head.requestId.empty() || head.requestId == requestId))
+    const bool lacksId = head.requestId.empty() && !head.isOnKeptConnection;
+    if (head.status == http::status::misdirected && (lacksId || head.requestId == requestId))
         return AnswerKind::NotRun;
     if (head.requestId != requestId)
         return AnswerKind::Foreign;
--- a/src/gateway/answer_check.hpp
+++ b/src/gateway/answer_check.hpp
@@ -19,6 +19,7 @@
 struct AnswerHead {
     unsigned status = 0;
     std::string_view requestId; ///< As echoed by the target.
+    bool isOnKeptConnection = false; ///< A faulty target may have answered an earlier request once more.
     bool hasSeal = false;
     bool statesNotRun = false;
     bool statesLeaving = false; ///< The target finishes its open requests and accepts no new ones.
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -170,6 +170,7 @@
     const auto& names = this->services.options.headers;
     const AnswerHead head { .status = this->stream->status(),
         .requestId = this->stream->header(names.requestId),
+        .isOnKeptConnection = this->stream->isOnKeptConnection(),
         .hasSeal = !this->stream->header(names.seal).empty(),
         .statesNotRun = !this->stream->header(names.notRun).empty(),
         .statesLeaving = this->stream->header(names.leaving) == "1",
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -83,6 +83,7 @@
 struct ResponseStream::State {
     std::unique_ptr<beast::tcp_stream> stream;
     std::weak_ptr<Client::Pool> pool;
+    bool isKept = false;
     std::size_t maxIdle = 0;
     std::chrono::milliseconds maxIdleTime {};
     std::chrono::milliseconds readTimeout {};
@@ -126,6 +127,8 @@
     return this->state->parser.get().count(beast::string_view { name.data(), name.size() }) > 0;
 }
 
+bool ResponseStream::isOnKeptConnection() const noexcept { return this->state->isKept; }
+
 Headers ResponseStream::headers() const
 {
     Headers all;
@@ -178,14 +181,16 @@
 
 Client::~Client() = default;
 
-Task<std::unique_ptr<beast::tcp_stream>> Client::connect(bool fresh, Error& reason)
+Task<std::unique_ptr<beast::tcp_stream>> Client::connect(bool fresh, bool& isKept, Error& reason)
 {
+    isKept = true;
     while (!fresh && !this->pool->empty()) {
         auto kept = std::move(this->pool->back());
         this->pool->pop_back();
         if (std::chrono::steady_clock::now() < kept.usableUntil && internal::hasNoPendingInput(kept.stream->socket()))
             co_return std::move(kept.stream);
     }
+    isKept = false;
     beast::error_code invalid;
     const Tcp::endpoint endpoint { asio::ip::make_address(this->options.server.address, invalid),
         this->options.server.port };
@@ -211,7 +216,8 @@
 
 Task<std::unique_ptr<ResponseStream>> Client::open(Request request, SendOptions sendOptions, Error& reason)
 {
-    auto stream = co_await this->connect(sendOptions.freshConnection, reason);
+    bool isKept = false;
+    auto stream = co_await this->connect(sendOptions.freshConnection, isKept, reason);
     if (!stream)
         co_return nullptr;
     if (request.count(beast::http::field::host) == 0)
@@ -220,6 +226,7 @@
 
     auto result = std::make_unique<ResponseStream>();
     auto& current = *result->state;
+    current.isKept = isKept;
     current.readTimeout = sendOptions.readTimeout.value_or(this->options.readTimeout);
     current.maxIdle = this->options.maxIdleConnections;
     current.maxIdleTime = this->options.maxIdleTime;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -91,6 +91,8 @@
     /** Value of the first header field with this name; empty if there is none. */
     [[nodiscard]] std::string_view header(std::string_view name) const;
     [[nodiscard]] bool hasHeader(std::string_view name) const;
+    /** True if an earlier request was sent on the same connection; a faulty server may answer that one again. */
+    [[nodiscard]] bool isOnKeptConnection() const noexcept;
     /** All header fields in the order in which they arrived. */
     [[nodiscard]] Headers headers() const;
     /** Returns the next bytes of the body; empty at its end; nullopt and an error if the body is incomplete. */
@@ -138,7 +140,7 @@
     ClientOptions options;
     std::shared_ptr<Pool> pool;
 
-    [[nodiscard]] Task<std::unique_ptr<boost::beast::tcp_stream>> connect(bool fresh, Error& reason);
+    [[nodiscard]] Task<std::unique_ptr<boost::beast::tcp_stream>> connect(bool fresh, bool& isKept, Error& reason);
 };
 
 /** Creates an HTTP/1.1 request; sets Content-Type only if the body is not empty. */
--- a/tests/gateway/answer_check_test.cpp
+++ b/tests/gateway/answer_check_test.cpp
@@ -30,6 +30,8 @@
     EXPECT_EQ(classifyAnswer({ .status = 421, .requestId = "a" }, "a"), AnswerKind::NotRun);
     EXPECT_EQ(classifyAnswer({ .status = 421 }, "a"), AnswerKind::NotRun);
     EXPECT_EQ(classifyAnswer({ .status = 421, .requestId = "b" }, "a"), AnswerKind::Foreign);
+    EXPECT_EQ(classifyAnswer({ .status = 421, .isOnKeptConnection = true }, "a"), AnswerKind::Foreign);
+    EXPECT_EQ(classifyAnswer({ .status = 421, .requestId = "a", .isOnKeptConnection = true }, "a"), AnswerKind::NotRun);
     for (const unsigned status : { 408U, 429U, 503U })
         EXPECT_EQ(classifyAnswer({ .status = status, .requestId = "a" }, "a"), AnswerKind::Unproved) << status;
     EXPECT_EQ(classifyAnswer({ .status = 503, .requestId = "b", .statesNotRun = true }, "a"), AnswerKind::Foreign);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -264,6 +264,24 @@
     }
 }
 
+// Guards against a refusal of an earlier request that a faulty target writes once more on a kept connection: the caller
+// would be told that its request has not run, while the target runs it.
+TEST_F(GatewayTest, TakesNoRepeatedRefusalWithoutAnIdForItsOwn)
+{
+    bool repeatsRefusals = false;
+    this->start(RouteKind::Repeatable, [&repeatsRefusals](int, const auto& request, auto& writer) -> http::Task<void> {
+        auto response = sealedResponse(request);
+        if (repeatsRefusals)
+            response = { .status = 421 };
+        (void)co_await writer.send(std::move(response));
+    });
+    constexpr int requestsToBothTargets = 12;
+    for (int i = 0; i < requestsToBothTargets; ++i)
+        EXPECT_EQ(this->send(callerRequest()).status, 200U);
+    repeatsRefusals = true;
+    EXPECT_EQ(this->send(callerRequest()).status, 502U);
+}
+
 // Guards against missing, duplicated or merged events after a target fails in the middle of an event.
 TEST_F(GatewayTest, ResumesAStreamAtAnotherTarget)
 {
