Pass no error of the next target into a stream that has begun

A stream began and broke off; the next target answered 200 with another content type, or with the text of an error in place of events. Callers got that text in the middle of their stream, or the stream ended as complete although events were missing. A status other than 2xx did not have this effect. A stream whose events have no ids was started again from the beginning, so that the caller got events twice.

A run that continues a stream must have the content type with which it began; each event must consist of fields and have an id if earlier ones had one; a stream without ids is not continued.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -186,6 +186,10 @@
     }
     switch (kind) {
     case AnswerKind::Success:
+        if (this->writer.started() && this->stream->header("Content-Type") != this->events.contentType()) {
+            co_return AttemptResult { .kind = delivery::EventKind::WrongStart,
+                .detail = "the answer is not of the type of the stream that it continues" };
+        }
         if (this->input.route.kind == RouteKind::Stream)
             co_return co_await this->relayEvents();
         co_return co_await this->relayBufferedAnswer(true);
@@ -238,6 +242,7 @@
     this->services.metrics.firstEvent.Observe(
         std::chrono::duration<double> { this->services.clock.now() - this->started }.count());
     const auto head = internal::responseOf(*this->stream);
+    this->events.setContentType(std::string { this->stream->header("Content-Type") });
     co_return co_await this->writer.start(head);
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -148,6 +148,8 @@
     const auto number = plan.attempts() + 1;
     if (this->isBlocked())
         co_return plan.giveUp(RefusalReason::SuspectRequest, progress);
+    if (!this->events.canContinue())
+        co_return plan.giveUp(RefusalReason::CannotResume, progress);
     if (number > 1 && !this->services.dispatcher.allowRetry(this->pool, this->services.clock.now()))
         co_return plan.giveUp(RefusalReason::RetryBudget, progress);
     const auto choice = co_await this->acquireTarget(number);
--- a/tests/gateway/event_sequence_test.cpp
+++ b/tests/gateway/event_sequence_test.cpp
@@ -18,6 +18,28 @@
     EXPECT_EQ(eventId("id: x\n\n"), std::nullopt);
 }
 
+// Guards against the text or the head of an error that is passed on in the middle of a stream.
+TEST(EventSequence, PassesOnOnlyEvents)
+{
+    for (const std::string odd : { "internal error\n\n", "{\"error\":\"x\"}\n\n", "error: x\n\n", "data: error\n\n",
+             "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nid: 1\ndata: x\n\n",
+             "id: 1\nHTTP/1.1 500 x\n\n", "id: 1\n\ndata: x\n\n" }) {
+        EventSequence sequence;
+        ASSERT_EQ(sequence.accept(eventText(0)), EventAction::Forward);
+        EXPECT_EQ(sequence.accept(odd), EventAction::Gap) << odd;
+    }
+    EventSequence sequence;
+    EXPECT_EQ(
+        sequence.accept("chivewinch-weight-versions: 3\nid: 0\nevent: token\ndata: a\ndata\n\n"), EventAction::Forward);
+    EXPECT_EQ(sequence.accept(": still here\n\n"), EventAction::Forward);
+    EXPECT_EQ(sequence.accept(eventText(1)), EventAction::Forward);
+    // A stream without ids may have any number of events, but cannot be continued by another run.
+    EventSequence unnumbered;
+    EXPECT_EQ(unnumbered.accept("data: a\n\n"), EventAction::Forward);
+    EXPECT_EQ(unnumbered.accept("data: b\n\n"), EventAction::Forward);
+    EXPECT_FALSE(unnumbered.canContinue());
+}
+
 // Guards against missing, duplicated or merged events when a stream continues at another target. Covers random
 // interruptions, targets that begin too early or too late, and callers that resume.
 TEST(EventSequence, DeliversEachEventOnceOverAllRuns)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -316,6 +316,49 @@
     EXPECT_EQ(this->sentTo.size(), 2U);
 }
 
+// Guards against an error of the next target that is passed on in the middle of a stream, or ends it as complete.
+TEST_F(GatewayTest, PassesNoErrorOfTheNextTargetIntoAStream)
+{
+    const std::string stream = "text/event-stream";
+    const http::Response errors[] = { { .status = 500, .contentType = stream, .body = "internal error\n\n" },
+        { .status = 503, .contentType = "text/plain", .body = "busy\n\n", .headers = { { "T-Not-Run", "1" } } },
+        { .status = 200, .contentType = "text/plain", .body = "internal error\n\n" },
+        { .status = 200, .contentType = "text/plain" },
+        { .status = 200, .contentType = stream, .body = "internal error\n\n" } };
+    const http::Response* error = nullptr;
+    this->start(RouteKind::Stream, [&](int call, const auto& request, auto& writer) -> http::Task<void> {
+        auto head = sealedResponse(request);
+        if (call % 2 == 0) {
+            auto answer = *error;
+            answer.headers.insert(answer.headers.end(), head.headers.begin(), head.headers.end());
+            (void)co_await writer.send(std::move(answer));
+            co_return;
+        }
+        head.contentType = stream;
+        (void)co_await writer.start(head);
+        (void)co_await writer.write(eventText(0) + eventText(1));
+        writer.abort();
+    });
+    for (const auto& next : errors) {
+        error = &next;
+        const auto response = this->send(callerRequest());
+        EXPECT_EQ(response.status, 200U);
+        EXPECT_EQ(response.body, eventText(0) + eventText(1) + " cut") << next.status << next.contentType << next.body;
+    }
+    EXPECT_EQ(this->sentTo.size(), 2 * std::size(errors));
+}
+
+// Guards against events that a caller gets twice because a stream without ids is started again.
+TEST_F(GatewayTest, DoesNotRestartAStreamWithoutIds)
+{
+    this->start(RouteKind::Stream, [](int, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.start(sealedResponse(request));
+        (void)co_await writer.write("data: a\n\n");
+        writer.abort();
+    });
+    EXPECT_EQ(this->send(callerRequest()).body, "data: a\n\n cut");
+}
+
 // Guards against sending new requests to a target that leaves while the list still shows it as live.
 TEST_F(GatewayTest, SendsNoRequestsToATargetThatReportsLeaving)
 {
