Break off a stream of the own protocol that continues with another head

A stream had begun and broke off; the next engine answered its continuation with an error. The agent passed the error on as the answer, and the entry appended its text to the caller's stream and ended it with [DONE]. An attempt whose status or content type differs from the part that the caller has is a broken stream now, and goes on elsewhere or ends with an error event.

--- a/app/entry/answer_sink.hpp
+++ b/app/entry/answer_sink.hpp
@@ -21,6 +21,11 @@
     {
     }
 
+    /** False if the caller has a part of the answer and an answer with this head cannot be its continuation. */
+    [[nodiscard]] bool canContinueWith(unsigned status, const std::string& contentType) const
+    {
+        return this->isFirst || (status == this->answer.status && contentType == this->answer.contentType);
+    }
     /** Sets the status and content type of the answer; ignored after the first bytes were taken. */
     void setHead(unsigned status, const std::string& contentType);
     /** Streams or buffers the next bytes; returns false if the caller has disconnected. */
--- a/app/entry/attempt.cpp
+++ b/app/entry/attempt.cpp
@@ -149,6 +149,8 @@
         return this->abandon(delivery::EventKind::WrongStart);
     if (verdict != delivery::FrameVerdict::Accepted)
         return std::nullopt;
+    if (!this->context.sink.canContinueWith(head.status(), head.content_type()))
+        return this->abandon(delivery::EventKind::StreamBroken);
     this->context.sink.setHead(head.status(), head.content_type());
     if (head.has_load()) {
         this->context.services.tables.routing.with([&](Routing& routing) {
--- a/app/standin/engine.cpp
+++ b/app/standin/engine.cpp
@@ -224,12 +224,15 @@
     } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
         std::string errorText;
         auto job = this->parse(request, errorText);
-        if (job) {
+        if (job && job->fromToken > 0 && this->faults.failResumed) {
+            response = jsonResponse(500, R"({"error":{"message":"cannot continue the answer"}})");
+        } else if (job) {
             co_await this->generate(std::move(*job), writer);
             co_return;
+        } else {
+            const Json error { { "error", { { "message", errorText }, { "type", "invalid_request_error" } } } };
+            response = jsonResponse(400, error.dump());
         }
-        const Json error { { "error", { { "message", errorText }, { "type", "invalid_request_error" } } } };
-        response = jsonResponse(400, error.dump());
     } else {
         response = jsonResponse(404, R"({"error":{"message":"no such path"}})");
     }
--- a/app/standin/faults.cpp
+++ b/app/standin/faults.cpp
@@ -23,6 +23,7 @@
         { "crash_on", [](Faults& faults, const Json& value) { faults.crashOn = value.get<std::string>(); } },
         { "cut_after_tokens",
             [](Faults& faults, const Json& value) { faults.cutAfterTokens = value.get<std::int64_t>(); } },
+        { "fail_resumed", [](Faults& faults, const Json& value) { faults.failResumed = value.get<bool>(); } },
         { "stall", [](Faults& faults, const Json& value) { faults.stall = value.get<bool>(); } },
     };
     return table;
--- a/app/standin/faults.hpp
+++ b/app/standin/faults.hpp
@@ -15,6 +15,7 @@
     double loseRequests = 0; ///< Share of the requests that have no effect and get no answer.
     std::string crashOn; ///< A request whose body contains this text crashes the stand-in.
     std::int64_t cutAfterTokens = -1; ///< Aborts each answer after this many tokens; -1 disables the fault.
+    bool failResumed = false; ///< A request that continues an earlier answer is answered with 500 and an error text.
     bool stall = false; ///< Generation stops making progress until the fault is cleared.
 
     bool operator==(const Faults&) const = default;
