Divide the connections that a target accepts among all entries

Each entry kept up to four idle connections to each target, whatever the number of entries: with 42 entries 168 at a target that accepts 120, which leaves none for requests. The configuration states the number (maxConns); all entries together keep half of it at most, each an equal part.

--- a/src/gateway/configuration.hpp
+++ b/src/gateway/configuration.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -74,6 +75,8 @@
     std::vector<Team> teams;
     bool hasTeams = false; ///< False if no request needs a key.
     CallerLimits limits;
+    /** Connections that a target accepts from all processes together, by pool; a pool without an entry has no limit. */
+    std::map<std::string, std::uint32_t> targetConnections;
 
     auto operator<=>(const Configuration&) const = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -225,12 +225,14 @@
         const auto version = configuration->version;
         const auto routes = configuration->routes.size();
         const auto limits = configuration->limits;
+        this->connectionLimits = configuration->targetConnections;
         if (!this->snapshots.replaceIfNewer(std::move(*configuration)))
             continue;
         this->callerServer->setLimits({ .maxHeaderBytes = limits.maxHeaderBytes,
             .maxBodyBytes = limits.maxBodyBytes,
             .requestTimeout = limits.headerTimeout,
             .idleTimeout = limits.idleTimeout });
+        this->divideConnections();
         logging::Event { "configuration" }.field("version", version).field("routes", routes).info();
     }
 }
@@ -306,9 +308,15 @@
         return;
     const auto constant = retryConstant(this->options.retries, now);
     this->dispatcher.setRetryConstant(constant);
+    this->divideConnections();
     logging::Event { "retry_share" }.field("entries", now.count).field("constant", constant).info();
 }
 
+void Gateway::divideConnections()
+{
+    this->clients.setConnectionLimits(this->connectionLimits, std::max<std::size_t>(this->position.count, 1));
+}
+
 void Gateway::updateLimitMembers(base::SteadyTime now)
 {
     if (!this->relay || this->peersVersion == this->relay->knownPeers().version())
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -17,6 +17,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -83,6 +84,7 @@
     std::unique_ptr<LimitExchange> limitExchange;
     std::uint64_t peersVersion = 0; ///< Version of the peers among which the request limits are divided.
     SharePosition position; ///< Position among the entries that the relay knows.
+    std::map<std::string, std::uint32_t> connectionLimits; ///< Connections that a target accepts, by pool.
     std::shared_ptr<http::Server> callerServer;
     std::shared_ptr<http::Server> readinessServer;
     std::shared_ptr<http::Server> metricsServer;
@@ -105,6 +107,8 @@
     void advance(base::SteadyTime now);
     /** Updates this entry's part of the retry slack when the number of entries changes. */
     void updateRetryConstant();
+    /** Updates this entry's part of the connections that targets accept. */
+    void divideConnections();
     void updateLimitMembers(base::SteadyTime now);
     void logShareChanges();
     void advanceDrain(base::SteadyTime now);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -181,6 +181,13 @@
 
 Client::~Client() = default;
 
+void Client::setMaxIdleConnections(std::size_t count)
+{
+    this->options.maxIdleConnections = count;
+    if (this->pool->size() > count)
+        this->pool->erase(this->pool->begin(), this->pool->end() - static_cast<std::ptrdiff_t>(count));
+}
+
 Task<std::unique_ptr<beast::tcp_stream>> Client::connect(bool fresh, bool& isKept, Error& reason)
 {
     isKept = true;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -125,6 +125,9 @@
     /** Closes the idle connections, for instance after the process was suspended. */
     void closeIdleConnections() noexcept { this->pool->clear(); }
 
+    /** Changes the number of idle connections that are kept; closes the oldest ones beyond it. */
+    void setMaxIdleConnections(std::size_t count);
+
     [[nodiscard]] const ClientOptions& clientOptions() const noexcept { return this->options; }
 
 private:
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -16,7 +16,7 @@
 "kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"gapTargetMs":120,"priority":1,"weightedBackends":[{"service":"s","weight":90},
 {"service":"u","weight":10}],"maxAttempts":2,"noAuth":false,"sticky":true,"resumeStreams":true,"gapTargetMs":120},
 {"name":"q","hostname":"h.example","prefix":"/b/","kind":"never heard of","service":"s"}],
-"services":[{"name":"s","healthPath":"/health","engine":{"slots":12,"sets":4,"experts":64,"placements":5,"spare":2}}],
+"services":[{"name":"s","healthPath":"/health","maxConns":178,"engine":{"slots":12,"sets":4,"experts":64,"placements":5,"spare":2}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1}]})";
 
@@ -42,6 +42,7 @@
     EXPECT_EQ(configuration->teams.front().keys, (std::vector<std::string> { "k1", "k2" }));
     EXPECT_TRUE(configuration->hasTeams);
     EXPECT_EQ(configuration->limits.idleTimeout, 15s);
+    EXPECT_EQ(configuration->targetConnections, (std::map<std::string, std::uint32_t> { { "s", 178 } }));
 }
 
 // Guards against requests of an unknown kind that are repeated.
