Bound the connections, processor time and memory of the exchange of strikes

Each entry compared strikes with a random other one each second, which would keep a connection between each pair of 98 entries; it computed the digest of all strikes for each message; and an entry without peers kept what it could not send. Comparisons go to six peers, the digest is kept until a strike changes, and nothing is kept for peers that do not exist. Found on rereading, not measured.

--- a/src/suspect/shared_strikes.cpp
+++ b/src/suspect/shared_strikes.cpp
@@ -48,15 +48,40 @@
     return quota::chooseOwners(std::to_string(fingerprint), {}, this->reachableMembers(), count);
 }
 
-std::optional<std::string> SharedStrikes::randomPeer()
+std::vector<quota::Member> SharedStrikes::reachablePeers() const
 {
     auto reachable = this->reachableMembers();
     std::erase_if(reachable, [this](const auto& member) { return member.instance == this->options.instance; });
+    return reachable;
+}
+
+std::optional<std::string> SharedStrikes::randomPeer()
+{
+    const auto reachable = this->reachablePeers();
     if (reachable.empty())
         return std::nullopt;
     return reachable[this->random.below(reachable.size())].instance;
 }
 
+std::optional<std::string> SharedStrikes::comparePeer()
+{
+    // Each process has others, so that all of them are connected through a few steps.
+    const auto peers
+        = quota::chooseOwners(this->options.instance, {}, this->reachablePeers(), this->options.comparePeers);
+    if (peers.empty())
+        return std::nullopt;
+    return peers[this->random.below(peers.size())];
+}
+
+std::uint64_t SharedStrikes::digest() const
+{
+    if (this->digestVersion != this->table.version()) {
+        this->knownDigest = this->table.digest(this->options.crashesToSpread);
+        this->digestVersion = this->table.version();
+    }
+    return this->knownDigest;
+}
+
 void SharedStrikes::recordCrash(
     std::uint64_t fingerprint, const base::TargetId& target, base::Incarnation incarnation, bool isTrial)
 {
@@ -70,7 +95,7 @@
 
 void SharedStrikes::recordChanges(std::span<const Strike> changed, bool isOwn)
 {
-    if (!this->options.share)
+    if (!this->options.share || this->members.size() < 2)
         return;
     for (const auto& strike : changed) {
         if (this->table.knownCrashes(strike.fingerprint) >= this->options.crashesToSpread)
@@ -129,7 +154,7 @@
     this->forgetDonePending();
     if (!outgoing)
         return std::nullopt;
-    outgoing->message.digest = this->table.digest(this->options.crashesToSpread);
+    outgoing->message.digest = this->digest();
     outgoing->message.wantsAll = !this->hasCompared || this->differences >= this->options.differencesToRequestAll;
     return outgoing;
 }
@@ -192,7 +217,7 @@
     this->nextComparison = this->clock.now()
         + std::chrono::round<std::chrono::milliseconds>(
             std::chrono::duration<double> { this->options.comparePause } * factor);
-    auto peer = this->randomPeer();
+    auto peer = this->comparePeer();
     if (!peer)
         return std::nullopt;
     return Outgoing { .instance = std::move(*peer) };
@@ -208,7 +233,7 @@
     }
     this->recordChanges(this->table.merge(answer.strikes), false);
     this->hasCompared = true;
-    const bool isEqual = answer.digest == this->table.digest(this->options.crashesToSpread);
+    const bool isEqual = answer.digest == this->digest();
     this->differences = isEqual || outgoing.message.wantsAll ? 0 : this->differences + 1;
 }
 
@@ -228,7 +253,7 @@
 StrikeMessage SharedStrikes::answer(const StrikeMessage& message)
 {
     this->recordChanges(this->table.merge(message.strikes), false);
-    StrikeMessage reply { .digest = this->table.digest(this->options.crashesToSpread) };
+    StrikeMessage reply { .digest = this->digest() };
     if (message.wantsAll && reply.digest != message.digest)
         reply.strikes = this->table.reportsWith(this->options.crashesToSpread, this->options.maxAllStrikes);
     if (message.trial && message.returnsTrial) {
@@ -263,9 +288,7 @@
 
 StrikeMessage SharedStrikes::trialRequest(std::uint64_t fingerprint)
 {
-    return { .digest = this->table.digest(this->options.crashesToSpread),
-        .strikes = this->table.reportsOf(fingerprint),
-        .trial = fingerprint };
+    return { .digest = this->digest(), .strikes = this->table.reportsOf(fingerprint), .trial = fingerprint };
 }
 
 bool SharedStrikes::grantTrial(std::uint64_t fingerprint)
--- a/src/suspect/shared_strikes.hpp
+++ b/src/suspect/shared_strikes.hpp
@@ -33,6 +33,8 @@
     std::size_t maxAllStrikes = 512; ///< In the answer to a process that asks for all.
     /** Pause between two comparisons with another process, which find what got lost. */
     std::chrono::milliseconds comparePause { 1'000 };
+    /** Processes with which this process compares, so that the number of connections does not grow with all of them. */
+    std::size_t comparePeers = 6;
     /** Consecutive differing comparisons after which all strikes are requested. */
     std::uint32_t differencesToRequestAll = 2;
     /** Time for which a process that has not answered gets no messages. */
@@ -112,12 +114,18 @@
     std::map<std::uint64_t, base::SteadyTime> trialsGranted;
     base::SteadyTime nextComparison {};
     std::uint32_t differences = 0;
+    mutable std::optional<std::uint64_t> digestVersion; ///< Version of the table to which knownDigest applies.
+    mutable std::uint64_t knownDigest = 0;
     bool hasCompared = false;
 
     [[nodiscard]] bool isReachable(const std::string& instance) const;
     [[nodiscard]] std::vector<quota::Member> reachableMembers() const;
     [[nodiscard]] std::vector<std::string> chooseMembers(std::uint64_t fingerprint, std::size_t count) const;
+    [[nodiscard]] std::vector<quota::Member> reachablePeers() const;
     [[nodiscard]] std::optional<std::string> randomPeer();
+    [[nodiscard]] std::optional<std::string> comparePeer();
+    /** Digest of the strikes that all processes should know. */
+    [[nodiscard]] std::uint64_t digest() const;
     void recordChanges(std::span<const Strike> changed, bool isOwn);
     void spreadFingerprint(std::uint64_t fingerprint);
     void addCollectors(Pending& item, std::uint64_t fingerprint) const;
--- a/src/suspect/strike_table.cpp
+++ b/src/suspect/strike_table.cpp
@@ -93,6 +93,7 @@
         entry.cleared = true;
         cleared.push_back(this->reportOf(fingerprint, entry).strike);
     }
+    this->changes += cleared.size();
     return cleared;
 }
 
@@ -119,6 +120,7 @@
         same->reports = isNewlyCleared ? 0 : same->reports;
         same->cleared = same->cleared || cleared;
         same->at = std::min(same->at, at);
+        this->changes += isNewlyCleared ? 1 : 0;
         return isNewlyCleared;
     }
     entries.push_back({ .target = strike.target,
@@ -128,6 +130,7 @@
         .cleared = cleared,
         .trial = report.trial });
     ++this->total;
+    ++this->changes;
     if (this->total > this->options.maxStrikes)
         this->evict();
     return true;
@@ -140,7 +143,9 @@
     this->nextPurge = this->clock.now() + this->options.expiry / internal::purgesPerExpiry;
     for (auto item = this->byFingerprint.begin(); item != this->byFingerprint.end();) {
         auto& entries = item->second;
-        this->total -= std::erase_if(entries, [this](const Entry& entry) { return this->isRemovable(entry); });
+        const auto removed = std::erase_if(entries, [this](const Entry& entry) { return this->isRemovable(entry); });
+        this->total -= removed;
+        this->changes += removed;
         item = entries.empty() ? this->byFingerprint.erase(item) : std::next(item);
     }
 }
--- a/src/suspect/strike_table.hpp
+++ b/src/suspect/strike_table.hpp
@@ -87,6 +87,8 @@
     [[nodiscard]] StrikeList reportsWith(std::size_t crashes, std::size_t maxReports) const;
     /** Hash of the strikes that reportsWith would return without a limit; equal if they are. */
     [[nodiscard]] std::uint64_t digest(std::size_t crashes) const;
+    /** Changes whenever a strike is added, cleared or removed. */
+    [[nodiscard]] std::uint64_t version() const noexcept { return this->changes; }
     [[nodiscard]] std::size_t size() const noexcept { return this->total; }
     /** Strikes dropped because the table was full. */
     [[nodiscard]] std::uint64_t evictions() const noexcept { return this->evicted; }
@@ -123,6 +125,7 @@
     std::size_t total = 0;
     std::uint64_t evicted = 0;
     std::uint64_t recordedCrashes = 0;
+    std::uint64_t changes = 0;
     base::SteadyTime nextPurge;
 };
 
