--- a/src/wire/parse.hpp
+++ b/src/wire/parse.hpp
@@ -30,6 +30,8 @@
     {
     }
 
+    // The parser calls these functions by their names.
+    // NOLINTBEGIN(readability-identifier-naming)
     bool start_object(std::size_t length) { return ++this->depth <= maxNesting && Base::start_object(length); }
     bool start_array(std::size_t length) { return ++this->depth <= maxNesting && Base::start_array(length); }
     bool end_object()
@@ -42,6 +44,7 @@
         --this->depth;
         return Base::end_array();
     }
+    // NOLINTEND(readability-identifier-naming)
 
 private:
     std::size_t depth = 0;
