End a trial only by its own result, and limit trials to three

Second attempts that had started before the block fell silent too, and their strikes counted as the result of a running trial, so that another one was granted 1.1 s later; and four trials are too many where each crash is noticed late. The granter compares the number of failed trials now, and there are three of them. ACrashOfAnotherRunDoesNotEndATrial guards the first.

--- a/src/suspect/shared_strikes.cpp
+++ b/src/suspect/shared_strikes.cpp
@@ -138,7 +138,7 @@
 {
     std::erase_if(this->spread, [this](const auto& item) { return !this->table.find(item.first); });
     std::erase_if(this->trialsGranted,
-        [this](const auto& item) { return this->clock.now() - item.second >= this->options.trialTime; });
+        [this](const auto& item) { return this->clock.now() - item.second.at >= this->options.trialTime; });
     std::erase_if(this->unreachableUntil, [this](const auto& item) { return this->clock.now() >= item.second; });
 }
 
@@ -297,12 +297,13 @@
     const auto due = this->trialAt(fingerprint);
     if (!due || now < *due)
         return false;
-    const auto [granted, isNew] = this->trialsGranted.try_emplace(fingerprint, now);
-    const auto last = this->table.lastStrike(fingerprint);
-    const bool hasFailed = last && *last > granted->second;
-    if (!isNew && !hasFailed && now - granted->second < this->options.trialTime)
+    // Other runs of the fingerprint may have ended with a crash since then; only the trial itself shows its result.
+    const auto failed = this->table.failedTrials(fingerprint);
+    const auto [granted, isNew] = this->trialsGranted.try_emplace(fingerprint, GrantedTrial { now, failed });
+    const bool isRunning = granted->second.failedBefore == failed && now - granted->second.at < this->options.trialTime;
+    if (!isNew && isRunning)
         return false;
-    granted->second = now;
+    granted->second = { now, failed };
     return true;
 }
 
--- a/src/suspect/shared_strikes.hpp
+++ b/src/suspect/shared_strikes.hpp
@@ -40,8 +40,8 @@
     /** Time for which a process that has not answered gets no messages. */
     std::chrono::milliseconds unreachableTime { 2'000 };
     /** Wait from the last crash of a blocked fingerprint to its first, second, ... trial; there are no more. */
-    std::array<std::chrono::milliseconds, 4> trialDelays { std::chrono::milliseconds { 1'000 },
-        std::chrono::milliseconds { 1'500 }, std::chrono::milliseconds { 4'000 }, std::chrono::milliseconds { 4'000 } };
+    std::array<std::chrono::milliseconds, 3> trialDelays { std::chrono::milliseconds { 1'000 },
+        std::chrono::milliseconds { 1'500 }, std::chrono::milliseconds { 4'000 } };
     /** Time after a trial was granted until another one is, if the first has had no result. */
     std::chrono::nanoseconds trialTime { std::chrono::seconds { 10 } };
     /** Off: each process counts the crashes that it has seen itself. */
@@ -111,7 +111,12 @@
     std::map<Strike, Pending> pending;
     std::map<Strike, bool> spread; ///< Strikes that were made known to all, with the state that was made known.
     std::map<std::string, base::SteadyTime> unreachableUntil;
-    std::map<std::uint64_t, base::SteadyTime> trialsGranted;
+    struct GrantedTrial {
+        base::SteadyTime at {};
+        std::size_t failedBefore = 0; ///< Trials that had failed when it was granted.
+    };
+
+    std::map<std::uint64_t, GrantedTrial> trialsGranted;
     base::SteadyTime nextComparison {};
     std::uint32_t differences = 0;
     mutable std::optional<std::uint64_t> digestVersion; ///< Version of the table to which knownDigest applies.
--- a/tests/suspect/shared_strikes_test.cpp
+++ b/tests/suspect/shared_strikes_test.cpp
@@ -172,6 +172,25 @@
     EXPECT_TRUE(shared.grantTrial(8));
 }
 
+// Guards against a second trial beside one whose target has fallen silent, which is noticed late: a strike of an
+// earlier run counted as the result of the trial.
+TEST(SharedStrikesTest, ACrashOfAnotherRunDoesNotEndATrial)
+{
+    base::ManualClock clock;
+    base::SeededRandom random { 5 };
+    StrikeTable table { clock, { .strikesToBlock = 3, .restartTime = 250ms, .completionProves = true } };
+    SharedStrikes shared { clock, random, table, { .instance = "a" } };
+    shared.setMembers({ { "a", "z" } });
+    for (const auto* target : { "t1", "t2", "t3" })
+        shared.recordCrash(8, target, base::Incarnation { 1 }, false);
+    clock.advance(1s);
+    ASSERT_TRUE(shared.grantTrial(8));
+    clock.advance(100ms);
+    shared.recordCrash(8, "t4", base::Incarnation { 1 }, false);
+    clock.advance(1s);
+    EXPECT_FALSE(shared.grantTrial(8));
+}
+
 // Guards against messages of other writers that end the process or are misread.
 TEST(StrikeMessageTest, RejectsWhatIsNoMessage)
 {
