Avoid targets only for requests with strikes of two crashes

When a group breaks, most requests get one strike; they then avoided the targets that ran other ones, and went to worse targets.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -113,11 +113,18 @@
     return std::max(std::chrono::ceil<std::chrono::milliseconds>(due - now), shortest);
 }
 
+bool CrashGuard::isSuspect(std::uint64_t fingerprint) const
+{
+    // A single crash says little: all requests that were running on the target have a strike of it.
+    constexpr std::size_t minCrashes = 2;
+    return this->table.strikeCount(fingerprint) >= minCrashes;
+}
+
 std::vector<base::TargetId> CrashGuard::targetsToAvoid(std::uint64_t fingerprint) const
 {
+    if (!this->isSuspect(fingerprint))
+        return {};
     auto avoided = this->table.struckTargets(fingerprint);
-    if (avoided.empty())
-        return avoided;
     for (const auto& [target, fingerprints] : this->running) {
         const auto isOther = [fingerprint](auto other) { return other != fingerprint; };
         if (std::ranges::any_of(fingerprints, isOther))
@@ -128,7 +135,7 @@
 
 void CrashGuard::started(std::uint64_t fingerprint, const base::TargetId& target)
 {
-    if (this->table.verdict(fingerprint) != suspect::Verdict::Normal)
+    if (this->isSuspect(fingerprint))
         this->running[target].push_back(fingerprint);
 }
 
--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -56,8 +56,8 @@
     [[nodiscard]] std::chrono::milliseconds retryAfter(std::uint64_t fingerprint) const;
 
     /**
-     * Targets that an attempt should avoid: for a fingerprint with strikes, those that it may have crashed and those
-     * that run another one with strikes.
+     * Targets that an attempt should avoid: for a fingerprint with strikes of two crashes or more, those that it may
+     * have crashed and those that run another such one.
      */
     [[nodiscard]] std::vector<base::TargetId> targetsToAvoid(std::uint64_t fingerprint) const;
     void started(std::uint64_t fingerprint, const base::TargetId& target);
@@ -82,6 +82,7 @@
     std::unique_ptr<StrikeExchange> exchange;
     std::unordered_map<base::TargetId, std::vector<std::uint64_t>> running; ///< Fingerprints with strikes by target.
 
+    [[nodiscard]] bool isSuspect(std::uint64_t fingerprint) const;
     void sendNews();
 };
 
