--- a/tests/suspect/shared_strikes_test.cpp
+++ b/tests/suspect/shared_strikes_test.cpp
@@ -154,41 +154,40 @@
     EXPECT_GE(trials, 1U);
 }
 
-// Guards against a harmless fingerprint that stays blocked because its first trial died beside another one.
-TEST(SharedStrikesTest, TheNextTrialDoesNotWaitForOneThatHasFailed)
-{
+/** A fingerprint that three crashes block and that has been granted a trial 100 ms ago. */
+class RunningTrialTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        this->shared.setMembers({ { "a", "z" } });
+        for (const auto* target : { "t1", "t2", "t3" })
+            this->shared.recordCrash(8, target, base::Incarnation { 1 }, false);
+        this->clock.advance(1s);
+        ASSERT_TRUE(this->shared.grantTrial(8));
+        this->clock.advance(100ms);
+    }
+
     base::ManualClock clock;
     base::SeededRandom random { 5 };
-    StrikeTable table { clock, { .strikesToBlock = 3, .restartTime = 250ms, .completionProves = true } };
-    SharedStrikes shared { clock, random, table, { .instance = "a" } };
-    shared.setMembers({ { "a", "z" } });
-    for (const auto* target : { "t1", "t2", "t3" })
-        shared.recordCrash(8, target, base::Incarnation { 1 }, false);
-    clock.advance(1s);
-    ASSERT_TRUE(shared.grantTrial(8));
-    clock.advance(100ms);
-    shared.recordCrash(8, "t4", base::Incarnation { 1 }, true);
-    clock.advance(1'500ms);
-    EXPECT_TRUE(shared.grantTrial(8));
+    StrikeTable table { this->clock, { .strikesToBlock = 3, .restartTime = 250ms, .completionProves = true } };
+    SharedStrikes shared { this->clock, this->random, this->table, { .instance = "a" } };
+};
+
+// Guards against a harmless fingerprint that stays blocked because its first trial died beside another one.
+TEST_F(RunningTrialTest, TheNextTrialDoesNotWaitForOneThatHasFailed)
+{
+    this->shared.recordCrash(8, "t4", base::Incarnation { 1 }, true);
+    this->clock.advance(1'500ms);
+    EXPECT_TRUE(this->shared.grantTrial(8));
 }
 
 // Guards against a second trial beside one whose target has fallen silent, which is noticed late: a strike of an
 // earlier run counted as the result of the trial.
-TEST(SharedStrikesTest, ACrashOfAnotherRunDoesNotEndATrial)
+TEST_F(RunningTrialTest, ACrashOfAnotherRunDoesNotEndATrial)
 {
-    base::ManualClock clock;
-    base::SeededRandom random { 5 };
-    StrikeTable table { clock, { .strikesToBlock = 3, .restartTime = 250ms, .completionProves = true } };
-    SharedStrikes shared { clock, random, table, { .instance = "a" } };
-    shared.setMembers({ { "a", "z" } });
-    for (const auto* target : { "t1", "t2", "t3" })
-        shared.recordCrash(8, target, base::Incarnation { 1 }, false);
-    clock.advance(1s);
-    ASSERT_TRUE(shared.grantTrial(8));
-    clock.advance(100ms);
-    shared.recordCrash(8, "t4", base::Incarnation { 1 }, false);
-    clock.advance(1s);
-    EXPECT_FALSE(shared.grantTrial(8));
+    this->shared.recordCrash(8, "t4", base::Incarnation { 1 }, false);
+    this->clock.advance(1s);
+    EXPECT_FALSE(this->shared.grantTrial(8));
 }
 
 // Guards against messages of other writers that end the process or are misread.
@@ -214,6 +213,7 @@
             (void)decodeStrikeMessage(changed);
         }
     }
+    EXPECT_FALSE(decodeStrikeMessage(std::string(1'000'000, '\x81')));
 }
 
 } // namespace chivewinch::suspect
