Log which entry clears strikes, and the granter and the state of a trial

The logs could not tell a block that a completed run lifts from trials that use up the bound: they did not state when and by whom strikes are cleared, nor how many trials had failed when one was granted. No decision changes.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -75,13 +75,16 @@
     if (!due || this->clock.now() < *due)
         co_return CrashVerdict::Blocked;
     std::optional<bool> isGranted;
+    std::string answeredBy;
     for (const auto& granter : this->shared.trialGranters(fingerprint)) {
         if (granter == this->instance)
             isGranted = this->shared.grantTrial(fingerprint);
         else if (this->exchange)
             isGranted = co_await this->exchange->requestTrial(granter, fingerprint);
-        if (isGranted)
+        if (isGranted) {
+            answeredBy = granter;
             break;
+        }
     }
     // The answer can show that the fingerprint has completed a run elsewhere.
     if (!this->isBlocked(fingerprint))
@@ -89,7 +92,9 @@
     logging::Event { "trial" }
         .field("fingerprint", suspect::fingerprintText(fingerprint))
         .field("granted", isGranted.value_or(false))
-        .field("answered", isGranted.has_value())
+        .field("granter", answeredBy)
+        .field("strikes", this->strikeCount(fingerprint))
+        .field("failed", this->table.failedTrials(fingerprint))
         .info();
     co_return isGranted.value_or(false) ? CrashVerdict::Trial : CrashVerdict::Blocked;
 }
@@ -153,7 +158,12 @@
 
 void CrashGuard::recordCompletion(std::uint64_t fingerprint)
 {
-    this->shared.recordCompletion(fingerprint);
+    if (const auto cleared = this->shared.recordCompletion(fingerprint); cleared > 0) {
+        logging::Event { "strikes_cleared" }
+            .field("fingerprint", suspect::fingerprintText(fingerprint))
+            .field("strikes", cleared)
+            .info();
+    }
     this->sendNews();
 }
 
--- a/src/suspect/shared_strikes.cpp
+++ b/src/suspect/shared_strikes.cpp
@@ -88,9 +88,11 @@
     this->recordChanges(this->table.recordCrash(target, incarnation, { &fingerprint, 1 }, isTrial), true);
 }
 
-void SharedStrikes::recordCompletion(std::uint64_t fingerprint)
+std::size_t SharedStrikes::recordCompletion(std::uint64_t fingerprint)
 {
-    this->recordChanges(this->table.recordCompletion(fingerprint), true);
+    const auto cleared = this->table.recordCompletion(fingerprint);
+    this->recordChanges(cleared, true);
+    return cleared.size();
 }
 
 void SharedStrikes::recordChanges(std::span<const Strike> changed, bool isOwn)
--- a/src/suspect/shared_strikes.hpp
+++ b/src/suspect/shared_strikes.hpp
@@ -73,8 +73,8 @@
 
     void recordCrash(
         std::uint64_t fingerprint, const base::TargetId& target, base::Incarnation incarnation, bool isTrial);
-    /** Records that a target has run the fingerprint to an end. */
-    void recordCompletion(std::uint64_t fingerprint);
+    /** Records that a target has run the fingerprint to an end. Returns the number of strikes that this clears. */
+    std::size_t recordCompletion(std::uint64_t fingerprint);
 
     /** The next message to send; nullopt if there is none now. */
     [[nodiscard]] std::optional<Outgoing> next();
