--- a/tests/platform/processes/crashing_request_test.py
+++ b/tests/platform/processes/crashing_request_test.py
@@ -26,7 +26,7 @@
         self.random = random.Random(seed)
         self.ids = itertools.count(1)
         self.lock = threading.Lock()
-        self.served, self.unserved, self.statuses = 0, [], {}
+        self.served, self.unserved, self.statuses, self.equal = 0, [], {}, {}
         self.entry_of = {}  # by request
         self.threads = []
 
@@ -44,20 +44,29 @@
             self.entry_of[request] = entry
             return entry, request
 
-    def send_crashing(self, body, pause):
+    def send_crashing(self, body, pause, method="POST"):
         while time.monotonic() < self.end:
             entry, request = self.next_try()
-            status, retry_after = self.site.send(entry, body() if callable(body) else body, request)
+            status, retry_after = self.site.send(entry, body() if callable(body) else body, request, method=method)
             with self.lock:
                 self.statuses[status] = self.statuses.get(status, 0) + 1
             time.sleep(max(pause, min(retry_after, 1.0)))
 
-    def send_harmless(self, body, team="team-a"):
+    def send_equal(self):
+        """Sends what the crashing request cannot be told from, but crashes no engine; it may be refused like it."""
+        while time.monotonic() < self.end:
+            entry, request = self.next_try()
+            status, retry_after = self.site.send(entry, "equal", request, method="GET")
+            with self.lock:
+                self.equal[status] = self.equal.get(status, 0) + 1
+            time.sleep(max(0.05, min(retry_after, 1.0)))
+
+    def send_harmless(self, body, team="team-a", method="POST"):
         while time.monotonic() < self.end:
             text, started = body() if callable(body) else body, time.monotonic()
             while True:
                 entry, request = self.next_try()
-                status, retry_after = self.site.send(entry, text, request, team)
+                status, retry_after = self.site.send(entry, text, request, team, method=method)
                 if status == STATUS_OK:
                     with self.lock:
                         self.served += 1
@@ -77,9 +86,9 @@
     callers.start(callers.send_harmless, "popular", "team-b")
 
 
-def retries_after_third_crash(site, callers, prefix):
+def retries_after_third_crash(site, callers, prefix, event="arrived"):
     """Arrivals from entries in contact, later than the contact time after the third crash; the number of crashes."""
-    crashes, arrivals = site.journal("ends", prefix), site.journal("arrived", prefix)
+    crashes, arrivals = site.journal("ends", prefix), site.journal(event, prefix)
     if len(crashes) < CRASHES:
         return [], len(crashes)
     third = crashes[CRASHES - 1][0]
@@ -105,21 +114,33 @@
         freeze.join()
 
 
-def run(arguments, folder, body, restart_seconds, seconds, list_delay=0, bodies_change=False,
-        entries_change=False):
+def start_crashing(callers, body, bodies_change, equal_complete):
+    if equal_complete:
+        callers.start(callers.send_crashing, body, 0.1, "GET")
+        for _ in range(2):
+            callers.start(callers.send_equal)
+        callers.start(callers.send_harmless, "equal", "team-b", "GET")
+        return
+    numbers = itertools.count(1)
+    for _ in range(3):
+        callers.start(callers.send_crashing, (lambda: f"{body} {next(numbers)}") if bodies_change else body, 0.1)
+
+
+def run(arguments, folder, body, restart_seconds, seconds, list_delay=0, bodies_change=False, entries_change=False,
+        equal_complete=False):
     with Site(arguments.binaries, folder, arguments.entries, arguments.engines, restart_seconds, list_delay) as site:
         callers = Callers(site, arguments.seed, time.monotonic() + seconds)
         start_harmless(callers)
-        numbers = itertools.count(1)
-        for _ in range(3):
-            callers.start(callers.send_crashing, (lambda: f"{body} {next(numbers)}") if bodies_change else body, 0.1)
+        start_crashing(callers, body, bodies_change, equal_complete)
         if entries_change:
             callers.start(disturb_entries, callers)
         callers.join()
-        late, crashes = retries_after_third_crash(site, callers, body)
+        # Of a request that crashes only some of its runs, the runs that crash count.
+        late, crashes = retries_after_third_crash(site, callers, body, "ends" if body == "partly" else "arrived")
         print(f"seed {arguments.seed}: {crashes} crashes, {len(late)} retries reached engines later than "
               f"{site.contact_ms} ms after the third; answers to the crashing request {callers.statuses}; "
-              f"{callers.served} harmless requests served, {len(callers.unserved)} not")
+              f"{callers.served} harmless requests served, {len(callers.unserved)} not"
+              + (f"; answers to equal requests {callers.equal}" if equal_complete else ""))
         failures = [f"harmless request not served: {item}" for item in callers.unserved]
         if crashes < CRASHES:
             failures.append("the request has not crashed enough engines to check the rule")
@@ -139,6 +160,12 @@
     "restarts_unlisted": {"body": "crash", "restart_seconds": 0.3, "seconds": 16, "list_delay": 5.0},
     # Entries restart, freeze and join meanwhile; the rule excuses each of them for the contact time.
     "entries_change": {"body": "crash", "restart_seconds": 1.0, "seconds": 20, "entries_change": True},
+    # Other callers of the team send equal requests, which complete, beside the one that crashes engines.
+    "equal_requests": {"body": "crash", "restart_seconds": 2.0, "seconds": 20, "equal_complete": True},
+    "equal_requests_entries_change": {"body": "crash", "restart_seconds": 1.0, "seconds": 20, "equal_complete": True,
+                                      "entries_change": True},
+    # The request crashes the engine in some of its runs only.
+    "some_runs": {"body": "partly", "restart_seconds": 2.0, "seconds": 20},
     # Each crashing request has another body, so that none can be blocked; all other requests must still be served.
     "changing_bodies": {"body": "crash", "restart_seconds": 1.0, "seconds": 12, "bodies_change": True},
 }
--- a/tests/platform/processes/engine.py
+++ b/tests/platform/processes/engine.py
@@ -8,8 +8,11 @@
 import signal
 import threading
 import time
+import zlib
 
-CRASH, SILENCE = b"crash", b"silence"
+CRASH, SILENCE, PARTLY = b"crash", b"silence", b"partly"
+# One in this many runs of a request that crashes only some of its runs does so.
+PARTLY_SHARE = 4
 
 
 class Journal:
@@ -30,13 +33,17 @@
 
         def do_POST(self):
             body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+            # Requests without a body say in a header field, which is no part of what makes them equal, what they do.
+            body = body or self.headers.get("X-Run", "").encode()
             request = self.headers.get("Chivewinch-Request-Id", "")
             expected = self.headers.get("Chivewinch-Expect-Instance", arguments.id)
             if expected != arguments.id:
                 self.answer(421, b"", request, {"Chivewinch-Not-Executed": "1"})
                 return
             journal.add("arrived", request, body)
-            if body.startswith(CRASH):
+            is_crash = body.startswith(CRASH) or (
+                body.startswith(PARTLY) and zlib.crc32(request.encode()) % PARTLY_SHARE == 0)
+            if is_crash:
                 journal.add("ends", request, body)
                 os._exit(1)
             if body.startswith(SILENCE):
--- a/tests/platform/processes/site_processes.py
+++ b/tests/platform/processes/site_processes.py
@@ -164,13 +164,19 @@
         except (OSError, http.client.HTTPException):
             return False
 
-    def send(self, number, body, request_id, team="team-a", path="/calls/x", timeout=6):
-        """Status and Retry-After, in seconds, of the answer of one entry; STATUS_NONE if there was no answer."""
+    def send(self, number, body, request_id, team="team-a", path="/calls/x", timeout=6, method="POST"):
+        """
+        Status and Retry-After, in seconds, of the answer of one entry; STATUS_NONE if there was no answer. A GET has no
+        body; what it does at the engine is sent in a header field.
+        """
         connection = http.client.HTTPConnection(f"{self.network}.{number + 1}", 8227, timeout=timeout)
         try:
-            connection.request("POST", path, body, {"Host": "h", "X-Api-Key": TEAMS[team],
-                                                    "Chivewinch-Request-Id": request_id,
-                                                    "Chivewinch-Deadline-Ms": "4000"})
+            fields = {"Host": "h", "X-Api-Key": TEAMS[team], "Chivewinch-Request-Id": request_id,
+                      "Chivewinch-Deadline-Ms": "4000"}
+            if method == "GET":
+                connection.request(method, path, None, fields | {"X-Run": body})
+            else:
+                connection.request(method, path, body, fields)
             response = connection.getresponse()
             response.read()
             return response.status, float(response.getheader("Retry-After", 0))
--- a/tests/suspect/shared_strikes_test.cpp
+++ b/tests/suspect/shared_strikes_test.cpp
@@ -154,6 +154,82 @@
     EXPECT_GE(trials, 1U);
 }
 
+/** The two processes that grant trials of a fingerprint that three crashes block; they do not reach each other. */
+class GrantersTest : public testing::Test {
+protected:
+    static constexpr std::uint64_t fingerprint = 8;
+
+    struct Granter {
+        std::unique_ptr<StrikeTable> table;
+        std::unique_ptr<SharedStrikes> shared;
+    };
+
+    void SetUp() override
+    {
+        for (const auto* name : { "a", "b" })
+            this->granters.push_back(this->start(name));
+        this->clock.advance(1min);
+        for (auto& granter : this->granters)
+            for (const auto* target : { "t1", "t2", "t3" })
+                granter.shared->recordCrash(fingerprint, target, base::Incarnation { 1 }, false);
+        this->clock.advance(1s);
+    }
+
+    [[nodiscard]] Granter start(const std::string& name)
+    {
+        Granter granter { .table
+            = std::make_unique<StrikeTable>(this->clock,
+                StrikeOptions { .expiry = 1h, .strikesToBlock = CrashRule::crashes, .restartTime = 250ms }) };
+        granter.shared = std::make_unique<SharedStrikes>(
+            this->clock, this->random, *granter.table, SharedStrikesOptions { .instance = name });
+        granter.shared->setMembers({ { "a", "z" }, { "b", "z" } });
+        return granter;
+    }
+
+    /** Runs each trial that is granted within the time; all of them crash their target. Returns their number. */
+    [[nodiscard]] std::size_t runTrials(Granter& granter, std::chrono::seconds time)
+    {
+        std::size_t granted = 0;
+        for (auto passed = 0s; passed < time; passed += 1s) {
+            this->clock.advance(1s);
+            if (!granter.shared->grantTrial(fingerprint))
+                continue;
+            ++granted;
+            granter.shared->recordCrash(fingerprint, "t" + std::to_string(3 + granted), base::Incarnation { 2 }, true);
+        }
+        return granted;
+    }
+
+    base::ManualClock clock;
+    base::SeededRandom random { 5 };
+    std::vector<Granter> granters;
+};
+
+// Guards against two granters without contact that each grant all trials that the bound allows.
+TEST_F(GrantersTest, KeepTheBoundTogetherWithoutContact)
+{
+    std::size_t granted = 0;
+    for (auto& granter : this->granters)
+        granted += this->runTrials(granter, 60s);
+    EXPECT_LE(granted, CrashRule::allowedRetries);
+    EXPECT_GE(granted, 1U);
+}
+
+// Guards against a granter that has restarted and grants a trial beside the one that it granted before.
+TEST_F(GrantersTest, GrantNoTrialBesideOneOfBeforeARestart)
+{
+    for (auto& granter : this->granters) {
+        ASSERT_TRUE(granter.shared->grantTrial(fingerprint));
+        const auto known = granter.table->reportsOf(fingerprint);
+        auto restarted = this->start(&granter == &this->granters.front() ? "a" : "b");
+        (void)restarted.table->merge(known);
+        this->clock.advance(2s);
+        EXPECT_FALSE(restarted.shared->grantTrial(fingerprint));
+        this->clock.advance(SharedStrikesOptions {}.trialTime);
+        EXPECT_TRUE(restarted.shared->grantTrial(fingerprint));
+    }
+}
+
 /** A fingerprint that three crashes block and that has been granted a trial 100 ms ago. */
 class RunningTrialTest : public testing::Test {
 protected:
