Let only trials lift the block of a request that crashes targets, and bound their failures

Callers saw engines end again and again under one request although it was blocked: any run of its fingerprint that a target answered, also with a 500, cleared its strikes at all entries for an hour. Equal requests of other callers share the fingerprint, and a request can crash only some of its runs. Besides, three trials used up all that the rule allows, and two granters without contact granted six.

Completed runs prove nothing any more. A blocked fingerprint runs in trials only; 32 that complete in a row lift the block, and as many may run at once as may still fail. After three failed trials, or two later than the time that entries have to learn of the third crash, there are none until the strikes expire; the second granter stops one earlier, and a granter that has restarted waits until trials of before have ended.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -67,7 +67,7 @@
     }
 }
 
-http::Task<CrashVerdict> CrashGuard::admit(std::uint64_t fingerprint)
+http::Task<CrashVerdict> CrashGuard::admit(std::uint64_t fingerprint, std::optional<Trial>& trial)
 {
     if (!this->isBlocked(fingerprint))
         co_return CrashVerdict::Allowed;
@@ -79,16 +79,14 @@
     for (const auto& granter : this->shared.trialGranters(fingerprint)) {
         if (granter == this->instance)
             isGranted = this->shared.grantTrial(fingerprint);
-        else if (this->exchange)
+        else if (this->exchange && this->shared.isReachable(granter))
             isGranted = co_await this->exchange->requestTrial(granter, fingerprint);
         if (isGranted) {
             answeredBy = granter;
             break;
         }
     }
-    // The answer can show that the fingerprint has completed a run elsewhere.
-    if (!this->isBlocked(fingerprint))
-        co_return CrashVerdict::Allowed;
+    const bool isBlocked = this->isBlocked(fingerprint);
     logging::Event { "trial" }
         .field("fingerprint", suspect::fingerprintText(fingerprint))
         .field("granted", isGranted.value_or(false))
@@ -96,17 +94,32 @@
         .field("strikes", this->strikeCount(fingerprint))
         .field("failed", this->table.failedTrials(fingerprint))
         .info();
-    co_return isGranted.value_or(false) ? CrashVerdict::Trial : CrashVerdict::Blocked;
+    if (isGranted.value_or(false)) {
+        trial = Trial { .granter = std::move(answeredBy) };
+        co_return CrashVerdict::Trial;
+    }
+    // The answer can show that the block was lifted elsewhere.
+    co_return isBlocked ? CrashVerdict::Blocked : CrashVerdict::Allowed;
 }
 
-void CrashGuard::returnTrial(std::uint64_t fingerprint)
+void CrashGuard::endTrial(std::uint64_t fingerprint, const Trial& trial, TrialEnd end)
 {
-    for (const auto& granter : this->shared.trialGranters(fingerprint)) {
-        if (granter == this->instance)
-            this->shared.returnTrial(fingerprint);
-        else if (this->exchange)
-            asio::co_spawn(this->executor, this->exchange->returnTrial(granter, fingerprint), asio::detached);
+    const bool isCompleted = end == TrialEnd::Completed;
+    logging::Event { "trial_ended" }
+        .field("fingerprint", suspect::fingerprintText(fingerprint))
+        .field("completed", isCompleted)
+        .field("granter", trial.granter)
+        .info();
+    if (trial.granter != this->instance) {
+        asio::co_spawn(
+            this->executor, this->exchange->endTrial(trial.granter, fingerprint, isCompleted), asio::detached);
+        return;
     }
+    if (isCompleted)
+        this->shared.completeTrial(fingerprint);
+    else
+        this->shared.returnTrial(fingerprint);
+    this->sendNews();
 }
 
 std::chrono::milliseconds CrashGuard::retryAfter(std::uint64_t fingerprint) const
@@ -156,17 +169,6 @@
         this->running.erase(found);
 }
 
-void CrashGuard::recordCompletion(std::uint64_t fingerprint)
-{
-    if (const auto cleared = this->shared.recordCompletion(fingerprint); cleared > 0) {
-        logging::Event { "strikes_cleared" }
-            .field("fingerprint", suspect::fingerprintText(fingerprint))
-            .field("strikes", cleared)
-            .info();
-    }
-    this->sendNews();
-}
-
 void CrashGuard::recordCrash(
     std::uint64_t fingerprint, const base::TargetId& target, base::Incarnation incarnation, bool isTrial)
 {
--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -26,6 +27,17 @@
     Blocked,
 };
 
+/** A trial of a blocked fingerprint. */
+struct Trial {
+    std::string granter; ///< Process that has granted it.
+};
+
+/** How a trial ended whose run has not crashed its target. */
+enum class TrialEnd : std::uint8_t {
+    Completed,
+    Undecided, ///< Not run, or answered with a failure.
+};
+
 /** Keeps requests that crash the targets that run them from being sent to more targets, and limits the damage. */
 class CrashGuard {
 public:
@@ -40,10 +52,13 @@
     /** Must be called by a timer. */
     void advance(base::SteadyTime now);
 
-    /** Decides on a request. Asks another process only if the request is blocked and a trial may be due. */
-    [[nodiscard]] http::Task<CrashVerdict> admit(std::uint64_t fingerprint);
-    /** Takes back a trial in which the request was not run, so that another one can be granted. */
-    void returnTrial(std::uint64_t fingerprint);
+    /**
+     * Decides on a request; sets trial if the verdict is Trial. Asks another process only if the request is blocked and
+     * a trial may be due.
+     */
+    [[nodiscard]] http::Task<CrashVerdict> admit(std::uint64_t fingerprint, std::optional<Trial>& trial);
+    /** Must be called for each trial that does not end with a crash or a silent target. */
+    void endTrial(std::uint64_t fingerprint, const Trial& trial, TrialEnd end);
     [[nodiscard]] bool isBlocked(std::uint64_t fingerprint) const
     {
         return this->table.verdict(fingerprint) == suspect::Verdict::Blocked;
@@ -64,8 +79,6 @@
     void finished(std::uint64_t fingerprint, const base::TargetId& target);
 
     void recordAnswer(const base::TargetId& target, base::SteadyTime now) { this->silence.recordAnswer(target, now); }
-    /** Records that the target has run the fingerprint to an end. */
-    void recordCompletion(std::uint64_t fingerprint);
     void recordCrash(
         std::uint64_t fingerprint, const base::TargetId& target, base::Incarnation incarnation, bool isTrial);
     /** Records a run that was given up without an answer. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -100,7 +100,10 @@
                 } } }
     , relay { internal::makeRelay(context, this->options, clock, feeds) }
     , crashes { context.get_executor(), clock, random, this->options.strikes,
-        { .instance = this->options.instance, .share = this->options.shareStrikes }, this->relay.get() }
+        { .instance = this->options.instance,
+            .learnTime = this->options.strikeLearnTime,
+            .share = this->options.shareStrikes },
+        this->relay.get() }
     , services { .options = this->options,
         .clock = clock,
         .random = random,
--- a/src/gateway/options.cpp
+++ b/src/gateway/options.cpp
@@ -71,6 +71,12 @@
         .pause = internal::scale(bounds.leaving, 0.35) };
 }
 
+std::chrono::milliseconds strikeLearnTime(const ChangeBounds& bounds)
+{
+    // The rest of the bound covers a trial on its way to the target.
+    return internal::scale(bounds.contact, 0.8);
+}
+
 relay::RelayOptions zoneRelayOptions(
     const std::string& instance, const base::ZoneId& zone, const settings::Endpoint& listen, const ChangeBounds& bounds)
 {
@@ -88,11 +94,10 @@
 suspect::StrikeOptions directStrikeOptions() noexcept
 {
     // A lost answer looks like a crash, and equal requests share a fingerprint. A block therefore requires several
-    // crashes; a completed run or a trial lifts it.
-    return { .expiry = std::chrono::hours { 1 },
-        .strikesToBlock = 3,
-        .restartTime = std::chrono::milliseconds { 250 },
-        .completionProves = true };
+    // crashes, and trials can lift it.
+    return {
+        .expiry = std::chrono::hours { 1 }, .strikesToBlock = 3, .restartTime = std::chrono::milliseconds { 250 }
+    };
 }
 
 } // namespace chivewinch::gateway
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -62,6 +62,9 @@
 [[nodiscard]] watch::WatchOptions configurationWatch(const ChangeBounds& bounds);
 [[nodiscard]] watch::WatchOptions targetsWatch(const ChangeBounds& bounds);
 
+/** Time that all entries have to learn of the crash that blocks a request. */
+[[nodiscard]] std::chrono::milliseconds strikeLearnTime(const ChangeBounds& bounds);
+
 /** Timing of a shutdown. */
 struct DrainOptions {
     /** Part of the grace period that remains for the process to exit after open requests have been aborted. */
@@ -111,6 +114,7 @@
     DispatcherOptions dispatcher;
     membership::ListedTargetsOptions targets;
     suspect::StrikeOptions strikes = directStrikeOptions();
+    std::chrono::milliseconds strikeLearnTime { 0 }; ///< See the function of this name.
     bool shareStrikes = true; ///< Off: each process counts the crashes that it has seen itself.
     RetryLimit retries; ///< The slack is divided among the processes that the relay knows.
     std::optional<relay::RelayOptions> relay; ///< If nullopt, this process reads the store itself.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -83,7 +83,7 @@
     return std::nullopt;
 }
 
-bool RequestRun::isBlocked() const { return !this->isTrial && this->services.crashes.isBlocked(this->fingerprint); }
+bool RequestRun::isBlocked() const { return !this->trial && this->services.crashes.isBlocked(this->fingerprint); }
 
 TargetRequest RequestRun::targetRequest(std::uint32_t attemptNumber) const
 {
@@ -121,8 +121,7 @@
         co_await this->refuse(*refusal);
         co_return;
     }
-    const auto verdict = co_await this->services.crashes.admit(this->fingerprint);
-    this->isTrial = verdict == CrashVerdict::Trial;
+    const auto verdict = co_await this->services.crashes.admit(this->fingerprint, this->trial);
     if (verdict == CrashVerdict::Blocked) {
         co_await this->refuse(
             { .reason = RefusalReason::SuspectRequest, .retryAfter = this->retryAfter(RefusalReason::SuspectRequest) });
@@ -137,8 +136,8 @@
     std::optional<delivery::Finish> last;
     while (!last)
         last = co_await this->runNextAttempt(plan);
-    if (this->isTrial)
-        this->services.crashes.returnTrial(this->fingerprint);
+    if (this->trial)
+        this->services.crashes.endTrial(this->fingerprint, *this->trial, TrialEnd::Undecided);
     co_await this->finish(*last);
 }
 
@@ -228,13 +227,17 @@
 bool RequestRun::recordCrash(const routing::Choice& choice, const AttemptResult& end)
 {
     auto& crashes = this->services.crashes;
-    // A failure that the target itself answers shows as well that the request has not crashed it.
-    if (end.kind == delivery::EventKind::Complete || end.answer) {
-        crashes.recordCompletion(this->fingerprint);
+    // A failure that the target itself answers is no crash, but the request may have had no chance to crash the target.
+    if (end.answer || end.notRun)
         return false;
-    }
     // A trial ends with the first target that may have run the request.
-    const bool wasTrial = end.notRun ? false : std::exchange(this->isTrial, false);
+    const auto ended = std::exchange(this->trial, std::nullopt);
+    if (end.kind == delivery::EventKind::Complete) {
+        if (ended)
+            crashes.endTrial(this->fingerprint, *ended, TrialEnd::Completed);
+        return false;
+    }
+    const bool wasTrial = ended.has_value();
     if (end.crashed && !this->isCallerGone) {
         this->services.metrics.crashes.Increment();
         crashes.recordCrash(this->fingerprint, choice.target, choice.incarnation, wasTrial);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -45,7 +45,7 @@
     std::optional<http::Response> targetAnswer; ///< Most recent failure answer of a target.
     bool isCallerGone = false;
     bool timedOut = false;
-    bool isTrial = false; ///< The request is blocked but may run at one target.
+    std::optional<Trial> trial; ///< Set while the request is blocked but may run at one target.
 
     /** Finds the route and the team; returns a refusal if the request is not allowed. */
     [[nodiscard]] std::optional<Refusal> admit();
--- a/src/gateway/strike_exchange.cpp
+++ b/src/gateway/strike_exchange.cpp
@@ -87,9 +87,9 @@
     co_return reply->grantsTrial;
 }
 
-http::Task<void> StrikeExchange::returnTrial(std::string granter, std::uint64_t fingerprint)
+http::Task<void> StrikeExchange::endTrial(std::string granter, std::uint64_t fingerprint, bool isCompleted)
 {
-    const suspect::StrikeMessage message { .trial = fingerprint, .returnsTrial = true };
+    const suspect::StrikeMessage message { .trial = fingerprint, .returnsTrial = true, .completesTrial = isCompleted };
     // If the message is lost, the granter grants the next trial later.
     (void)co_await this->relay.call(std::move(granter), path, suspect::encode(message));
 }
--- a/src/gateway/strike_exchange.hpp
+++ b/src/gateway/strike_exchange.hpp
@@ -32,8 +32,8 @@
 
     /** Asks another process for a trial; nullopt if it does not answer. */
     [[nodiscard]] http::Task<std::optional<bool>> requestTrial(std::string granter, std::uint64_t fingerprint);
-    /** Tells another process that the fingerprint of a trial was not run. */
-    [[nodiscard]] http::Task<void> returnTrial(std::string granter, std::uint64_t fingerprint);
+    /** Tells the process that has granted a trial that it has ended without a crash. */
+    [[nodiscard]] http::Task<void> endTrial(std::string granter, std::uint64_t fingerprint, bool isCompleted);
 
 private:
     suspect::SharedStrikes& strikes;
--- a/src/suspect/shared_strikes.cpp
+++ b/src/suspect/shared_strikes.cpp
@@ -25,6 +25,7 @@
     , random { random }
     , table { table }
     , options { std::move(given) }
+    , startedAt { clock.now() }
 {
 }
 
@@ -88,13 +89,6 @@
     this->recordChanges(this->table.recordCrash(target, incarnation, { &fingerprint, 1 }, isTrial), true);
 }
 
-std::size_t SharedStrikes::recordCompletion(std::uint64_t fingerprint)
-{
-    const auto cleared = this->table.recordCompletion(fingerprint);
-    this->recordChanges(cleared, true);
-    return cleared.size();
-}
-
 void SharedStrikes::recordChanges(std::span<const Strike> changed, bool isOwn)
 {
     if (!this->options.share || this->members.size() < 2)
@@ -139,8 +133,8 @@
 void SharedStrikes::forgetExpired()
 {
     std::erase_if(this->spread, [this](const auto& item) { return !this->table.find(item.first); });
-    std::erase_if(this->trialsGranted,
-        [this](const auto& item) { return this->clock.now() - item.second.at >= this->options.trialTime; });
+    std::erase_if(
+        this->trials, [this](const auto& item) { return this->table.verdict(item.first) != Verdict::Blocked; });
     std::erase_if(this->unreachableUntil, [this](const auto& item) { return this->clock.now() >= item.second; });
 }
 
@@ -258,7 +252,9 @@
     StrikeMessage reply { .digest = this->digest() };
     if (message.wantsAll && reply.digest != message.digest)
         reply.strikes = this->table.reportsWith(this->options.crashesToSpread, this->options.maxAllStrikes);
-    if (message.trial && message.returnsTrial) {
+    if (message.trial && message.completesTrial) {
+        this->completeTrial(*message.trial);
+    } else if (message.trial && message.returnsTrial) {
         this->returnTrial(*message.trial);
     } else if (message.trial) {
         reply.grantsTrial = this->grantTrial(*message.trial);
@@ -280,33 +276,85 @@
 
 std::vector<std::string> SharedStrikes::trialGranters(std::uint64_t fingerprint) const
 {
-    const auto both = this->chooseMembers(fingerprint, internal::trialGranters);
-    auto ordered = this->chooseMembers(fingerprint, 1);
-    for (const auto& granter : both)
-        if (!internal::contains(ordered, granter))
-            ordered.push_back(granter);
+    const auto key = std::to_string(fingerprint);
+    auto ordered = quota::chooseOwners(key, {}, this->members, 1);
+    for (auto& granter : quota::chooseOwners(key, {}, this->members, internal::trialGranters))
+        if (ordered.size() < internal::trialGranters && !internal::contains(ordered, granter))
+            ordered.push_back(std::move(granter));
     return ordered;
 }
 
+std::size_t SharedStrikes::allowedFailures(std::uint64_t fingerprint) const
+{
+    const auto subtract = [](std::size_t from, std::size_t value) { return from - std::min(from, value); };
+    const auto left = subtract(this->options.trialDelays.size(), this->table.failedTrials(fingerprint));
+    const auto blocked = this->table.firstBlocked(fingerprint).value_or(this->clock.now());
+    const auto learnt = blocked + this->options.learnTime;
+    if (this->clock.now() < learnt)
+        return left;
+    const auto granters = this->trialGranters(fingerprint);
+    const bool isFirst = !granters.empty() && granters.front() == this->options.instance;
+    const auto late = subtract(this->options.maxLateFailures, isFirst ? 0 : 1);
+    return std::min(left, subtract(late, this->table.failedTrials(fingerprint, learnt)));
+}
+
 StrikeMessage SharedStrikes::trialRequest(std::uint64_t fingerprint)
 {
     return { .digest = this->digest(), .strikes = this->table.reportsOf(fingerprint), .trial = fingerprint };
 }
 
+void SharedStrikes::updateTrials(std::uint64_t fingerprint, Trials& item) const
+{
+    const auto now = this->clock.now();
+    std::erase_if(item.running, [&](const auto& at) { return now - at >= this->options.trialTime; });
+    const auto failed = this->table.failedTrials(fingerprint);
+    if (failed <= item.failed)
+        return;
+    // Only the strike of a trial shows that it has ended; other runs of the fingerprint may have crashed meanwhile.
+    const auto ended = std::min(failed - item.failed, item.running.size());
+    item.running.erase(item.running.begin(), item.running.begin() + static_cast<std::ptrdiff_t>(ended));
+    item.failed = failed;
+    item.completed = 0;
+}
+
 bool SharedStrikes::grantTrial(std::uint64_t fingerprint)
 {
     const auto now = this->clock.now();
     const auto due = this->trialAt(fingerprint);
     if (!due || now < *due)
         return false;
-    // Other runs of the fingerprint may have ended with a crash since then; only the trial itself shows its result.
-    const auto failed = this->table.failedTrials(fingerprint);
-    const auto [granted, isNew] = this->trialsGranted.try_emplace(fingerprint, GrantedTrial { now, failed });
-    const bool isRunning = granted->second.failedBefore == failed && now - granted->second.at < this->options.trialTime;
-    if (!isNew && isRunning)
+    // The process may have granted a trial before it was restarted.
+    if (now - this->startedAt < this->options.trialTime && this->table.wasBlocked(fingerprint, this->startedAt))
+        return false;
+    auto& item = this->trials[fingerprint];
+    this->updateTrials(fingerprint, item);
+    // All running trials can fail.
+    const auto parallel
+        = std::min(1 + item.completed / this->options.trialsPerParallel, this->allowedFailures(fingerprint));
+    if (item.running.size() >= parallel)
         return false;
-    granted->second = { now, failed };
+    item.running.push_back(now);
     return true;
 }
 
+void SharedStrikes::returnTrial(std::uint64_t fingerprint)
+{
+    const auto found = this->trials.find(fingerprint);
+    if (found != this->trials.end() && !found->second.running.empty())
+        found->second.running.erase(found->second.running.begin());
+}
+
+void SharedStrikes::completeTrial(std::uint64_t fingerprint)
+{
+    const auto found = this->trials.find(fingerprint);
+    if (found == this->trials.end())
+        return;
+    this->returnTrial(fingerprint);
+    this->updateTrials(fingerprint, found->second);
+    if (++found->second.completed < this->options.trialsToClear)
+        return;
+    this->trials.erase(found);
+    this->recordChanges(this->table.recordCompletion(fingerprint), true);
+}
+
 } // namespace chivewinch::suspect
--- a/src/suspect/shared_strikes.hpp
+++ b/src/suspect/shared_strikes.hpp
@@ -39,11 +39,22 @@
     std::uint32_t differencesToRequestAll = 2;
     /** Time for which a process that has not answered gets no messages. */
     std::chrono::milliseconds unreachableTime { 2'000 };
-    /** Wait from the last crash of a blocked fingerprint to its first, second, ... trial; there are no more. */
+    /**
+     * Wait from the last crash of a blocked fingerprint to its next trial if none, one, ... of its trials have failed.
+     * There are none after that many failures.
+     */
     std::array<std::chrono::milliseconds, 3> trialDelays { std::chrono::milliseconds { 1'000 },
         std::chrono::milliseconds { 1'500 }, std::chrono::milliseconds { 4'000 } };
-    /** Time after a trial was granted until another one is, if the first has had no result. */
+    /** Time that processes have to learn of the crash that blocks a fingerprint; then the bound holds. */
+    std::chrono::milliseconds learnTime { 0 };
+    /** Failed trials after the learn time from which there are none any more. */
+    std::size_t maxLateFailures = 2;
+    /** Time after which a trial without a result no longer counts as running. */
     std::chrono::nanoseconds trialTime { std::chrono::seconds { 10 } };
+    /** Trials that must complete in a row until the block is lifted. */
+    std::size_t trialsToClear = 32;
+    /** Completed trials for each further one that may run at the same time. */
+    std::size_t trialsPerParallel = 8;
     /** Off: each process counts the crashes that it has seen itself. */
     bool share = true;
 };
@@ -54,7 +65,8 @@
  * all processes: each one passes on what is new to it, and compares what it knows with another one from time to time.
  *
  * A blocked fingerprint can be harmless: it may have been in flight each time next to another one. It is therefore run
- * again, by one process on behalf of all, after a time that grows with each such trial. Not thread-safe.
+ * again in trials, which one process grants for all. Other runs that complete prove nothing, since equal requests of
+ * different callers share a fingerprint and a request can crash only some of its runs. Not thread-safe.
  */
 class SharedStrikes {
 public:
@@ -73,8 +85,6 @@
 
     void recordCrash(
         std::uint64_t fingerprint, const base::TargetId& target, base::Incarnation incarnation, bool isTrial);
-    /** Records that a target has run the fingerprint to an end. Returns the number of strikes that this clears. */
-    std::size_t recordCompletion(std::uint64_t fingerprint);
 
     /** The next message to send; nullopt if there is none now. */
     [[nodiscard]] std::optional<Outgoing> next();
@@ -86,14 +96,20 @@
 
     /** Time from which a blocked fingerprint may have a trial; nullopt if it gets none until its strikes expire. */
     [[nodiscard]] std::optional<base::SteadyTime> trialAt(std::uint64_t fingerprint) const;
-    /** Processes that grant trials of the fingerprint; the second one is asked if the first does not answer. */
+    /**
+     * Processes that grant trials of the fingerprint; the second one is asked if the first does not answer. It may
+     * grant fewer, so that both together keep the bound if they do not reach each other.
+     */
     [[nodiscard]] std::vector<std::string> trialGranters(std::uint64_t fingerprint) const;
+    [[nodiscard]] bool isReachable(const std::string& instance) const;
     /** Request for a trial, to be sent to a granter. */
     [[nodiscard]] StrikeMessage trialRequest(std::uint64_t fingerprint);
-    /** Grants at most one trial at a time; must only be called on a granter. */
+    /** Must only be called on a granter. */
     [[nodiscard]] bool grantTrial(std::uint64_t fingerprint);
-    /** Takes back a trial in which the fingerprint was not run; must only be called on a granter. */
-    void returnTrial(std::uint64_t fingerprint) { this->trialsGranted.erase(fingerprint); }
+    /** Takes back a trial that has shown nothing; must only be called on the process that has granted it. */
+    void returnTrial(std::uint64_t fingerprint);
+    /** Records that a trial has completed; must only be called on the process that has granted it. */
+    void completeTrial(std::uint64_t fingerprint);
 
 private:
     /** What remains to be done to make a strike known. */
@@ -111,19 +127,21 @@
     std::map<Strike, Pending> pending;
     std::map<Strike, bool> spread; ///< Strikes that were made known to all, with the state that was made known.
     std::map<std::string, base::SteadyTime> unreachableUntil;
-    struct GrantedTrial {
-        base::SteadyTime at {};
-        std::size_t failedBefore = 0; ///< Trials that had failed when it was granted.
+    /** Trials of one fingerprint that this process has granted. */
+    struct Trials {
+        std::vector<base::SteadyTime> running; ///< When they were granted, in order.
+        std::size_t failed = 0; ///< Trials of all granters that are known to have failed.
+        std::size_t completed = 0; ///< Since the last failure.
     };
 
-    std::map<std::uint64_t, GrantedTrial> trialsGranted;
+    base::SteadyTime startedAt;
+    std::map<std::uint64_t, Trials> trials;
     base::SteadyTime nextComparison {};
     std::uint32_t differences = 0;
     mutable std::optional<std::uint64_t> digestVersion; ///< Version of the table to which knownDigest applies.
     mutable std::uint64_t knownDigest = 0;
     bool hasCompared = false;
 
-    [[nodiscard]] bool isReachable(const std::string& instance) const;
     [[nodiscard]] std::vector<quota::Member> reachableMembers() const;
     [[nodiscard]] std::vector<std::string> chooseMembers(std::uint64_t fingerprint, std::size_t count) const;
     [[nodiscard]] std::vector<quota::Member> reachablePeers() const;
@@ -131,6 +149,10 @@
     [[nodiscard]] std::optional<std::string> comparePeer();
     /** Digest of the strikes that all processes should know. */
     [[nodiscard]] std::uint64_t digest() const;
+    /** Number of trials that may still fail, as far as this process grants them. */
+    [[nodiscard]] std::size_t allowedFailures(std::uint64_t fingerprint) const;
+    /** Removes trials that have ended. */
+    void updateTrials(std::uint64_t fingerprint, Trials& item) const;
     void recordChanges(std::span<const Strike> changed, bool isOwn);
     void spreadFingerprint(std::uint64_t fingerprint);
     void addCollectors(Pending& item, std::uint64_t fingerprint) const;
--- a/src/suspect/strike_message.cpp
+++ b/src/suspect/strike_message.cpp
@@ -44,8 +44,8 @@
     for (const auto& report : message.strikes)
         strikes.push_back(internal::toJson(report));
     return wire::toCbor(internal::Json::array({ message.digest, message.wantsAll, std::move(strikes),
-        message.trial ? internal::Json(*message.trial) : internal::Json(), message.returnsTrial,
-        message.grantsTrial }));
+        message.trial ? internal::Json(*message.trial) : internal::Json(), message.returnsTrial, message.grantsTrial,
+        message.completesTrial }));
 }
 
 std::optional<StrikeMessage> decodeStrikeMessage(const std::string& body)
@@ -58,6 +58,8 @@
             message.trial = wire::parseUnsigned(value.at(3));
         message.returnsTrial = value.at(4).get<bool>();
         message.grantsTrial = value.at(5).get<bool>();
+        // Processes of earlier versions do not send it.
+        message.completesTrial = value.size() > 6 && value.at(6).get<bool>();
         return message;
     });
 }
--- a/src/suspect/strike_message.hpp
+++ b/src/suspect/strike_message.hpp
@@ -14,7 +14,8 @@
     bool wantsAll = false; ///< The answer must contain all strikes.
     StrikeList strikes;
     std::optional<std::uint64_t> trial; ///< In a request: the blocked fingerprint that the sender wants to run.
-    bool returnsTrial = false; ///< In a request: the sender has not run the fingerprint of its trial.
+    bool returnsTrial = false; ///< In a request: the trial of the sender has ended without a crash.
+    bool completesTrial = false; ///< In a request that returns a trial: the run has completed.
     bool grantsTrial = false; ///< In an answer.
 
     bool operator==(const StrikeMessage&) const = default;
--- a/src/suspect/strike_table.cpp
+++ b/src/suspect/strike_table.cpp
@@ -21,11 +21,13 @@
 {
 }
 
-bool StrikeTable::isActive(const Entry& entry) const noexcept
+bool StrikeTable::isExpired(const Entry& entry) const noexcept
 {
-    return !entry.cleared && (!this->options.expire || this->clock.now() - entry.at < this->options.expiry);
+    return this->options.expire && this->clock.now() - entry.at >= this->options.expiry;
 }
 
+bool StrikeTable::isActive(const Entry& entry) const noexcept { return !entry.cleared && !this->isExpired(entry); }
+
 /** An expired strike is kept for a while, so that a delayed report of it is not added as a new strike. */
 bool StrikeTable::isRemovable(const Entry& entry) const noexcept
 {
@@ -38,18 +40,6 @@
     return this->clock.now() - entry.at < this->options.expiry - this->options.sendMargin;
 }
 
-bool StrikeTable::isProven(const Entries& entries) const noexcept
-{
-    return this->options.completionProves && std::ranges::any_of(entries, [this](const Entry& entry) {
-        return entry.cleared && (!this->options.expire || this->clock.now() - entry.at < this->options.expiry);
-    });
-}
-
-bool StrikeTable::counts(const Entries& entries, const Entry& entry) const noexcept
-{
-    return this->isActive(entry) && !this->isProven(entries);
-}
-
 const StrikeTable::Entries* StrikeTable::findEntries(std::uint64_t fingerprint) const
 {
     const auto found = this->byFingerprint.find(fingerprint);
@@ -69,7 +59,7 @@
             return entry.target == target && entry.incarnation == incarnation
                 && now - entry.at < this->options.restartTime;
         };
-        if (entries != nullptr && (this->isProven(*entries) || std::ranges::any_of(*entries, isSameCrash)))
+        if (entries != nullptr && std::ranges::any_of(*entries, isSameCrash))
             continue;
         Strike strike { .fingerprint = fingerprint, .target = target, .incarnation = incarnation };
         if (restarts)
@@ -218,37 +208,35 @@
         .trial = entry.trial };
 }
 
-/** Counts strikes of one crash, which several processes may have seen, once. */
-std::size_t StrikeTable::countCrashes(std::vector<const Entry*> strikes) const
+/** Takes strikes of one crash, which several processes may have seen, as one. */
+std::vector<base::SteadyTime> StrikeTable::crashTimes(std::vector<const Entry*> strikes) const
 {
-    if (this->options.restartTime.count() <= 0)
-        return strikes.size();
     const auto identity = [](const Entry& entry) { return std::tie(entry.target, entry.incarnation); };
     std::ranges::sort(strikes, [&identity](const Entry* left, const Entry* right) {
         return std::tuple { identity(*left), left->at } < std::tuple { identity(*right), right->at };
     });
-    std::size_t crashes = 0;
+    std::vector<base::SteadyTime> times;
     const Entry* first = nullptr;
     for (const auto* strike : strikes) {
         if (first != nullptr && identity(*first) == identity(*strike)
             && strike->at - first->at < this->options.restartTime)
             continue;
         first = strike;
-        ++crashes;
+        times.push_back(strike->at);
     }
-    return crashes;
+    return times;
 }
 
 std::size_t StrikeTable::strikeCount(std::uint64_t fingerprint) const
 {
     const auto* entries = this->findEntries(fingerprint);
-    if (entries == nullptr || this->isProven(*entries))
+    if (entries == nullptr)
         return 0;
     std::vector<const Entry*> strikes;
     for (const auto& entry : *entries)
         if (this->isActive(entry))
             strikes.push_back(&entry);
-    return this->countCrashes(std::move(strikes));
+    return this->crashTimes(std::move(strikes)).size();
 }
 
 std::size_t StrikeTable::knownCrashes(std::uint64_t fingerprint) const
@@ -259,7 +247,7 @@
     std::vector<const Entry*> strikes;
     for (const auto& entry : *entries)
         strikes.push_back(&entry);
-    return this->countCrashes(std::move(strikes));
+    return this->crashTimes(std::move(strikes)).size();
 }
 
 std::optional<StrikeReport> StrikeTable::find(const Strike& strike) const
@@ -324,6 +312,18 @@
     return count > 0 ? Verdict::Isolated : Verdict::Normal;
 }
 
+bool StrikeTable::wasBlocked(std::uint64_t fingerprint, base::SteadyTime at) const
+{
+    const auto* entries = this->findEntries(fingerprint);
+    if (entries == nullptr)
+        return false;
+    std::vector<const Entry*> strikes;
+    for (const auto& entry : *entries)
+        if (this->isActive(entry) && entry.at < at)
+            strikes.push_back(&entry);
+    return this->crashTimes(std::move(strikes)).size() >= this->options.strikesToBlock;
+}
+
 bool StrikeTable::hasStrikeOn(std::uint64_t fingerprint, const base::TargetId& target) const
 {
     const auto struck = this->struckTargets(fingerprint);
@@ -335,26 +335,42 @@
     std::vector<base::TargetId> targets;
     if (const auto* entries = this->findEntries(fingerprint)) {
         for (const auto& entry : *entries)
-            if (this->counts(*entries, entry))
+            if (this->isActive(entry))
                 targets.push_back(entry.target);
     }
     return targets;
 }
 
-std::size_t StrikeTable::failedTrials(std::uint64_t fingerprint) const
+std::size_t StrikeTable::failedTrials(std::uint64_t fingerprint, base::SteadyTime since) const
 {
     const auto* entries = this->findEntries(fingerprint);
     return entries == nullptr ? 0 : static_cast<std::size_t>(std::ranges::count_if(*entries, [&](const Entry& entry) {
-        return entry.trial && this->counts(*entries, entry);
+        return entry.trial && entry.at > since && !this->isExpired(entry);
     }));
 }
 
+std::optional<base::SteadyTime> StrikeTable::firstBlocked(std::uint64_t fingerprint) const
+{
+    const auto* entries = this->findEntries(fingerprint);
+    if (entries == nullptr)
+        return std::nullopt;
+    std::vector<const Entry*> strikes;
+    for (const auto& entry : *entries)
+        if (!this->isExpired(entry))
+            strikes.push_back(&entry);
+    auto times = this->crashTimes(std::move(strikes));
+    if (times.size() < this->options.strikesToBlock)
+        return std::nullopt;
+    std::ranges::sort(times);
+    return times[this->options.strikesToBlock - 1];
+}
+
 std::optional<base::SteadyTime> StrikeTable::lastStrike(std::uint64_t fingerprint) const
 {
     std::optional<base::SteadyTime> last;
     if (const auto* entries = this->findEntries(fingerprint)) {
         for (const auto& entry : *entries)
-            if (this->counts(*entries, entry) && (!last || entry.at > *last))
+            if (this->isActive(entry) && (!last || entry.at > *last))
                 last = entry.at;
     }
     return last;
--- a/src/suspect/strike_table.hpp
+++ b/src/suspect/strike_table.hpp
@@ -29,11 +29,6 @@
      * this far apart belong to different crashes; with 0, all belong to the same crash.
      */
     std::chrono::nanoseconds restartTime { 0 };
-    /**
-     * A fingerprint that has completed a run after a strike does not crash targets: no strike of it counts until that
-     * strike expires.
-     */
-    bool completionProves = false;
     std::uint64_t crashSeed = 0; ///< Differs between processes, for the numbers of crashes.
 
     bool operator==(const StrikeOptions&) const = default;
@@ -73,8 +68,13 @@
     [[nodiscard]] bool hasStrikeOn(std::uint64_t fingerprint, const base::TargetId& target) const;
     /** Time of the newest strike of the fingerprint that counts. */
     [[nodiscard]] std::optional<base::SteadyTime> lastStrike(std::uint64_t fingerprint) const;
-    /** Number of trials of the fingerprint that ended with a crash. */
-    [[nodiscard]] std::size_t failedTrials(std::uint64_t fingerprint) const;
+    /** Whether the fingerprint was blocked at that time by strikes that count. */
+    [[nodiscard]] bool wasBlocked(std::uint64_t fingerprint, base::SteadyTime at) const;
+    /** Number of trials of the fingerprint that ended with a crash after that time, cleared strikes included. */
+    [[nodiscard]] std::size_t failedTrials(
+        std::uint64_t fingerprint, base::SteadyTime since = base::SteadyTime::min()) const;
+    /** Time of the crash that blocked the fingerprint first, cleared strikes included; nullopt if none has. */
+    [[nodiscard]] std::optional<base::SteadyTime> firstBlocked(std::uint64_t fingerprint) const;
     /** Targets on which the fingerprint has a strike that counts. */
     [[nodiscard]] std::vector<base::TargetId> struckTargets(std::uint64_t fingerprint) const;
 
@@ -105,13 +105,13 @@
     };
     using Entries = std::vector<Entry>;
 
+    [[nodiscard]] bool isExpired(const Entry& entry) const noexcept;
+    /** Whether the strike counts, that is, is neither cleared nor expired. */
     [[nodiscard]] bool isActive(const Entry& entry) const noexcept;
     [[nodiscard]] bool isRemovable(const Entry& entry) const noexcept;
     [[nodiscard]] bool isSendable(const Entry& entry) const noexcept;
-    /** True if the strikes of the fingerprint do not count because it has completed a run. */
-    [[nodiscard]] bool isProven(const Entries& entries) const noexcept;
-    [[nodiscard]] bool counts(const Entries& entries, const Entry& entry) const noexcept;
-    [[nodiscard]] std::size_t countCrashes(std::vector<const Entry*> strikes) const;
+    /** Times of the crashes to which the strikes belong. */
+    [[nodiscard]] std::vector<base::SteadyTime> crashTimes(std::vector<const Entry*> strikes) const;
     [[nodiscard]] const Entries* findEntries(std::uint64_t fingerprint) const;
     [[nodiscard]] StrikeReport reportOf(std::uint64_t fingerprint, const Entry& entry) const;
     /** True if the strike was added or cleared. */
