Keep the trials of different requests apart

Harmless requests were refused for long because their trials died beside those of the request that crashes targets: both avoided the targets on which they had strikes, so that they met on the few others.

Each blocked request has one target for its next trial, which follows from its fingerprint and the number of its failed trials, so that all entries agree on it; the others avoid it if they can.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -151,6 +151,15 @@
     return avoided;
 }
 
+std::vector<std::vector<base::TargetId>> CrashGuard::targetsToAvoidInTrial(
+    std::uint64_t fingerprint, const std::vector<base::TargetId>& targets) const
+{
+    auto allButOwn = targets;
+    std::erase(allButOwn, this->shared.trialTarget(fingerprint, targets));
+    auto others = this->shared.targetsOfOtherTrials(fingerprint, targets);
+    return { std::move(allButOwn), std::move(others) };
+}
+
 void CrashGuard::started(std::uint64_t fingerprint, const base::TargetId& target)
 {
     if (this->isSuspect(fingerprint))
--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -75,6 +75,12 @@
      * have crashed and those that run another such one.
      */
     [[nodiscard]] std::vector<base::TargetId> targetsToAvoid(std::uint64_t fingerprint) const;
+    /**
+     * Targets that a trial should avoid, the best choice first. Trials of different fingerprints are kept apart, so
+     * that none fails because of another one.
+     */
+    [[nodiscard]] std::vector<std::vector<base::TargetId>> targetsToAvoidInTrial(
+        std::uint64_t fingerprint, const std::vector<base::TargetId>& targets) const;
     void started(std::uint64_t fingerprint, const base::TargetId& target);
     void finished(std::uint64_t fingerprint, const base::TargetId& target);
 
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -105,6 +105,15 @@
     return found == this->targets.end() || found->second.leaving ? nullptr : &found->second;
 }
 
+std::vector<base::TargetId> Dispatcher::usableTargets(std::string_view pool) const
+{
+    std::vector<base::TargetId> usable;
+    for (const auto& [id, target] : this->targets)
+        if (target.pool == pool && !target.leaving)
+            usable.push_back(id);
+    return usable;
+}
+
 Dispatcher::Reply Dispatcher::request(const TargetRequest& targetRequest, Notify notify, base::SteadyTime now)
 {
     const auto route = internal::routeRequest(targetRequest);
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -99,6 +99,8 @@
 
     /** The target if it is listed and not leaving; nullptr otherwise. */
     [[nodiscard]] const membership::ListedTarget* findUsable(const base::TargetId& target) const;
+    /** The targets of the pool that are listed and not leaving. */
+    [[nodiscard]] std::vector<base::TargetId> usableTargets(std::string_view pool) const;
     [[nodiscard]] std::size_t waitingCount() const noexcept { return this->waitQueue.size(); }
 
 private:
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -100,10 +100,20 @@
         .latestStart = std::min(latest, this->deadline) };
 }
 
+std::vector<std::vector<base::TargetId>> RequestRun::targetsToAvoid() const
+{
+    const auto& crashes = this->services.crashes;
+    if (this->trial)
+        return crashes.targetsToAvoidInTrial(this->fingerprint, this->services.dispatcher.usableTargets(this->pool));
+    auto avoided = crashes.targetsToAvoid(this->fingerprint);
+    if (avoided.empty())
+        return {};
+    return { std::move(avoided) };
+}
+
 http::Task<std::optional<routing::Choice>> RequestRun::acquireTarget(std::uint32_t attemptNumber)
 {
-    const auto avoided = this->services.crashes.targetsToAvoid(this->fingerprint);
-    if (!avoided.empty()) {
+    for (const auto& avoided : this->targetsToAvoid()) {
         auto preferred = this->targetRequest(attemptNumber);
         preferred.excluded.insert(preferred.excluded.end(), avoided.begin(), avoided.end());
         // A request that waits for few targets would delay all that wait behind it.
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -52,6 +52,8 @@
     /** True if the request must not be sent to another target because it crashes targets. */
     [[nodiscard]] bool isBlocked() const;
     [[nodiscard]] TargetRequest targetRequest(std::uint32_t attemptNumber) const;
+    /** Sets of targets to avoid if others are free at once, the best choice first. */
+    [[nodiscard]] std::vector<std::vector<base::TargetId>> targetsToAvoid() const;
     [[nodiscard]] http::Task<std::optional<routing::Choice>> acquireTarget(std::uint32_t attemptNumber);
     [[nodiscard]] http::Task<std::optional<delivery::Finish>> runNextAttempt(delivery::DeliveryPlan& plan);
     [[nodiscard]] http::Task<AttemptResult> runAttempt(
--- a/src/suspect/shared_strikes.cpp
+++ b/src/suspect/shared_strikes.cpp
@@ -1,5 +1,7 @@
 #include "suspect/shared_strikes.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -298,6 +300,28 @@
     return std::min(left, subtract(late, this->table.failedTrials(fingerprint, learnt)));
 }
 
+std::optional<base::TargetId> SharedStrikes::trialTarget(
+    std::uint64_t fingerprint, std::span<const base::TargetId> targets) const
+{
+    const auto key = base::combineHash(fingerprint, this->table.failedTrials(fingerprint));
+    const auto rank = [key](const base::TargetId& target) { return base::combineHash(key, base::hash64(target)); };
+    const auto chosen = std::ranges::max_element(targets, {}, rank);
+    return chosen == targets.end() ? std::nullopt : std::optional { *chosen };
+}
+
+std::vector<base::TargetId> SharedStrikes::targetsOfOtherTrials(
+    std::uint64_t fingerprint, std::span<const base::TargetId> targets) const
+{
+    std::vector<base::TargetId> chosen;
+    for (const auto other : this->table.blockedFingerprints()) {
+        if (other == fingerprint || !this->trialAt(other))
+            continue;
+        if (auto target = this->trialTarget(other, targets))
+            chosen.push_back(std::move(*target));
+    }
+    return chosen;
+}
+
 StrikeMessage SharedStrikes::trialRequest(std::uint64_t fingerprint)
 {
     return { .digest = this->digest(), .strikes = this->table.reportsOf(fingerprint), .trial = fingerprint };
--- a/src/suspect/shared_strikes.hpp
+++ b/src/suspect/shared_strikes.hpp
@@ -102,6 +102,15 @@
      */
     [[nodiscard]] std::vector<std::string> trialGranters(std::uint64_t fingerprint) const;
     [[nodiscard]] bool isReachable(const std::string& instance) const;
+    /**
+     * The target, of these, on which the next trial of the fingerprint should run; nullopt if there are none. All
+     * processes choose the same one.
+     */
+    [[nodiscard]] std::optional<base::TargetId> trialTarget(
+        std::uint64_t fingerprint, std::span<const base::TargetId> targets) const;
+    /** Those of the targets on which trials of other fingerprints should run. */
+    [[nodiscard]] std::vector<base::TargetId> targetsOfOtherTrials(
+        std::uint64_t fingerprint, std::span<const base::TargetId> targets) const;
     /** Request for a trial, to be sent to a granter. */
     [[nodiscard]] StrikeMessage trialRequest(std::uint64_t fingerprint);
     /** Must only be called on a granter. */
--- a/src/suspect/strike_table.cpp
+++ b/src/suspect/strike_table.cpp
@@ -312,6 +312,15 @@
     return count > 0 ? Verdict::Isolated : Verdict::Normal;
 }
 
+std::vector<std::uint64_t> StrikeTable::blockedFingerprints() const
+{
+    std::vector<std::uint64_t> blocked;
+    for (const auto& [fingerprint, entries] : this->byFingerprint)
+        if (this->verdict(fingerprint) == Verdict::Blocked)
+            blocked.push_back(fingerprint);
+    return blocked;
+}
+
 bool StrikeTable::wasBlocked(std::uint64_t fingerprint, base::SteadyTime at) const
 {
     const auto* entries = this->findEntries(fingerprint);
--- a/src/suspect/strike_table.hpp
+++ b/src/suspect/strike_table.hpp
@@ -68,6 +68,7 @@
     [[nodiscard]] bool hasStrikeOn(std::uint64_t fingerprint, const base::TargetId& target) const;
     /** Time of the newest strike of the fingerprint that counts. */
     [[nodiscard]] std::optional<base::SteadyTime> lastStrike(std::uint64_t fingerprint) const;
+    [[nodiscard]] std::vector<std::uint64_t> blockedFingerprints() const;
     /** Whether the fingerprint was blocked at that time by strikes that count. */
     [[nodiscard]] bool wasBlocked(std::uint64_t fingerprint, base::SteadyTime at) const;
     /** Number of trials of the fingerprint that ended with a crash after that time, cleared strikes included. */
