Answer every request that was read before a planned stop ends

Callers lost requests in a planned stop: late in the grace an entry still took requests, passed them on, and ended the process with them open (cut_requests), orders that must not run twice among them. No attempt, waiting request or second attempt knew how much of the grace was left.

During a drain a request is sent to a target only if its time limit, or for one that may be repeated the estimate from recent runs of its route, ends before the drain does; otherwise it is refused at once as not run. This holds for second attempts and for requests that have waited, too. Shortly before the process ends, each request that is still open gets an answer: not run if it waits, otherwise a timeout. A stream that has begun can only be cut.

--- a/src/gateway/fwd.hpp
+++ b/src/gateway/fwd.hpp
@@ -8,6 +8,7 @@
 class Dispatcher;
 class EventSequence;
 class Gateway;
+class RequestRun;
 class Snapshot;
 struct Configuration;
 struct GatewayOptions;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -52,6 +52,24 @@
         context.get_executor(), *options.relay, clock, *feeds.peers, *feeds.peersSink);
 }
 
+/** Keeps a request in the set of open ones. */
+class OpenRun {
+public:
+    OpenRun(std::shared_ptr<std::set<RequestRun*>> runs, RequestRun& run)
+        : runs { std::move(runs) }
+        , run { run }
+    {
+        this->runs->insert(&this->run);
+    }
+    OpenRun(const OpenRun&) = delete;
+    OpenRun& operator=(const OpenRun&) = delete;
+    ~OpenRun() { this->runs->erase(&this->run); }
+
+private:
+    std::shared_ptr<std::set<RequestRun*>> runs;
+    RequestRun& run;
+};
+
 /** Total time for which the machine has been suspended since it booted. */
 std::chrono::nanoseconds suspendedTime() { return clockTime(CLOCK_BOOTTIME) - clockTime(CLOCK_MONOTONIC); }
 
@@ -111,7 +129,9 @@
         .dispatcher = this->dispatcher,
         .clients = this->clients,
         .crashes = this->crashes,
-        .metrics = this->requestMetrics }
+        .metrics = this->requestMetrics,
+        .runTimes = this->runTimes,
+        .drainEnd = this->drainEnd }
     , ticker { context }
 {
     if (!this->relay) {
@@ -191,6 +211,7 @@
     RequestRun run { executor, this->services, request, writer };
     http::DisconnectWatch watch { executor };
     watch.start(writer, [&run] { run.handleCallerDisconnect(); });
+    const internal::OpenRun open { this->runs, run };
     co_await run.run();
     co_await watch.stop();
 }
@@ -360,7 +381,9 @@
 {
     if (this->drainingSince)
         return;
+    const auto& timing = this->options.drain;
     this->drainingSince = this->clock.now();
+    this->drainEnd = *this->drainingSince + timing.total - timing.answerMargin;
     logging::Event { "drain" }.field("open_requests", this->callerServer->openRequests()).info();
     this->callerServer->disableKeepAlive();
     if (this->relay)
@@ -375,6 +398,8 @@
     if (passed < this->options.drain.acceptFor)
         return;
     this->callerServer->drain();
+    if (now >= *this->drainEnd)
+        std::ranges::for_each(*this->runs, &RequestRun::handleDrainEnd);
     if (this->callerServer->idle() || passed >= this->options.drain.total)
         this->stop();
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "base/random.hpp"
 #include "gateway/crash_guard.hpp"
+#include "gateway/fwd.hpp"
 #include "gateway/limit_exchange.hpp"
 #include "gateway/options.hpp"
 #include "gateway/request_metrics.hpp"
@@ -20,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace chivewinch::gateway {
@@ -80,6 +82,11 @@
     watch::RowWatcher targetsWatcher;
     std::unique_ptr<relay::Relay> relay;
     CrashGuard crashes;
+    RunTimes runTimes;
+    std::optional<base::SteadyTime> drainEnd; ///< Time by which requests are answered; set when a drain begins.
+    /** Requests without a final answer. Shared with their coroutines, which the context can destroy after the gateway.
+     */
+    std::shared_ptr<std::set<RequestRun*>> runs = std::make_shared<std::set<RequestRun*>>();
     Services services;
     std::unique_ptr<LimitExchange> limitExchange;
     std::uint64_t peersVersion = 0; ///< Version of the peers among which the request limits are divided.
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -72,7 +72,11 @@
 
     /** Time during which new connections are still accepted: the upstream balancer detects lost readiness late. */
     std::chrono::milliseconds acceptFor { 2'600 };
-    std::chrono::milliseconds total { 7'400 }; ///< Open requests are aborted after this time.
+    std::chrono::milliseconds total { 7'400 }; ///< The process ends after this time at the latest.
+    /** Part of the total that remains to send the answers of requests that have not finished. */
+    std::chrono::milliseconds answerMargin { 300 };
+    /** Retry-After of requests that are refused because of the shutdown. Another entry can serve them at once. */
+    std::chrono::milliseconds retryAfter { 100 };
 };
 
 /** Limit on retries that all processes of the deployment share. */
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -53,6 +53,14 @@
         this->attempt->cancel();
 }
 
+void RequestRun::handleDrainEnd()
+{
+    this->isDrainOver = true;
+    this->targetWait.cancel();
+    if (this->attempt)
+        this->attempt->cancel();
+}
+
 std::chrono::milliseconds RequestRun::sinceArrival() const
 {
     return std::chrono::floor<std::chrono::milliseconds>(this->services.clock.now() - this->arrived);
@@ -85,6 +93,25 @@
 
 bool RequestRun::isBlocked() const { return !this->trial && this->services.crashes.isBlocked(this->fingerprint); }
 
+std::optional<base::SteadyTime> RequestRun::latestStartInDrain() const
+{
+    const auto& end = this->services.drainEnd;
+    if (!end)
+        return std::nullopt;
+    const auto now = this->services.clock.now();
+    auto needed = std::max(this->deadline - now, base::SteadyTime::duration { 0 });
+    // A request that must not run twice is only sent if its answer comes in time in any case.
+    if (this->route->repeatable())
+        needed = std::min(needed, this->services.runTimes.estimate(this->route->name, now).value_or(needed));
+    return *end - needed;
+}
+
+bool RequestRun::canFinishBeforeDrainEnd() const
+{
+    const auto latest = this->latestStartInDrain();
+    return !this->isDrainOver && (!latest || this->services.clock.now() <= *latest);
+}
+
 TargetRequest RequestRun::targetRequest(std::uint32_t attemptNumber) const
 {
     const auto& options = this->services.options.attempts;
@@ -97,7 +124,7 @@
         = this->team != nullptr ? this->team->priority.value_or(this->route->priority) : this->route->priority,
         .attempt = attemptNumber,
         .excluded = this->tried,
-        .latestStart = std::min(latest, this->deadline) };
+        .latestStart = std::min({ latest, this->deadline, this->latestStartInDrain().value_or(latest) }) };
 }
 
 std::vector<std::vector<base::TargetId>> RequestRun::targetsToAvoid() const
@@ -157,18 +184,23 @@
     const auto number = plan.attempts() + 1;
     if (this->isBlocked())
         co_return plan.giveUp(RefusalReason::SuspectRequest, progress);
+    if (!this->canFinishBeforeDrainEnd())
+        co_return plan.giveUp(RefusalReason::Draining, progress);
     if (!this->events.canContinue())
         co_return plan.giveUp(RefusalReason::CannotResume, progress);
     if (number > 1 && !this->services.dispatcher.allowRetry(this->pool, this->services.clock.now()))
         co_return plan.giveUp(RefusalReason::RetryBudget, progress);
     const auto choice = co_await this->acquireTarget(number);
-    if (!choice)
-        co_return plan.giveUp(this->targetWait.lastReason(), progress);
-    // Other processes may have reported crashes while the request was waiting.
-    if (this->isBlocked()) {
+    if (!choice) {
+        const auto reason = this->canFinishBeforeDrainEnd() ? this->targetWait.lastReason() : RefusalReason::Draining;
+        co_return plan.giveUp(reason, progress);
+    }
+    // While the request was waiting, other processes may have reported crashes, and a drain may have begun.
+    const bool isBlocked = this->isBlocked();
+    if (isBlocked || !this->canFinishBeforeDrainEnd()) {
         this->services.dispatcher.finished(
             this->pool, choice->target, routing::Result::Cancelled, this->services.clock.now());
-        co_return plan.giveUp(RefusalReason::SuspectRequest, progress);
+        co_return plan.giveUp(isBlocked ? RefusalReason::SuspectRequest : RefusalReason::Draining, progress);
     }
     const auto key = plan.begin(choice->incarnation);
     const AttemptInput input { .request = this->request,
@@ -200,7 +232,11 @@
     // The target is copied because the list may change while the attempt runs.
     const auto copy = *target;
     this->services.crashes.started(this->fingerprint, copy.id);
+    const auto started = this->services.clock.now();
     auto end = co_await this->attempt->run(copy);
+    const auto now = this->services.clock.now();
+    if (end.kind == delivery::EventKind::Complete)
+        this->services.runTimes.record(this->route->name, now - started, now);
     this->services.crashes.finished(this->fingerprint, copy.id);
     this->attempt.reset();
     co_return end;
@@ -208,12 +244,13 @@
 
 void RequestRun::recordAttempt(const routing::Choice& choice, const AttemptResult& end, std::uint32_t number)
 {
-    const auto result = this->isCallerGone ? routing::Result::Cancelled : end.result;
+    const bool isCancelled = this->isCallerGone || this->isDrainOver;
+    const auto result = isCancelled ? routing::Result::Cancelled : end.result;
     this->services.dispatcher.finished(this->pool, choice.target, result, this->services.clock.now());
     this->tried.push_back(choice.target);
     if (end.answer)
         this->targetAnswer = end.answer;
-    this->timedOut = end.kind == delivery::EventKind::TimedOut;
+    this->timedOut = end.kind == delivery::EventKind::TimedOut || this->isDrainOver;
     const bool isCrash = this->recordCrash(choice, end);
     if (end.kind == delivery::EventKind::Complete)
         return;
@@ -247,6 +284,8 @@
             crashes.endTrial(this->fingerprint, *ended, TrialEnd::Completed);
         return false;
     }
+    if (this->isDrainOver)
+        return false;
     const bool wasTrial = ended.has_value();
     if (end.crashed && !this->isCallerGone) {
         this->services.metrics.crashes.Increment();
@@ -311,6 +350,8 @@
 
 std::chrono::milliseconds RequestRun::retryAfter(RefusalReason reason) const
 {
+    if (reason == RefusalReason::Draining)
+        return this->services.options.drain.retryAfter;
     if (reason == RefusalReason::SuspectRequest)
         return this->services.crashes.retryAfter(this->fingerprint);
     const auto now = this->services.clock.now();
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -23,6 +23,8 @@
     [[nodiscard]] http::Task<void> run();
     /** Cancels the request after the caller has closed its connection. */
     void handleCallerDisconnect();
+    /** Ends the request at the end of a drain; the caller gets an answer that is true at this moment. */
+    void handleDrainEnd();
 
 private:
     Services& services;
@@ -44,6 +46,7 @@
     std::vector<base::TargetId> tried;
     std::optional<http::Response> targetAnswer; ///< Most recent failure answer of a target.
     bool isCallerGone = false;
+    bool isDrainOver = false;
     bool timedOut = false;
     std::optional<Trial> trial; ///< Set while the request is blocked but may run at one target.
 
@@ -51,6 +54,9 @@
     [[nodiscard]] std::optional<Refusal> admit();
     /** True if the request must not be sent to another target because it crashes targets. */
     [[nodiscard]] bool isBlocked() const;
+    /** Time by which a run must have started to finish before the drain ends; nullopt if no drain has begun. */
+    [[nodiscard]] std::optional<base::SteadyTime> latestStartInDrain() const;
+    [[nodiscard]] bool canFinishBeforeDrainEnd() const;
     [[nodiscard]] TargetRequest targetRequest(std::uint32_t attemptNumber) const;
     /** Sets of targets to avoid if others are free at once, the best choice first. */
     [[nodiscard]] std::vector<std::vector<base::TargetId>> targetsToAvoid() const;
--- a/src/gateway/services.hpp
+++ b/src/gateway/services.hpp
@@ -6,9 +6,12 @@
 #include "gateway/dispatcher.hpp"
 #include "gateway/options.hpp"
 #include "gateway/request_metrics.hpp"
+#include "gateway/run_times.hpp"
 #include "gateway/snapshot.hpp"
 #include "gateway/target_clients.hpp"
 
+#include <optional>
+
 namespace chivewinch::gateway {
 
 /** Objects that all requests of one process share. Used on one executor only. */
@@ -21,6 +24,9 @@
     TargetClients& clients;
     CrashGuard& crashes;
     RequestMetrics& metrics;
+    RunTimes& runTimes;
+    /** Time by which every request must be answered; nullopt if no drain has begun. */
+    const std::optional<base::SteadyTime>& drainEnd;
 };
 
 } // namespace chivewinch::gateway
--- a/tests/platform/processes/engine.py
+++ b/tests/platform/processes/engine.py
@@ -10,7 +10,9 @@
 import time
 import zlib
 
-CRASH, SILENCE, PARTLY = b"crash", b"silence", b"partly"
+# A body that begins with WORK names the seconds of work.
+CRASH, SILENCE, PARTLY, WORK = b"crash", b"silence", b"partly", b"work"
+EVENT_PAUSE = 0.1
 # One in this many runs of a request that crashes only some of its runs does so.
 PARTLY_SHARE = 4
 
@@ -49,12 +51,28 @@
             if body.startswith(SILENCE):
                 journal.add("ends", request, body)
                 os.kill(os.getpid(), signal.SIGSTOP)
-            time.sleep(arguments.work)
+            seconds = float(body.split()[1]) if body.startswith(WORK) else arguments.work
+            if "/streams/" in self.path:
+                self.answer_stream(seconds, request)
+            else:
+                time.sleep(seconds)
+                self.answer(200, b"answer", request, {"Chivewinch-Response-Seal": "seal"})
             journal.add("done", request, body)
-            self.answer(200, b"answer", request, {"Chivewinch-Response-Seal": "seal"})
 
         do_GET = do_POST
 
+        def answer_stream(self, seconds, request):
+            self.send_response(200)
+            for name, value in {"Chivewinch-Request-Id": request, "Chivewinch-Response-Seal": "seal",
+                                "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}.items():
+                self.send_header(name, value)
+            self.end_headers()
+            for number in range(1, max(int(seconds / EVENT_PAUSE), 1) + 1):
+                time.sleep(EVENT_PAUSE)
+                event = f"id: {number}\ndata: piece\n\n".encode()
+                self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.wfile.write(b"0\r\n\r\n")
+
         def answer(self, status, body, request, fields):
             self.send_response(status)
             self.send_header("Chivewinch-Request-Id", request)
--- a/tests/platform/processes/site_processes.py
+++ b/tests/platform/processes/site_processes.py
@@ -67,9 +67,11 @@
 
 
 class Site:
-    def __init__(self, binaries, folder, entries, engines, restart_seconds, list_delay=0, contact_ms=3000):
+    def __init__(self, binaries, folder, entries, engines, restart_seconds=2.0, list_delay=0, contact_ms=3000, slots=10,
+                 timeout_ms=4000):
         self.binaries, self.folder = pathlib.Path(binaries), pathlib.Path(folder)
         self.restart_seconds, self.list_delay, self.contact_ms = restart_seconds, list_delay, contact_ms
+        self.slots, self.timeout_ms = slots, timeout_ms
         self.network = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.store = Store(f"{self.network}.250")
         self.started_at = time.monotonic()
@@ -100,18 +102,20 @@
         self.store.stop()
 
     def configure(self):
-        route = {"kind": "idempotent", "service": "app", "timeoutMs": 4000, "targetLatencyMs": 1000, "maxAttempts": 2,
-                 "priority": 1}
+        route = {"kind": "idempotent", "service": "app", "timeoutMs": self.timeout_ms, "targetLatencyMs": 1000,
+                 "maxAttempts": 2, "priority": 1}
         self.store.put("op", "config", {
-            "version": 1, "services": [{"name": "app", "slots": 10}],
+            "version": 1, "services": [{"name": "app", "slots": self.slots}],
             "routes": [route | {"name": "calls", "hostname": "h", "prefix": "/calls/"},
                        route | {"name": "orders", "hostname": "h", "prefix": "/orders/", "kind": "non_idempotent",
-                                "maxAttempts": 1}],
+                                "maxAttempts": 1},
+                       route | {"name": "streams", "hostname": "h", "prefix": "/streams/", "kind": "streaming",
+                                "resumeStreams": True, "gapTargetMs": 500}],
             "tenants": [{"name": name, "apiKeys": [key]} for name, key in TEAMS.items()]})
 
     def list_engine(self, engine):
         self.store.put("servers", engine.id, {
-            "service": "app", "address": engine.listen, "zone": "z0", "version": 1, "slots": 10, "state": "ready",
+            "service": "app", "address": engine.listen, "zone": "z0", "version": 1, "slots": self.slots, "state": "ready",
             "coldRemainingMs": 0, "seq": 1, "born": int(time.time() * 1000)})
 
     def start_entry(self, number):
