Test answers that a target cuts at every byte

Operators of similar systems saw an engine stop in the head of its answer, and callers got a 200 with a short body, framed as whole. A body without a stated length that ends by a plain close cannot be told from a whole one.

--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -5,9 +5,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -74,6 +76,11 @@
             rows.push_back({ .key = name, .value = settings::toString(server->start().value()) });
             this->targets.push_back(std::move(server));
         }
+        this->startGateway(kind, rows);
+    }
+
+    void startGateway(RouteKind kind, const std::vector<watch::RowChange>& rows)
+    {
         this->targetFeed = std::make_unique<FakeFeed>(this->context, rows);
         this->configurationFeed = std::make_unique<FakeFeed>(
             this->context, std::vector<watch::RowChange> { { .key = "config", .value = "x" } });
@@ -139,10 +146,10 @@
     }
 
     /** Sends a request to the gateway once it is ready; " cut" is appended to the body of an incomplete answer. */
-    http::Response send(http::Request request)
+    http::Response send(http::Request request, std::chrono::milliseconds settleTime = 30ms)
     {
-        const auto task = [this, &request]() -> http::Task<http::Response> {
-            asio::steady_timer settle { this->context, 30ms };
+        const auto task = [this, &request, settleTime]() -> http::Task<http::Response> {
+            asio::steady_timer settle { this->context, settleTime };
             co_await settle.async_wait(asio::use_awaitable);
             http::Client client { this->context.get_executor(), { .server = this->listen } };
             http::Error reason;
@@ -474,6 +481,119 @@
     EXPECT_LT(written, 20'000'000U);
 }
 
+/** How the answer of a target is framed, and how its connection ends. */
+struct CutAnswer {
+    RouteKind kind = RouteKind::NotRepeatable;
+    std::string framing;
+    std::string body; ///< As it is sent.
+    bool isReset = false;
+
+    [[nodiscard]] bool statesEnd() const { return !this->framing.empty(); }
+};
+
+std::vector<CutAnswer> cutAnswers()
+{
+    const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    std::vector<CutAnswer> answers;
+    for (const auto kind : { RouteKind::NotRepeatable, RouteKind::Repeatable, RouteKind::Stream }) {
+        for (const bool isReset : { false, true }) {
+            answers.push_back({ kind, "Content-Length: 30\r\n", events, isReset });
+            answers.push_back({ kind, "Transfer-Encoding: chunked\r\n",
+                "f\r\n" + events.substr(0, 15) + "\r\nf\r\n" + events.substr(15) + "\r\n0\r\n\r\n", isReset });
+            answers.push_back({ kind, "", events, isReset });
+        }
+    }
+    return answers;
+}
+
+/** Targets that end the connection after a part of their answer. */
+class CutAnswerTest : public GatewayTest, public testing::WithParamInterface<CutAnswer> {
+protected:
+    void startCutting(const CutAnswer& answer)
+    {
+        this->answer = answer;
+        std::vector<watch::RowChange> rows;
+        for (const auto* name : { "t1", "t2" }) {
+            auto& acceptor = this->acceptors.emplace_back(std::make_unique<asio::ip::tcp::acceptor>(
+                this->context, asio::ip::tcp::endpoint { asio::ip::make_address("127.0.0.1"), 0 }));
+            rows.push_back({ .key = name,
+                .value = settings::toString(
+                    settings::Endpoint { .address = "127.0.0.1", .port = acceptor->local_endpoint().port() }) });
+            asio::co_spawn(this->context, this->serve(*acceptor), asio::detached);
+        }
+        this->startGateway(answer.kind, rows);
+    }
+
+    http::Task<void> serve(asio::ip::tcp::acceptor& acceptor)
+    {
+        while (true) {
+            asio::ip::tcp::socket socket { this->context };
+            co_await acceptor.async_accept(socket, asio::use_awaitable);
+            asio::co_spawn(this->context, this->answerOnce(std::move(socket)), asio::detached);
+        }
+    }
+
+    http::Task<void> answerOnce(asio::ip::tcp::socket socket)
+    {
+        std::string request;
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::use_awaitable);
+        const auto idAt = request.find("T-Id: ") + 6;
+        const auto id = request.substr(idAt, request.find("\r\n", idAt) - idAt);
+        const auto whole = this->headOf(id) + this->answer.body;
+        const auto part = whole.substr(0, this->length);
+        co_await asio::async_write(socket, asio::buffer(part), asio::use_awaitable);
+        // The destructor of the socket would undo the option.
+        if (this->answer.isReset && part.size() < whole.size())
+            socket.set_option(asio::socket_base::linger { true, 0 });
+        socket.close();
+        this->cuts += part.size() < whole.size() ? 1 : 0;
+    }
+
+    [[nodiscard]] std::string headOf(const std::string& id) const
+    {
+        return "HTTP/1.1 200 OK\r\nT-Id: " + id + "\r\nT-Seal: s\r\nContent-Type: text/event-stream\r\n"
+            + this->answer.framing + "\r\n";
+    }
+
+    /** Sends a request of its own, whose answer is cut after this many bytes. */
+    http::Response sendWithCut(std::size_t bytes)
+    {
+        this->length = bytes;
+        auto request = callerRequest();
+        request.body() = "body " + std::to_string(++this->sent);
+        request.prepare_payload();
+        return this->send(std::move(request), this->sent == 1 ? 30ms : 0ms);
+    }
+
+    CutAnswer answer;
+    std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors;
+    std::size_t length = 0;
+    std::size_t sent = 0;
+    std::size_t cuts = 0;
+};
+
+// Guards against an answer that a target cuts at any byte of its head or body and that reaches the caller as a whole
+// one.
+TEST_P(CutAnswerTest, IsNeverPassedOnAsWhole)
+{
+    this->startCutting(GetParam());
+    const auto whole = this->headOf("id-1").size() + this->answer.body.size();
+    const std::string content = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    for (std::size_t bytes = 0; bytes < whole; ++bytes) {
+        // A whole answer in between keeps the targets in use.
+        EXPECT_EQ(this->sendWithCut(whole).body, content) << bytes;
+        const auto response = this->sendWithCut(bytes);
+        const bool isWhole = response.status == 200 && !response.body.ends_with(" cut");
+        if (this->answer.statesEnd() || this->answer.isReset)
+            EXPECT_TRUE(!isWhole || response.body == content) << bytes << ": " << response.body;
+        else
+            EXPECT_TRUE(!isWhole || content.starts_with(response.body)) << bytes << ": " << response.body;
+    }
+    EXPECT_GE(this->cuts, whole);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, CutAnswerTest, testing::ValuesIn(cutAnswers()));
+
 INSTANTIATE_TEST_SUITE_P(Kinds, EndlessAnswerTest, testing::Values(RouteKind::NotRepeatable, RouteKind::Stream));
 
 // Guards against a caller that waits longer than the timeout of the route.
