Tell callers of a blocked request that no trial follows

After two late failures no granter grants another trial, but refused callers were still asked to return after half a second, and each of their tries asked a granter.

GrantersTest.StateThatNoTrialFollows failed before the change.

--- a/src/suspect/shared_strikes.cpp
+++ b/src/suspect/shared_strikes.cpp
@@ -272,8 +272,15 @@
     if (!last)
         return this->clock.now();
     const auto failed = this->table.failedTrials(fingerprint);
-    return failed < this->options.trialDelays.size() ? std::optional { *last + this->options.trialDelays[failed] }
-                                                     : std::nullopt;
+    if (failed >= this->options.trialDelays.size() || this->lateFailures(fingerprint) >= this->options.maxLateFailures)
+        return std::nullopt;
+    return *last + this->options.trialDelays[failed];
+}
+
+std::size_t SharedStrikes::lateFailures(std::uint64_t fingerprint) const
+{
+    const auto blocked = this->table.firstBlocked(fingerprint);
+    return blocked ? this->table.failedTrials(fingerprint, *blocked + this->options.learnTime) : 0;
 }
 
 std::vector<std::string> SharedStrikes::trialGranters(std::uint64_t fingerprint) const
@@ -291,13 +298,12 @@
     const auto subtract = [](std::size_t from, std::size_t value) { return from - std::min(from, value); };
     const auto left = subtract(this->options.trialDelays.size(), this->table.failedTrials(fingerprint));
     const auto blocked = this->table.firstBlocked(fingerprint).value_or(this->clock.now());
-    const auto learnt = blocked + this->options.learnTime;
-    if (this->clock.now() < learnt)
+    if (this->clock.now() < blocked + this->options.learnTime)
         return left;
     const auto granters = this->trialGranters(fingerprint);
     const bool isFirst = !granters.empty() && granters.front() == this->options.instance;
     const auto late = subtract(this->options.maxLateFailures, isFirst ? 0 : 1);
-    return std::min(left, subtract(late, this->table.failedTrials(fingerprint, learnt)));
+    return std::min(left, subtract(late, this->lateFailures(fingerprint)));
 }
 
 std::optional<base::TargetId> SharedStrikes::trialTarget(
--- a/src/suspect/shared_strikes.hpp
+++ b/src/suspect/shared_strikes.hpp
@@ -158,6 +158,8 @@
     [[nodiscard]] std::optional<std::string> comparePeer();
     /** Digest of the strikes that all processes should know. */
     [[nodiscard]] std::uint64_t digest() const;
+    /** Number of trials that failed after the learn time. */
+    [[nodiscard]] std::size_t lateFailures(std::uint64_t fingerprint) const;
     /** Number of trials that may still fail, as far as this process grants them. */
     [[nodiscard]] std::size_t allowedFailures(std::uint64_t fingerprint) const;
     /** Removes trials that have ended. */
--- a/tests/suspect/shared_strikes_test.cpp
+++ b/tests/suspect/shared_strikes_test.cpp
@@ -289,6 +289,17 @@
     EXPECT_GE(granted, 1U);
 }
 
+// Guards against refused callers that are asked to return soon although no trial follows.
+TEST_F(GrantersTest, StateThatNoTrialFollows)
+{
+    const auto first = this->granters.front().shared->trialGranters(fingerprint).front();
+    auto& granter = this->granters[first == "a" ? 0 : 1];
+    this->clock.advance(10s);
+    EXPECT_TRUE(granter.shared->trialAt(fingerprint));
+    EXPECT_EQ(this->runTrials(granter, 60s), SharedStrikesOptions {}.maxLateFailures);
+    EXPECT_FALSE(granter.shared->trialAt(fingerprint));
+}
+
 // Guards against a granter that has restarted and grants a trial beside the one that it granted before.
 TEST_F(GrantersTest, GrantNoTrialBesideOneOfBeforeARestart)
 {
