Let agents release a held step only with all ranks armed for one map

Cause: two agents acted on one held step, each by a rule that is right only if the other one does not act. The order to hold a step was executed late, after its sender had ended. HeldActivation::hold of the restarted agent released the step ("no rank is armed yet"), while completeHeldChange of another rank's agent armed ranks for it.

Change: no agent releases a step because it knows of no change for it. Ranks are armed only after a report of the first rank that shows the step as held and no other switch; an armed map is replaced or cancelled only if another rank can no longer be armed with it; a step that is held for no loaded map is used by the next change.

Why it works: versions only grow and engines arm only the loaded map, so "this rank has loaded a newer map without being armed with the older one" never becomes false. Each rule needs only facts of this kind, whatever other agents do.

Tests: the exploration no longer removes orders that were executed, so that each may be repeated; its states are fewer, since lost orders need no states of their own.

--- a/src/expert/held_activation.cpp
+++ b/src/expert/held_activation.cpp
@@ -9,10 +9,53 @@
 namespace internal {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(MapOrderKind::Count)> orderNames { "prepare", "hold",
-    "arm", "release" };
+    "arm", "release", "disarm" };
 constexpr std::array<std::string_view, static_cast<std::size_t>(ActivationPhase::Count)> phaseNames { "idle",
     "preparing", "holding", "arming", "releasing" };
 
+using States = std::vector<std::optional<RankMapState>>;
+
+/** The first rank's switch at another step than the held one. That step was released, so all ranks are armed for it. */
+std::optional<std::uint64_t> releasedSwitch(const RankMapState& first, const HeldActivationChecks& checks)
+{
+    if (!checks.respectReleased || !first.held || !first.armed || first.armed->step == *first.held)
+        return std::nullopt;
+    return first.armed->step;
+}
+
+bool areAllInEpoch(const States& ranks, std::uint64_t epoch)
+{
+    return std::ranges::all_of(ranks, [epoch](const auto& rank) { return rank && rank->epoch == epoch; });
+}
+
+/** The switch for which the step is held at the first rank; nullopt if the reports do not show one. */
+std::optional<ArmedMap> findHeldChange(const States& ranks, const HeldActivationChecks& checks)
+{
+    if (ranks.empty() || !ranks.front() || !ranks.front()->held)
+        return std::nullopt;
+    const auto& first = *ranks.front();
+    if (releasedSwitch(first, checks) || !areAllInEpoch(ranks, first.epoch))
+        return std::nullopt;
+    // All ranks may have loaded a newer map since they were armed, but the step may have been released for this one.
+    const bool allArmed = checks.replaceDeadOnly && first.armed
+        && std::ranges::all_of(ranks, [&first](const auto& rank) { return rank->armed == first.armed; });
+    if (allArmed)
+        return first.armed;
+    const bool canArm = first.prepared && *first.prepared != first.version
+        && std::ranges::all_of(ranks, [&first](const auto& rank) { return rank->prepared == first.prepared; });
+    return canArm ? std::optional { ArmedMap { .version = *first.prepared, .step = *first.held } } : std::nullopt;
+}
+
+/** Returns true if a rank that is not armed with the map has loaded a newer one, so that it can never be armed with it.
+ */
+bool isDead(const ArmedMap& armed, const States& ranks)
+{
+    return std::ranges::any_of(ranks, [&armed](const auto& rank) {
+        const bool isArmed = rank && rank->armed && rank->armed->version == armed.version;
+        return rank && !isArmed && rank->prepared && *rank->prepared > armed.version && rank->step < armed.step;
+    });
+}
+
 } // namespace internal
 
 std::string_view toString(MapOrderKind kind) noexcept { return internal::orderNames[static_cast<std::size_t>(kind)]; }
@@ -56,14 +99,12 @@
 {
     this->step = chosen;
     this->largestStep = std::max(this->largestStep, chosen);
-    this->holdConfirmed = false;
     this->releaseConfirmed = false;
     this->armedRanks.clear();
 }
 
 void HeldActivation::appendState(std::string& out) const
 {
-    out += static_cast<char>(this->holdConfirmed ? 1 : 0);
     out += static_cast<char>(this->releaseConfirmed ? 1 : 0);
     out += static_cast<char>(this->largestStep);
     for (const auto rank : this->armedRanks)
@@ -74,34 +115,31 @@
 {
     if (order.epoch != this->epoch || order.step != this->step)
         return;
-    if (order.kind == MapOrderKind::Hold)
-        this->holdConfirmed = true;
-    else if (order.kind == MapOrderKind::Release)
+    if (order.kind == MapOrderKind::Release)
         this->releaseConfirmed = true;
     else if (order.kind == MapOrderKind::Arm && order.version == this->targetVersion && !this->isArmed(order.rank))
         this->armedRanks.insert(std::ranges::lower_bound(this->armedRanks, order.rank), order.rank);
 }
 
-void HeldActivation::recover(const States& ranks, base::SteadyTime now)
+void HeldActivation::adoptHeldChange(const States& ranks, base::SteadyTime now)
 {
+    const auto& checks = this->options.checks;
     if (!ranks.front() || !ranks.front()->held)
         return;
     const auto& first = *ranks.front();
-    this->epoch = first.epoch;
-    this->setStep(*first.held);
-    this->holdConfirmed = true;
-    const bool allKnown
-        = std::ranges::all_of(ranks, [&first](const auto& rank) { return rank && rank->epoch == first.epoch; });
-    if (!allKnown)
+    if (this->currentPhase == ActivationPhase::Idle && !checks.rollForward) {
+        this->epoch = first.epoch;
+        this->setStep(*first.held);
+        this->enter(ActivationPhase::Releasing, now);
         return;
-    // Ranks are armed only after all of them have loaded the same map. If they have not, no rank can be armed for the
-    // held step, so releasing it is safe. If they have, some rank may be armed, and only completing the change is safe.
-    const bool samePrepared = first.prepared
-        && std::ranges::all_of(ranks, [&first](const auto& rank) { return rank->prepared == first.prepared; });
-    const bool mayBeArmed = samePrepared && *first.prepared != first.version;
-    this->targetVersion = first.prepared.value_or(0);
-    this->enter(
-        mayBeArmed && this->options.checks.rollForward ? ActivationPhase::Arming : ActivationPhase::Releasing, now);
+    }
+    const auto change = internal::findHeldChange(ranks, checks);
+    if (!change)
+        return;
+    this->epoch = first.epoch;
+    this->targetVersion = change->version;
+    this->setStep(change->step);
+    this->enter(ActivationPhase::Arming, now);
 }
 
 HeldActivation::States HeldActivation::filterByEpoch(States ranks) const
@@ -120,7 +158,12 @@
     if (this->currentPhase != ActivationPhase::Idle && this->hasNewEpoch(reported))
         this->enter(ActivationPhase::Idle, now);
     if (this->currentPhase == ActivationPhase::Idle)
-        this->recover(reported, now);
+        this->adoptHeldChange(reported, now);
+    const auto& first = reported.front();
+    if (first && internal::releasedSwitch(*first, this->options.checks) > first->held) {
+        // The released switch waits for the held step, which keeps its map.
+        return { { .kind = MapOrderKind::Release, .epoch = first->epoch, .step = *first->held } };
+    }
     const auto ranks = this->filterByEpoch(std::move(reported));
     switch (this->currentPhase) {
     case ActivationPhase::Idle:
@@ -141,12 +184,28 @@
 
 std::vector<MapOrder> HeldActivation::prepare(const States& ranks, base::SteadyTime now)
 {
+    this->adoptHeldChange(ranks, now);
+    if (this->currentPhase == ActivationPhase::Arming)
+        return this->arm(ranks, now);
     std::vector<MapOrder> orders;
+    bool isReady = true;
     for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
-        if (!ranks[rank] || ranks[rank]->prepared != this->targetVersion)
+        const auto& state = ranks[rank];
+        const bool isLoaded = state && state->prepared == this->targetVersion;
+        const bool isArmed = this->options.checks.replaceDeadOnly && state && state->armed
+            && state->armed->version != this->targetVersion;
+        isReady = isReady && isLoaded && !isArmed;
+        if (state && state->armed && !isLoaded) {
+            // An armed rank refuses to load a map. Its switch either comes with its step or is cancelled.
+            if (!this->options.checks.replaceDeadOnly || internal::isDead(*state->armed, ranks))
+                orders.push_back({ .rank = rank,
+                    .kind = MapOrderKind::Disarm,
+                    .epoch = this->epoch,
+                    .version = state->armed->version });
+        } else if (!isLoaded)
             orders.push_back(this->order(rank, MapOrderKind::Prepare));
     }
-    if (orders.empty()) {
+    if (isReady) {
         this->enter(ActivationPhase::Holding, now);
         return this->hold(ranks, now);
     }
@@ -161,18 +220,23 @@
     if (!ranks.front())
         return {};
     const auto& first = *ranks.front();
-    if (this->step != 0 && (this->holdConfirmed || first.held == this->step)) {
-        this->holdConfirmed = true;
-        this->enter(ActivationPhase::Arming, now);
-        return this->arm(ranks, now);
+    if (first.version == this->targetVersion) {
+        // Another agent has completed the change at a step that a late order held.
+        this->enter(ActivationPhase::Idle, now);
+        return {};
     }
     if (first.held) {
-        // A late Hold order of a previous process took effect. No rank is armed yet, so the step can be released.
-        auto orders = std::vector { this->order(0, MapOrderKind::Release) };
-        orders.front().step = *first.held;
-        this->largestStep = std::max(this->largestStep, *first.held);
-        return orders;
+        // All ranks have loaded the map, so the change can use the step, whichever process has held it.
+        const ArmedMap wanted { .version = this->targetVersion, .step = *first.held };
+        if (this->options.checks.respectReleased && first.armed && first.armed != wanted)
+            return {};
+        this->setStep(*first.held);
+        this->enter(ActivationPhase::Arming, now);
+        return this->arm(ranks, now);
     }
+    // The switch of another agent has been released; its step begins with the next requests.
+    if (first.armed && this->options.checks.respectReleased)
+        return {};
     // Never hold a step twice: a late Release order for the first hold could end the second one.
     if (this->step == 0 || first.step >= this->step)
         this->setStep(std::max(first.step, this->largestStep) + this->options.leadSteps);
@@ -186,8 +250,17 @@
     std::vector<MapOrder> orders;
     const ArmedMap wanted { .version = this->targetVersion, .step = this->step };
     for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
-        if (!this->isArmed(rank) && (!ranks[rank] || ranks[rank]->armed != wanted))
-            orders.push_back(this->order(rank, MapOrderKind::Arm));
+        const auto& state = ranks[rank];
+        if (this->isArmed(rank) || (state && state->armed == wanted))
+            continue;
+        // Another agent has released the step, or the rank has loaded a newer map and refuses to be armed with this
+        // one.
+        const bool isOver = state && (state->step >= this->step || state->prepared > this->targetVersion);
+        if (isOver) {
+            this->enter(ActivationPhase::Idle, now);
+            return {};
+        }
+        orders.push_back(this->order(rank, MapOrderKind::Arm));
     }
     if (!orders.empty() && this->options.checks.allArmed)
         return orders;
@@ -207,34 +280,44 @@
         this->enter(ActivationPhase::Idle, now);
         return {};
     }
-    const bool isHeld = first.held == this->step || (this->holdConfirmed && !this->releaseConfirmed);
+    const bool isHeld = first.held == this->step || !this->releaseConfirmed;
     return isHeld ? std::vector { this->order(0, MapOrderKind::Release) } : std::vector<MapOrder> {};
 }
 
-std::vector<MapOrder> completeHeldChange(const std::vector<std::optional<RankMapState>>& ranks)
+std::vector<MapOrder> completeHeldChange(
+    const std::vector<std::optional<RankMapState>>& ranks, const HeldActivationChecks& checks)
 {
-    if (ranks.empty() || !ranks.front() || !ranks.front()->held || !ranks.front()->prepared)
-        return {};
-    const auto& first = *ranks.front();
-    const ArmedMap wanted { .version = *first.prepared, .step = *first.held };
-    // Ranks are armed only after all of them have loaded the map. Before that there is no change to complete.
-    const bool canComplete = wanted.version != first.version && std::ranges::all_of(ranks, [&first](const auto& rank) {
-        return rank && rank->epoch == first.epoch && rank->prepared == first.prepared;
-    });
-    if (!canComplete)
-        return {};
+    const auto wanted = internal::findHeldChange(ranks, checks);
+    if (!wanted) {
+        const bool isReleased
+            = !ranks.empty() && ranks.front() && internal::releasedSwitch(*ranks.front(), checks) > ranks.front()->held;
+        if (!isReleased)
+            return {};
+        return { { .kind = MapOrderKind::Release, .epoch = ranks.front()->epoch, .step = *ranks.front()->held } };
+    }
+    const auto epoch = ranks.front()->epoch;
     std::vector<MapOrder> orders;
     for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
         if (ranks[rank]->armed != wanted)
             orders.push_back({ .rank = rank,
                 .kind = MapOrderKind::Arm,
-                .epoch = first.epoch,
-                .version = wanted.version,
-                .step = wanted.step });
+                .epoch = epoch,
+                .version = wanted->version,
+                .step = wanted->step });
     }
     if (orders.empty())
-        orders.push_back({ .kind = MapOrderKind::Release, .epoch = first.epoch, .step = wanted.step });
+        orders.push_back({ .kind = MapOrderKind::Release, .epoch = epoch, .step = wanted->step });
     return orders;
 }
 
+bool needsFurtherChange(const std::vector<std::optional<RankMapState>>& ranks)
+{
+    if (ranks.empty() || !ranks.front() || !ranks.front()->held)
+        return false;
+    const auto& first = *ranks.front();
+    const HeldActivationChecks checks;
+    return internal::areAllInEpoch(ranks, first.epoch) && !internal::releasedSwitch(first, checks)
+        && !internal::findHeldChange(ranks, checks);
+}
+
 } // namespace chivewinch::expert
--- a/src/expert/held_activation.hpp
+++ b/src/expert/held_activation.hpp
@@ -39,6 +39,7 @@
     Hold, ///< Keep the group from beginning the step until it is released at this rank.
     Arm, ///< Use the map from the step on.
     Release, ///< Allow the held step to begin.
+    Disarm, ///< Cancel an Arm order for the map. Refused if the map is in use.
     Count
 };
 
@@ -49,7 +50,7 @@
     std::uint32_t rank = 0;
     MapOrderKind kind = MapOrderKind::Prepare;
     std::uint64_t epoch = 0;
-    std::uint64_t version = 0; ///< For Prepare and Arm.
+    std::uint64_t version = 0; ///< For Prepare, Arm and Disarm.
     std::uint64_t step = 0; ///< For Hold, Arm and Release.
 
     auto operator<=>(const MapOrder&) const = default;
@@ -59,8 +60,12 @@
 struct HeldActivationChecks {
     bool holdBeforeArm = true; ///< Arm only after the step is held.
     bool allArmed = true; ///< Release only after all ranks are armed.
-    /** Complete a change that a previous process began. If false, its held step is released instead. */
+    /** Complete a change that another process began. If false, its held step is released instead. */
     bool rollForward = true;
+    /** Arm only if the report that shows the held step shows no switch of the first rank at another step. */
+    bool respectReleased = true;
+    /** Replace or disarm an armed map only if another rank can no longer be armed with it. */
+    bool replaceDeadOnly = true;
 
     bool operator==(const HeldActivationChecks&) const = default;
 };
@@ -83,13 +88,16 @@
 
 /**
  * Switches all ranks of a group to a new map at the same step. The engines of the group neither compare maps nor check
- * fencing numbers, and may execute an order seconds after the sender has timed out. Runs only in the agent of the first
- * rank.
+ * fencing numbers, and may execute an order seconds after the sender has timed out. Runs in the agent of the first
+ * rank; the agents of the other ranks run completeHeldChange at the same time, possibly on outdated reports.
  *
- * Safety: ranks are armed only while the step is held at the first rank, and the step is released only when all ranks
- * are armed for it. No order disarms a rank, so a confirmed state stays valid until the step begins or a new epoch
- * starts. A late copy of an order either asks for a state that already holds or names a step that has begun, and
- * engines refuse orders for such a step.
+ * Safety, for a step that no agent may release twice with different results:
+ * - Ranks are armed for a step only after a report of the first rank that shows the step as held, and no switch at
+ *   another step, and only after every rank has reported that it has loaded the map.
+ * - A step is released only if all ranks are armed for it with one map, or if it precedes a released switch of the
+ * first rank. A held step that belongs to no change is therefore used for the next change.
+ * - The armed map of a rank is replaced or cancelled only if some rank has loaded a newer map without being armed with
+ *   this one. That rank can no longer be armed with it, so no agent can have released the step for it.
  */
 class HeldActivation {
 public:
@@ -100,6 +108,11 @@
 
     /** Returns true if a new change may begin. */
     [[nodiscard]] bool idle() const noexcept { return this->currentPhase == ActivationPhase::Idle; }
+    /** Returns true if the change needs nothing more from this process. */
+    [[nodiscard]] bool canStop() const noexcept
+    {
+        return this->idle() || (this->currentPhase == ActivationPhase::Releasing && this->releaseConfirmed);
+    }
     /** Starts the change to a map. The version must be larger than that of every map the ranks have had before. */
     void begin(std::uint64_t version, std::uint64_t epoch, base::SteadyTime now) noexcept;
 
@@ -112,6 +125,7 @@
 
     /**
      * Records that the engine has confirmed the state that the order asks for. The reported states show it only later.
+     * The confirmation of a Hold order is not used, since it does not tell whether the rank is armed.
      */
     void confirm(const MapOrder& order);
 
@@ -134,7 +148,6 @@
     std::uint64_t step = 0;
     std::uint64_t largestStep = 0; ///< Largest step that this process has ordered to hold or has found held.
     base::SteadyTime phaseSince {};
-    bool holdConfirmed = false;
     bool releaseConfirmed = false;
     std::vector<std::uint32_t> armedRanks; ///< Ranks that have confirmed the Arm order for the current step, ascending.
 
@@ -144,7 +157,8 @@
         return std::ranges::binary_search(this->armedRanks, rank);
     }
     void setStep(std::uint64_t chosen);
-    void recover(const States& ranks, base::SteadyTime now);
+    /** Continues with the change for which a step is held, if the reports show one. */
+    void adoptHeldChange(const States& ranks, base::SteadyTime now);
     [[nodiscard]] bool hasNewEpoch(const States& ranks) const;
     [[nodiscard]] States filterByEpoch(States ranks) const;
     [[nodiscard]] std::vector<MapOrder> prepare(const States& ranks, base::SteadyTime now);
@@ -157,9 +171,16 @@
 /**
  * Returns the orders with which the agent of another rank completes a change while the agent of the first rank does not
  * respond and the group waits for the held step. The orders arm the ranks that are not armed yet, and release the step
- * once all ranks are armed, as the first rank's agent does. They never cancel a change. Empty unless the states of all
- * ranks are known, all have loaded the new map, and the step is held.
+ * once all ranks are armed. Empty if the reports do not show a change that can be completed.
+ * @param ranks Reports by rank; may be outdated and may have been read at different times.
+ */
+[[nodiscard]] std::vector<MapOrder> completeHeldChange(
+    const std::vector<std::optional<RankMapState>>& ranks, const HeldActivationChecks& checks = {});
+
+/**
+ * Returns true if a step is held that no loaded map can use, so that only the change to a further map can release it.
+ * Occurs if a Hold order is executed after its change has been completed or replaced.
  */
-[[nodiscard]] std::vector<MapOrder> completeHeldChange(const std::vector<std::optional<RankMapState>>& ranks);
+[[nodiscard]] bool needsFurtherChange(const std::vector<std::optional<RankMapState>>& ranks);
 
 } // namespace chivewinch::expert
--- a/src/group/codec.cpp
+++ b/src/group/codec.cpp
@@ -57,7 +57,7 @@
 expert::MapOrder parseOrder(const Json& value)
 {
     return { .rank = parseUnsigned<std::uint32_t>(value.at(0)),
-        .kind = parseEnum(value.at(1), expert::MapOrderKind::Release),
+        .kind = parseEnum(value.at(1), expert::MapOrderKind::Disarm),
         .epoch = parseUnsigned(value.at(2)),
         .version = parseUnsigned(value.at(3)),
         .step = parseUnsigned(value.at(4)) };
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -88,9 +88,9 @@
 
 http::Task<void> GroupAgent::run()
 {
-    while (!this->isDraining || !this->activation.idle()) {
+    while (!this->isDraining || !this->activation.canStop()) {
         const auto pause = co_await this->step();
-        if (this->isDraining && this->activation.idle())
+        if (this->isDraining && this->activation.canStop())
             break;
         this->timer.expires_after(pause);
         (void)co_await this->timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -102,6 +102,9 @@
 http::Task<std::chrono::milliseconds> GroupAgent::step()
 {
     const auto own = co_await this->port.report(this->options.engine);
+    // The agent of the present first rank continues a change that this agent began at an earlier rank.
+    if (own && own->rank != 0 && !this->activation.idle())
+        this->activation = expert::HeldActivation { this->options.activation };
     if (!own || own->rank != 0 || own->size < 2 || !own->maps.open) {
         if (own && own->rank != 0 && own->maps.open)
             co_await this->detectStalledSteps(*own);
@@ -115,10 +118,12 @@
     if (!this->activation.idle() || own->maps.held) {
         co_await this->activate(*own);
         const auto phase = this->activation.phase();
-        const bool isHeld = phase == ActivationPhase::Arming || phase == ActivationPhase::Releasing;
+        const bool isHeld = own->maps.held || phase == ActivationPhase::Arming || phase == ActivationPhase::Releasing;
         co_return isHeld ? this->options.heldStepInterval : this->options.changeInterval;
     }
     this->finishChange(*own);
+    // Another rank's agent may have completed a change of an earlier process.
+    this->forgetOutdatedMap(own->maps.version);
     if (!this->group)
         co_return this->options.changeInterval;
     const auto loads = co_await this->readLoads();
@@ -155,7 +160,7 @@
             .map = {},
             .popularity = Popularity { this->options.popularity, this->limits ? this->limits->experts : 0 } });
     }
-    const auto states = co_await this->readStates();
+    auto states = co_await this->readStates();
     const auto orders = expert::completeHeldChange(states);
     if (orders.empty())
         co_return;
@@ -164,7 +169,7 @@
         .field("step", orders.front().step)
         .field("orders", orders.size())
         .warning();
-    co_await this->sendOrders(orders);
+    co_await this->sendOrders(orders, states);
 }
 
 http::Task<std::optional<std::vector<Member>>> GroupAgent::readMembers(const MemberReport& own)
@@ -270,13 +275,13 @@
     co_return loads;
 }
 
-std::uint64_t GroupAgent::nextVersion(std::uint64_t inUse)
+std::uint64_t GroupAgent::nextVersion()
 {
     const auto wall = std::chrono::floor<std::chrono::milliseconds>(this->clock.wallNow().time_since_epoch()).count();
     const auto fromClock
         = static_cast<std::uint64_t>(wall) * internal::randomVersions + this->random.below(internal::randomVersions);
-    // The wall clock can move backwards.
-    return std::max({ fromClock, this->lastVersion + 1, inUse + 1 });
+    // The wall clock can move backwards, also while no agent of the first rank runs.
+    return std::max(fromClock, std::max(this->lastVersion, this->largestVersion) + 1);
 }
 
 void GroupAgent::planChange(const GroupLoads& loads)
@@ -287,16 +292,22 @@
     auto plan = planMap(this->group->map, loads, *this->limits, this->options.planner);
     if (!plan)
         return;
-    this->lastVersion = this->nextVersion(this->lastVersion);
-    this->lastChange = now;
+    this->beginChange(std::move(*plan));
     logging::Event { "map_change" }
         .field("version", this->lastVersion)
         .field("epoch", this->group->epoch)
-        .field("skew", plan->skewBefore)
-        .field("skew_planned", plan->skewAfter)
+        .field("skew", this->planned->skewBefore)
+        .field("skew_planned", this->planned->skewAfter)
         .field("slowest_pace", std::ranges::max(loads.paces))
-        .field("copies", plan->loaded)
+        .field("copies", this->planned->loaded)
         .info();
+}
+
+void GroupAgent::beginChange(PlannedMap plan)
+{
+    const auto now = this->clock.now();
+    this->lastVersion = this->nextVersion();
+    this->lastChange = now;
     this->planned = std::move(plan);
     this->needsFullMap = false;
     this->ranks.cacheMap(this->lastVersion, this->planned->map);
@@ -314,11 +325,19 @@
     if (isPreparing)
         this->recordLoads(answers);
     States states(this->group->members.size());
+    updateStates(states, answers);
+    co_return states;
+}
+
+void GroupAgent::updateStates(States& states, const RankAnswers& answers)
+{
     for (const auto& [rank, report] : answers.reports) {
-        if (rank < states.size())
-            states[rank] = report.maps;
+        if (rank >= states.size())
+            continue;
+        states[rank] = report.maps;
+        this->largestVersion
+            = std::max({ this->largestVersion, report.maps.version, report.maps.prepared.value_or(0) });
     }
-    co_return states;
 }
 
 http::Task<void> GroupAgent::activate(const MemberReport& own)
@@ -327,19 +346,40 @@
     // Uses the own report, which was read before the others. A step that has not started in it may have started since,
     // but a step that has started in it has also started in every later report.
     states.front() = own.maps;
-    this->isChanging = true;
     // A confirmed order allows the next phase at once. The held step must not wait for the next reports.
     for (int phase = 0; phase < internal::maxPhasesAtOnce; ++phase) {
         const auto before = this->activation.phase();
         const auto orders = this->activation.advance(states, this->clock.now());
+        this->isChanging = this->isChanging || !this->activation.idle();
         this->logPhase();
-        co_await this->sendOrders(orders);
+        co_await this->sendOrders(orders, states);
         if (orders.empty() || (phase > 0 && this->activation.phase() == before))
             break;
     }
+    if (this->activation.idle() && !this->isDraining && expert::needsFurtherChange(states))
+        this->releaseHeldStep(states.front()->version);
+}
+
+void GroupAgent::releaseHeldStep(std::uint64_t inUse)
+{
+    this->forgetOutdatedMap(inUse);
+    if (!this->group)
+        return;
+    // Ranks that load the map in use again copy no weights.
+    this->beginChange({ .map = this->group->map });
+    logging::Event { "held_step_without_change" }
+        .field("version", this->lastVersion)
+        .field("epoch", this->group->epoch)
+        .warning();
+}
+
+void GroupAgent::forgetOutdatedMap(std::uint64_t inUse)
+{
+    if (this->group && this->group->version != inUse)
+        this->group.reset();
 }
 
-http::Task<void> GroupAgent::sendOrders(const std::vector<expert::MapOrder>& orders)
+http::Task<void> GroupAgent::sendOrders(const std::vector<expert::MapOrder>& orders, States& states)
 {
     RankQuery query { .group = this->group->name };
     for (const auto& order : orders) {
@@ -358,6 +398,7 @@
     const auto answers = co_await this->ranks.ask(query, true);
     for (const auto& answer : answers.replies)
         this->handleReply(answer);
+    updateStates(states, answers);
     this->logOrders(query.orders, answers.replies);
 }
 
--- a/src/group/group_agent.hpp
+++ b/src/group/group_agent.hpp
@@ -105,6 +105,7 @@
     expert::ActivationPhase loggedPhase = expert::ActivationPhase::Idle;
     std::optional<PlannedMap> planned;
     std::uint64_t lastVersion = 0;
+    std::uint64_t largestVersion = 0; ///< Largest version that a rank has reported.
     bool needsFullMap = false; ///< An agent does not hold the base map of the present change.
     base::SteadyTime lastChange {};
     /** Accepted orders of the present change, with the time of their acceptance. */
@@ -134,16 +135,23 @@
     [[nodiscard]] http::Task<void> activate(const MemberReport& own);
     /** States by rank; nullopt for ranks that do not answer. */
     [[nodiscard]] http::Task<States> readStates();
-    [[nodiscard]] http::Task<void> sendOrders(const std::vector<expert::MapOrder>& orders);
+    /** Updates the states with the reports that follow the orders. */
+    [[nodiscard]] http::Task<void> sendOrders(const std::vector<expert::MapOrder>& orders, States& states);
+    void updateStates(States& states, const RankAnswers& answers);
     /** Update to the planned map, in as few bytes as the other agents need. */
     [[nodiscard]] MapUpdate plannedUpdate() const;
     [[nodiscard]] bool isDue(const expert::MapOrder& order) const;
     void handleReply(const OrderAnswer& answer);
     void logOrders(const std::vector<expert::MapOrder>& orders, const std::vector<OrderAnswer>& replies) const;
     void planChange(const GroupLoads& loads);
+    void beginChange(PlannedMap plan);
+    /** Releases a step that is held for no loaded map by a change that uses the step and keeps the map in use. */
+    void releaseHeldStep(std::uint64_t inUse);
+    /** Has the map read again if another agent has brought one into use. */
+    void forgetOutdatedMap(std::uint64_t inUse);
     void finishChange(const MemberReport& own);
     void logPhase();
-    [[nodiscard]] std::uint64_t nextVersion(std::uint64_t inUse);
+    [[nodiscard]] std::uint64_t nextVersion();
     [[nodiscard]] http::Task<void> serve(const http::Request& request, http::ResponseWriter& writer);
     [[nodiscard]] std::shared_ptr<http::Server> makeServer(const settings::Endpoint& listen);
 };
--- a/tests/expert/held_activation_exploration_test.cpp
+++ b/tests/expert/held_activation_exploration_test.cpp
@@ -1,19 +1,15 @@
-#include "expert/held_activation.hpp"
+#include "expert/held_group_model.hpp"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
+#include <cstdlib>
 #include <deque>
 #include <iostream>
-#include <set>
-#include <string>
 #include <unordered_set>
 
 namespace chivewinch::expert {
 namespace {
 
-using base::SteadyTime;
-
 /** Limits of one run of the exploration. */
 struct Bounds {
     std::uint32_t ranks = 3;
@@ -23,154 +19,22 @@
     std::uint32_t crashes = 1;
     /** The agent of another rank also completes changes, at any time and concurrently with the first agent. */
     bool secondAgent = false;
+    /**
+     * Agents act on reports that they have read one by one, at any earlier time, as an agent that was frozen between
+     * reading and sending. Otherwise they act on current reports, and only their orders are late.
+     */
+    bool outdatedReports = false;
+    /** Engines take any time to load a map. Otherwise a map is loaded when the order is executed. */
+    bool slowLoading = false;
     std::size_t maxStates = 12'000'000;
 };
 
-/** Engine of one rank. Executes orders as the platform's documentation states, without comparing maps or planners. */
-struct Engine {
-    std::uint64_t version = 0;
-    std::uint64_t largestVersion = 0;
-    std::uint64_t prepared = 0;
-    ArmedMap armed;
-    std::uint64_t held = 0;
-
-    auto operator<=>(const Engine&) const = default;
-};
-
-/** State of the system: the engines, the orders in flight, and the agent of the first rank. */
-struct SystemState {
-    std::vector<Engine> engines;
-    std::uint64_t epoch = 1;
-    std::uint64_t step = 0;
-    std::set<MapOrder> inFlight;
-    std::set<MapOrder>
-        inFlightUnacknowledged; ///< Orders of an ended process, or of the second agent, whose answers are ignored.
-    HeldActivation activation;
-    SteadyTime now;
-    std::uint32_t changes = 0;
-    std::uint32_t restarts = 0;
-    std::uint32_t crashes = 0;
-    bool mixedMaps = false;
-
-    SystemState(const HeldActivationOptions& options, std::uint32_t ranks, SteadyTime start)
-        : engines(ranks)
-        , activation { options }
-        , now { start }
-    {
-    }
-
-    [[nodiscard]] std::vector<std::optional<RankMapState>> reports(std::uint32_t silent) const
-    {
-        std::vector<std::optional<RankMapState>> all;
-        for (std::uint32_t rank = 0; rank < this->engines.size(); ++rank) {
-            const auto& engine = this->engines[rank];
-            RankMapState state { .epoch = this->epoch, .open = true, .step = this->step, .version = engine.version };
-            if (engine.prepared != 0)
-                state.prepared = engine.prepared;
-            if (engine.armed.version != 0)
-                state.armed = engine.armed;
-            if (engine.held != 0)
-                state.held = engine.held;
-            all.emplace_back(rank == silent ? std::nullopt : std::optional { state });
-        }
-        return all;
-    }
-
-    /** Executes an order. Returns true if the state that the order asks for holds afterwards. */
-    bool execute(const MapOrder& order)
-    {
-        auto& engine = this->engines[order.rank];
-        if (order.epoch != this->epoch)
-            return false;
-        const bool begun = order.step <= this->step;
-        if (order.kind == MapOrderKind::Prepare) {
-            if (engine.armed.version == 0 && order.version > engine.largestVersion)
-                engine.prepared = engine.largestVersion = order.version;
-        } else if (order.kind == MapOrderKind::Hold) {
-            if (engine.held == 0 && !begun)
-                engine.held = order.step;
-            return engine.held == order.step;
-        } else if (order.kind == MapOrderKind::Arm) {
-            if (engine.prepared == order.version && !begun)
-                engine.armed = { .version = order.version, .step = order.step };
-            return engine.armed == ArmedMap { .version = order.version, .step = order.step };
-        } else if (engine.held == order.step) {
-            engine.held = 0;
-            return true;
-        }
-        return false;
-    }
-
-    [[nodiscard]] bool canStep() const
-    {
-        return std::ranges::none_of(
-            this->engines, [this](const auto& engine) { return engine.held == this->step + 1; });
-    }
-
-    void beginStep()
-    {
-        ++this->step;
-        for (auto& engine : this->engines) {
-            if (engine.armed.step == this->step && engine.armed.version != 0) {
-                engine.version = engine.armed.version;
-                engine.armed = {};
-            }
-            this->mixedMaps = this->mixedMaps || engine.version != this->engines.front().version;
-        }
-    }
-
-    void crash()
-    {
-        ++this->epoch;
-        ++this->crashes;
-        for (auto& engine : this->engines)
-            engine = { .largestVersion = engine.largestVersion };
-    }
-
-    [[nodiscard]] std::string key(const Bounds& bounds) const
-    {
-        std::string text;
-        const auto add = [&text](std::uint64_t value) { text += static_cast<char>(value); };
-        for (const auto& engine : this->engines) {
-            add(engine.version);
-            add(engine.largestVersion);
-            add(engine.prepared);
-            add(engine.armed.version);
-            add(engine.armed.step);
-            add(engine.held);
-        }
-        add(this->epoch);
-        add(this->step);
-        for (const auto& order : this->inFlight) {
-            add(order.rank * 8 + static_cast<std::uint64_t>(order.kind));
-            add(order.epoch);
-            add(order.version);
-            add(order.step);
-        }
-        add(0xFF);
-        for (const auto& order : this->inFlightUnacknowledged) {
-            add(order.rank * 8 + static_cast<std::uint64_t>(order.kind));
-            add(order.epoch);
-            add(order.version);
-            add(order.step);
-        }
-        add(0xFF);
-        this->activation.appendState(text);
-        add(static_cast<std::uint64_t>(this->activation.phase()));
-        add(this->activation.version());
-        add(this->activation.heldStep());
-        add(this->activation.idle() ? 1 : 0);
-        add(this->changes + this->restarts * (bounds.changes + 1));
-        add(this->crashes);
-        return text;
-    }
-};
-
 struct Result {
     std::size_t states = 0;
     bool complete = true;
     bool mixedMaps = false;
     bool changed = false; ///< On some path all ranks use a new map.
+    bool recovers = true; ///< The group begins further steps after the faults have ended, from all examined states.
 };
 
 /** Explores all states that are reachable within the bounds. */
@@ -184,9 +48,8 @@
 
     Result run()
     {
-        const SteadyTime start { std::chrono::hours { 1 } };
-        SystemState first { this->options, this->bounds.ranks, start };
-        this->add(std::move(first));
+        const std::uint32_t helpers = this->bounds.secondAgent && this->bounds.outdatedReports ? 1 : 0;
+        this->add(HeldGroup { this->options, this->bounds.ranks, helpers });
         while (!this->open.empty() && !this->result.mixedMaps) {
             const auto world = std::move(this->open.front());
             this->open.pop_front();
@@ -199,11 +62,11 @@
 private:
     HeldActivationOptions options;
     Bounds bounds;
-    std::deque<SystemState> open;
+    std::deque<HeldGroup> open;
     std::unordered_set<std::string> seen;
     Result result;
 
-    void add(SystemState world)
+    void add(HeldGroup world)
     {
         this->result.mixedMaps = this->result.mixedMaps || world.mixedMaps;
         this->result.changed = this->result.changed
@@ -212,19 +75,24 @@
             this->result.complete = false;
             return;
         }
-        if (this->seen.insert(world.key(this->bounds)).second)
-            this->open.push_back(std::move(world));
+        if (!this->seen.insert(world.key()).second)
+            return;
+        // A sample, since an examination takes as long as the exploration of many states.
+        if (this->seen.size() % 64 == 0) {
+            auto copy = world;
+            this->result.recovers = this->result.recovers && copy.recovers(this->bounds.steps + 3);
+            this->result.mixedMaps = this->result.mixedMaps || copy.mixedMaps;
+        }
+        this->open.push_back(std::move(world));
     }
 
-    void expand(const SystemState& world)
+    void expand(const HeldGroup& world)
     {
-        this->advanceAgent(world);
+        this->advanceAgents(world);
+        // Orders are never removed, so that each of them may be lost, late or repeated.
         for (const auto& order : world.inFlight) {
-            auto lost = world;
-            lost.inFlight.erase(order);
-            auto executed = lost;
-            const bool holds = executed.execute(order);
-            this->add(std::move(lost));
+            auto executed = world;
+            const bool holds = this->execute(executed, order);
             this->add(executed);
             if (holds) {
                 executed.activation.confirm(order);
@@ -232,53 +100,82 @@
             }
         }
         for (const auto& order : world.inFlightUnacknowledged) {
-            auto lost = world;
-            lost.inFlightUnacknowledged.erase(order);
-            auto executed = lost;
-            (void)executed.execute(order);
-            this->add(std::move(lost));
+            auto executed = world;
+            (void)this->execute(executed, order);
             this->add(std::move(executed));
         }
-        if (world.step < this->bounds.steps && world.canStep()) {
+        for (std::size_t rank = 0; rank < world.engines.size(); ++rank) {
+            if (world.engines[rank].loading == 0)
+                continue;
             auto next = world;
-            next.beginStep();
+            next.finishLoading(rank);
             this->add(std::move(next));
         }
-        if (this->bounds.secondAgent) {
-            // Delayed orders also cover an outdated view of the states, so the current states are passed.
+        if (world.step < this->bounds.steps && world.canStep()) {
             auto next = world;
-            for (const auto& order : completeHeldChange(world.reports(this->bounds.ranks)))
-                next.inFlightUnacknowledged.insert(order);
+            next.beginStep();
             this->add(std::move(next));
         }
         this->injectFaults(world);
     }
 
-    void advanceAgent(const SystemState& world)
+    bool execute(HeldGroup& world, const MapOrder& order) const
+    {
+        const bool holds = world.execute(order);
+        if (!this->bounds.slowLoading && world.engines[order.rank].loading != 0)
+            world.finishLoading(order.rank);
+        return holds;
+    }
+
+    void advanceAgents(const HeldGroup& world)
     {
-        // Tries reports from all ranks, then reports with each single rank missing.
-        for (std::uint32_t silent = 0; silent <= this->bounds.ranks; ++silent) {
+        if (this->bounds.outdatedReports) {
+            this->readReports(world);
             auto next = world;
-            for (const auto& order : next.activation.advance(next.reports(silent), next.now))
-                next.inFlight.insert(order);
+            next.advanceFirst(next.reports);
             this->add(std::move(next));
+        } else {
+            // Tries reports from all ranks, then reports with each single rank missing.
+            for (std::size_t silent = 0; silent <= world.engines.size(); ++silent) {
+                auto next = world;
+                auto reports = next.currentReports();
+                if (silent < reports.size())
+                    reports[silent].reset();
+                next.advanceFirst(reports);
+                this->add(std::move(next));
+            }
         }
         if (world.changes < this->bounds.changes && world.activation.idle()) {
             auto next = world;
-            ++next.changes;
-            next.activation.begin(next.changes, next.epoch, next.now);
+            next.beginChange();
+            this->add(std::move(next));
+        }
+        if (this->bounds.secondAgent) {
+            auto next = world;
+            next.advanceHelper(world.helpers.empty() ? world.currentReports() : world.helpers.front().reports);
             this->add(std::move(next));
         }
     }
 
-    void injectFaults(const SystemState& world)
+    void readReports(const HeldGroup& world)
+    {
+        for (std::size_t rank = 0; rank < world.engines.size(); ++rank) {
+            auto next = world;
+            next.reports[rank] = world.report(rank);
+            this->add(std::move(next));
+            if (world.helpers.empty())
+                continue;
+            auto read = world;
+            read.helpers.front().reports[rank] = world.report(rank);
+            this->add(std::move(read));
+        }
+    }
+
+    void injectFaults(const HeldGroup& world)
     {
         if (world.restarts < this->bounds.restarts) {
             auto next = world;
-            ++next.restarts;
-            next.activation = HeldActivation { this->options };
-            next.inFlightUnacknowledged.merge(next.inFlight);
-            next.inFlight.clear();
+            next.restartFirst();
             this->add(std::move(next));
         }
         if (world.crashes < this->bounds.crashes) {
@@ -295,10 +192,19 @@
 {
     const auto result = HeldExploration { options, bounds }.run();
     std::cout << name << ": " << result.states << " states" << (result.complete ? "" : " (bound reached)")
-              << (result.mixedMaps ? ", mixed maps found" : "") << std::endl;
+              << (result.mixedMaps ? ", mixed maps found" : "") << (result.recovers ? "" : ", a step stays held")
+              << std::endl;
     return result;
 }
 
+void expectSafe(const Result& result)
+{
+    EXPECT_FALSE(result.mixedMaps);
+    EXPECT_TRUE(result.complete);
+    EXPECT_TRUE(result.changed);
+    EXPECT_TRUE(result.recovers);
+}
+
 // Guards against ranks of one group that run a step with different maps when orders are lost, delayed or repeated and
 // the agent restarts.
 TEST(HeldActivationExploration, NoStepMixesMapsWithARestartedAgent)
@@ -340,7 +246,62 @@
     EXPECT_TRUE(one.complete);
 }
 
-// Guards against checks that have no effect: in this test and the next two, one check is switched off and the
+// Guards against two agents that treat one held step differently: a Hold order is executed late, after its sender has
+// ended, and one agent releases the step while another one arms ranks for it. With LARGE_BOUNDS in the environment,
+// also explores bounds that take minutes.
+TEST(HeldActivationExploration, NoStepMixesMapsIfTwoAgentsFindAStepHeldLate)
+{
+    const Bounds common { .ranks = 2, .steps = 2, .changes = 2, .restarts = 1, .crashes = 0, .secondAgent = true };
+    expectSafe(explore("2 ranks, two changes, restart, second agent", exploredOptions(), common));
+    auto bounds = common;
+    bounds.slowLoading = true;
+    expectSafe(explore("the same, slow loading", exploredOptions(), bounds));
+    bounds = common;
+    bounds.steps = 3;
+    expectSafe(explore("the same, 3 steps, two steps ahead", { .leadSteps = 2 }, bounds));
+    if (std::getenv("LARGE_BOUNDS") == nullptr)
+        return;
+    expectSafe(explore("the same, 3 steps", exploredOptions(), bounds));
+    bounds = common;
+    bounds.ranks = 3;
+    expectSafe(explore("the same, 3 ranks", exploredOptions(), bounds));
+    bounds = common;
+    bounds.changes = 3;
+    expectSafe(explore("the same, three changes", exploredOptions(), bounds));
+    bounds = common;
+    bounds.restarts = 2;
+    expectSafe(explore("the same, two restarts", exploredOptions(), bounds));
+    bounds = common;
+    bounds.crashes = 1;
+    expectSafe(explore("the same, new epoch", exploredOptions(), bounds));
+}
+
+// Guards against agents that act on reports read before other agents completed the change, as frozen agents do.
+TEST(HeldActivationExploration, NoStepMixesMapsIfAgentsActOnOutdatedReports)
+{
+    expectSafe(explore("2 ranks, two changes, restart, outdated reports", exploredOptions(),
+        { .ranks = 2, .steps = 2, .changes = 2, .restarts = 1, .crashes = 0, .outdatedReports = true }));
+    expectSafe(explore("2 ranks, one change, second agent, slow loading, outdated reports", exploredOptions(),
+        { .ranks = 2,
+            .steps = 2,
+            .changes = 1,
+            .restarts = 0,
+            .crashes = 0,
+            .secondAgent = true,
+            .outdatedReports = true,
+            .slowLoading = true }));
+    if (std::getenv("LARGE_BOUNDS") == nullptr)
+        return;
+    Bounds bounds {
+        .ranks = 2, .steps = 2, .changes = 2, .restarts = 0, .crashes = 0, .secondAgent = true, .outdatedReports = true
+    };
+    expectSafe(explore("2 ranks, two changes, second agent, outdated reports", exploredOptions(), bounds));
+    bounds.changes = 1;
+    bounds.restarts = 1;
+    expectSafe(explore("2 ranks, one change, restart, second agent, outdated reports", exploredOptions(), bounds));
+}
+
+// Guards against checks that have no effect: in this test and those that follow, one check is switched off and the
 // exploration must find mixed maps.
 TEST(HeldActivationExploration, FindsMixedMapsWithoutTheHold)
 {
@@ -368,5 +329,23 @@
             .mixedMaps);
 }
 
+TEST(HeldActivationExploration, FindsMixedMapsIfReleasedSwitchesAreReplaced)
+{
+    HeldActivationOptions options { .leadSteps = 2 };
+    options.checks.respectReleased = false;
+    EXPECT_TRUE(explore("arming again for another step", options,
+        { .ranks = 2, .steps = 3, .changes = 2, .restarts = 1, .crashes = 0, .secondAgent = true })
+                    .mixedMaps);
+}
+
+TEST(HeldActivationExploration, FindsMixedMapsIfCompletedChangesAreReplaced)
+{
+    auto options = exploredOptions();
+    options.checks.replaceDeadOnly = false;
+    EXPECT_TRUE(explore("replacing a map that all ranks are armed with", options,
+        { .ranks = 2, .steps = 2, .changes = 2, .restarts = 1, .crashes = 0, .secondAgent = true })
+                    .mixedMaps);
+}
+
 } // namespace
 } // namespace chivewinch::expert
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -122,6 +122,8 @@
     EXPECT_FALSE(decodeMember("i", targetText, "u", "g0"));
     EXPECT_EQ(encodeOrder({ .kind = expert::MapOrderKind::Release, .epoch = 2, .step = 9 }, {}),
         R"({"epoch":2,"op":"go","step":9})");
+    EXPECT_EQ(encodeOrder({ .kind = expert::MapOrderKind::Disarm, .epoch = 2, .version = 7 }, {}),
+        R"({"epoch":2,"op":"disarm","version":7})");
 }
 
 // Guards against a crash on bytes stored by another writer. The input is a random mutation of a valid text.
