Order ranks to load a map also if an outdated report shows them as armed

The reports of ranks whose agents do not answer are some 200 ms old. A rank that is really armed refuses the order without effect.

--- a/src/expert/held_activation.cpp
+++ b/src/expert/held_activation.cpp
@@ -195,14 +195,15 @@
         const bool isArmed = this->options.checks.replaceDeadOnly && state && state->armed
             && state->armed->version != this->targetVersion;
         isReady = isReady && isLoaded && !isArmed;
-        if (state && state->armed && !isLoaded) {
-            // An armed rank refuses to load a map. Its switch either comes with its step or is cancelled.
-            if (!this->options.checks.replaceDeadOnly || internal::isDead(*state->armed, ranks))
-                orders.push_back({ .rank = rank,
-                    .kind = MapOrderKind::Disarm,
-                    .epoch = this->epoch,
-                    .version = state->armed->version });
-        } else if (!isLoaded)
+        if (isLoaded)
+            continue;
+        const bool canDisarm = state && state->armed
+            && (!this->options.checks.replaceDeadOnly || internal::isDead(*state->armed, ranks));
+        // An armed rank refuses to load a map, but the report may be outdated.
+        if (canDisarm)
+            orders.push_back(
+                { .rank = rank, .kind = MapOrderKind::Disarm, .epoch = this->epoch, .version = state->armed->version });
+        else
             orders.push_back(this->order(rank, MapOrderKind::Prepare));
     }
     if (isReady) {
