Do not blame a request for an engine that sends wrong bytes

What callers saw: sound requests that met engines whose answers have a head, a chunk extension or a trailer without end got strikes at each attempt, and could be refused with 503 although no engine had crashed.

Cause: Attempt::transportFailure took each failed read that is no stall for a crash, since http::Error did not tell bytes that are no response from a connection that ends.

Change: http::ErrorCode::InvalidResponse.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -89,20 +89,34 @@
 {
     if (reason.code == http::ErrorCode::NotSent)
         return { .kind = delivery::EventKind::ConnectFailed, .notRun = true, .detail = reason.detail };
+    // A target that sends bytes is neither crashed nor silent, whatever they are.
+    if (reason.code == http::ErrorCode::InvalidResponse)
+        return { .kind = this->lostKind(), .detail = reason.detail };
+    const auto silentSince = this->silentSince();
     if (this->timeUntil(this->limit) <= internal::timerTolerance)
-        return { .kind = delivery::EventKind::TimedOut,
-            .silentSince = this->lastEventAt,
-            .gaveUp = true,
-            .detail = reason.detail };
+        return {
+            .kind = delivery::EventKind::TimedOut, .silentSince = silentSince, .gaveUp = true, .detail = reason.detail
+        };
     const bool wasStalled = this->timeUntil(this->lastEventAt + this->eventTimeout()) <= internal::timerTolerance;
-    return { .kind
-        = this->events.delivered() > 0 ? delivery::EventKind::StreamBroken : delivery::EventKind::ConnectionLost,
+    return { .kind = this->lostKind(),
         .crashed = !wasStalled,
-        .silentSince = this->lastEventAt,
+        .silentSince = silentSince,
         .gaveUp = wasStalled,
         .detail = reason.detail };
 }
 
+delivery::EventKind Attempt::lostKind() const
+{
+    return this->events.delivered() > 0 ? delivery::EventKind::StreamBroken : delivery::EventKind::ConnectionLost;
+}
+
+std::optional<base::SteadyTime> Attempt::silentSince() const
+{
+    const bool sentLately
+        = this->lastBytesAt && this->services.clock.now() - *this->lastBytesAt < SilenceWatch::minSilence;
+    return sentLately ? std::nullopt : std::optional { this->lastBytesAt.value_or(this->lastEventAt) };
+}
+
 void Attempt::recordTargetState(const membership::ListedTarget& target, const AnswerHead& head)
 {
     // A 421 comes from another target at the same address, so its state does not apply to the expected target.
@@ -175,18 +189,19 @@
     const auto state = co_await this->client->probe();
     if (state != http::ServerState::Refuses)
         co_return std::nullopt;
-    co_return AttemptResult { .kind
-        = this->events.delivered() > 0 ? delivery::EventKind::StreamBroken : delivery::EventKind::ConnectionLost,
-        .crashed = true,
-        .targetEnded = true,
-        .detail = "the target has ended with its answer" };
+    co_return AttemptResult {
+        .kind = this->lostKind(), .crashed = true, .targetEnded = true, .detail = "the target has ended with its answer"
+    };
 }
 
 http::Task<std::optional<std::string>> Attempt::read(http::Error& reason)
 {
     auto bytes = co_await this->stream->read(reason);
-    if (bytes && !bytes->empty() && !this->bodyBegan)
-        this->bodyBegan = this->services.clock.now();
+    if (bytes && !bytes->empty()) {
+        this->lastBytesAt = this->services.clock.now();
+        if (!this->bodyBegan)
+            this->bodyBegan = this->lastBytesAt;
+    }
     co_return bytes;
 }
 
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -73,6 +73,7 @@
     base::SteadyTime started {};
     base::SteadyTime limit {};
     std::optional<base::SteadyTime> bodyBegan; ///< Time of the first bytes of the body.
+    std::optional<base::SteadyTime> lastBytesAt; ///< Time of the newest bytes of the body.
     base::SteadyTime lastEventAt {}; ///< Time of the last event sent to the caller, or start of the attempt.
     base::TargetId target;
 
@@ -84,6 +85,9 @@
     void recordTargetState(const membership::ListedTarget& target, const AnswerHead& head);
     void recordRequestLimit(const membership::ListedTarget& target, const AnswerHead& head, base::SteadyTime now);
     [[nodiscard]] AttemptResult transportFailure(const http::Error& reason) const;
+    [[nodiscard]] delivery::EventKind lostKind() const;
+    /** Last sign of the target; nullopt if it has been sending bytes. */
+    [[nodiscard]] std::optional<base::SteadyTime> silentSince() const;
     /** Finds out whether the run can have crashed the target. */
     [[nodiscard]] http::Task<void> examineCrash(AttemptResult& end);
     /**
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -83,6 +83,15 @@
     (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
 }
 
+/** Whether a failed read is due to the bytes of the server rather than to the end of its connection. */
+ErrorCode readErrorCode(const beast::error_code& error)
+{
+    namespace http = beast::http;
+    const bool isParserError = error.category() == http::make_error_code(http::error::bad_version).category();
+    const bool isEnd = error == http::error::end_of_stream || error == http::error::partial_message;
+    return isParserError && !isEnd ? ErrorCode::InvalidResponse : ErrorCode::NoResponse;
+}
+
 } // namespace internal
 
 struct ResponseStream::State {
@@ -159,7 +168,7 @@
         const auto [error, bytes] = co_await beast::http::async_read_some(
             *current.stream, current.buffer, current.parser, internal::awaitResult);
         if (error && error != beast::http::error::need_buffer) {
-            reason = { .code = ErrorCode::NoResponse, .detail = error.message() };
+            reason = { .code = internal::readErrorCode(error), .detail = error.message() };
             current.stream.reset();
             co_return std::nullopt;
         }
@@ -301,7 +310,7 @@
         = co_await beast::http::async_read_header(*stream, current.buffer, current.parser, internal::awaitResult);
     detachCancellation();
     if (readError) {
-        reason = { .code = ErrorCode::NoResponse, .detail = "read: " + readError.message() };
+        reason = { .code = internal::readErrorCode(readError), .detail = "read: " + readError.message() };
         co_return nullptr;
     }
     current.stream = std::move(stream);
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -21,6 +21,7 @@
     None,
     NotSent, ///< No byte of the request was sent.
     NoResponse, ///< The request may have reached the server, but no complete response was received.
+    InvalidResponse, ///< The server sent bytes that are no valid response or exceed a limit.
 };
 
 /** Reason why a request received no complete response. */
--- a/tests/platform/processes/engine.py
+++ b/tests/platform/processes/engine.py
@@ -20,6 +20,11 @@
 READ_SECONDS = 0.05  # From the arrival of such a request to the beginning of its answer.
 # Values of the header field that states how answers are framed, and where one breaks off if its engine ends.
 FRAMED, INSIDE, BETWEEN = "framed", "inside", "between"
+# Values of the header field that asks for an answer without end: what comes in place of its body.
+ENDLESS = {"body": b"x" * 65536, "chunks": b"10000\r\n" + b"x" * 65536 + b"\r\n", "event": b"data: x" * 9000,
+           "comments": b": x\n\n" * 2000, "chunk_extension": b"x" * 65536, "head": b"X-Field: x\r\n" * 4000,
+           "interim": b"HTTP/1.1 102 Processing\r\n\r\n" * 2000}
+ENDLESS_SECONDS = 20
 
 
 class Journal:
@@ -48,6 +53,10 @@
                 self.answer(421, b"", request, {"Chivewinch-Not-Executed": "1"})
                 return
             journal.add("arrived", request, body)
+            if "X-Endless" in self.headers:
+                self.answer_without_end(self.headers["X-Endless"], request)
+                journal.add("done", request, body)
+                return
             is_crash = body.startswith(CRASH) or (
                 body.startswith(PARTLY) and zlib.crc32(request.encode()) % PARTLY_SHARE == 0)
             self.framing = self.headers.get("X-Answer", FRAMED)
@@ -104,6 +113,24 @@
             journal.add("ends", request, body)
             os._exit(1)
 
+        def answer_without_end(self, kind, request):
+            self.close_connection = True
+            head = f"HTTP/1.1 200 OK\r\nChivewinch-Request-Id: {request}\r\nChivewinch-Response-Seal: seal\r\n"
+            if kind in ("event", "comments"):
+                head += "Content-Type: text/event-stream\r\n"
+            if kind in ("chunks", "chunk_extension"):
+                head += "Transfer-Encoding: chunked\r\n"
+            try:
+                if kind != "interim":
+                    self.wfile.write(head.encode() + (b"" if kind == "head" else b"\r\n"))
+                if kind == "chunk_extension":
+                    self.wfile.write(b"5;")
+                end = time.monotonic() + ENDLESS_SECONDS
+                while time.monotonic() < end:
+                    self.wfile.write(ENDLESS[kind])
+            except OSError:
+                pass  # The caller has closed the connection.
+
         def answer_stream(self, seconds, request):
             self.start_answer(request, None)
             for number in range(1, max(int(seconds / EVENT_PAUSE), 1) + 1):
