Bound all buffers of a process by the memory of its machine

What callers saw: an entry that called engines which answer without end, or that got many large bodies, used several times the memory of its machine and was killed; all its requests ended with it.

Cause: each answer, event and request body had a limit of its own, and nothing bounded their sum. The target's copy of a body, the growth of answers and the allocator's freed blocks came on top.

A buffer may grow as long as it is no larger than what remains, so that endless answers leave room for sound ones. A request without memory gets 503 and Retry-After before its body is read; an answer without memory fails its attempt without blame. Bodies are sent without a copy, and large freed buffers are returned to the system at once. A streamed answer has no limit of 16 MB any more, since it is not kept.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -223,7 +223,8 @@
     // be sent again after that, so it gets a new connection.
     http::SendOptions send { .readTimeout = this->nextReadTimeout(),
         .freshConnection = !this->input.route.repeatable(),
-        .cancellation = &this->cancellation };
+        .cancellation = &this->cancellation,
+        .body = this->input.request.body() };
     this->stream = co_await this->client->open(this->makeRequest(target), send, reason);
     if (!this->stream)
         co_return this->transportFailure(reason);
@@ -271,6 +272,7 @@
 http::Task<AttemptResult> Attempt::relayBufferedAnswer(bool isSuccess)
 {
     auto response = internal::responseOf(*this->stream);
+    http::BufferReservation memory { this->services.options.buffers };
     http::Error reason;
     while (true) {
         this->stream->setReadTimeout(this->timeUntil(this->limit));
@@ -279,18 +281,21 @@
             co_return this->transportFailure(reason);
         if (bytes->empty())
             break;
-        response.body += *bytes;
         // A body without a stated length can be endless.
-        if (response.body.size() > this->services.options.attempts.maxAnswerBytes) {
+        const auto size = response.body.size() + bytes->size();
+        if (size > this->services.options.attempts.maxAnswerBytes || !memory.growTo(size)) {
             this->stream->cancel();
-            co_return AttemptResult { .kind = delivery::EventKind::ConnectionLost, .detail = "the answer is too long" };
+            co_return AttemptResult { .kind = delivery::EventKind::ConnectionLost,
+                .detail = "the answer is too long: " + std::to_string(size) + " bytes" };
         }
+        response.body += *bytes;
     }
     if (auto broken = co_await this->checkEnd())
         co_return std::move(*broken);
     if (!isSuccess) {
         co_return AttemptResult { .kind = delivery::EventKind::ConnectionLost,
             .answer = std::move(response),
+            .memory = std::move(memory),
             .detail = "status " + std::to_string(this->stream->status()) };
     }
     const bool sent = co_await this->writer.send(std::move(response));
@@ -339,6 +344,7 @@
 http::Task<AttemptResult> Attempt::relayEvents()
 {
     http::EventSplitter splitter;
+    http::BufferReservation memory { this->services.options.buffers };
     http::Error reason;
     while (true) {
         this->stream->setReadTimeout(this->nextReadTimeout());
@@ -348,6 +354,11 @@
         if (bytes->empty())
             break;
         splitter.append(*bytes);
+        // Complete events are copied before they are written.
+        if (!memory.growTo(2 * splitter.rest().size())) {
+            this->stream->cancel();
+            co_return AttemptResult { .kind = this->lostKind(), .detail = "no memory for an event" };
+        }
         if (auto end = co_await this->forwardEvents(splitter))
             co_return std::move(*end);
         if (splitter.rest().size() > this->services.options.attempts.maxEventBytes) {
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -33,6 +33,7 @@
     bool callerFailed = false; ///< Writing to the caller failed.
     /** Failure from the target; sent to the caller if no attempt gets a better answer. */
     std::optional<http::Response> answer;
+    http::BufferReservation memory; ///< Of the answer.
     routing::Result result = routing::Result::Failure;
     std::string detail; ///< For the log.
 };
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -135,7 +135,6 @@
         internal::setField(copy, names.lastEventId, std::to_string(*options.lastEventId));
     if (options.targetPriority)
         internal::setField(copy, names.targetPriority, std::to_string(*options.targetPriority));
-    copy.body() = request.body();
     return copy;
 }
 
--- a/src/gateway/forwarding.hpp
+++ b/src/gateway/forwarding.hpp
@@ -35,7 +35,10 @@
     std::optional<std::uint32_t> targetPriority;
 };
 
-/** Copies the caller's request for a target: same method, path, query and body, without connection header fields. */
+/**
+ * Copies the head of the caller's request for a target: same method, path and query, without connection header fields.
+ * The body is not copied; the client sends that of the caller's request.
+ */
 [[nodiscard]] http::Request forwardRequest(
     const http::Request& request, const HeaderNames& names, const ForwardOptions& options);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,7 +85,7 @@
     , requestMetrics { this->registry }
     , targets { this->options.targets }
     , dispatcher { this->options.dispatcher, random }
-    , clients { context.get_executor(), this->options.attempts }
+    , clients { context.get_executor(), this->options.attempts, this->options.buffers }
     , configurationWatcher { context.get_executor(), feeds.configuration, feeds.configurationWatch,
         { .onSnapshot =
                 [this, table = feeds.configurationWatch.table](const auto& rows) {
@@ -163,7 +163,8 @@
     const settings::Endpoint& listen, std::size_t maxConnections, http::Server::Handler handler)
 {
     auto server = std::make_shared<http::Server>(this->context.get_executor(),
-        http::ServerOptions { .listen = listen, .maxConnections = maxConnections }, std::move(handler),
+        http::ServerOptions { .listen = listen, .buffers = this->options.buffers, .maxConnections = maxConnections },
+        std::move(handler),
         [](http::RequestFailure kind) { logging::Event { "bad_input" }.field("reason", http::toString(kind)).info(); });
     if (!server->start()) {
         this->reason = server->lastReason();
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -3,6 +3,7 @@
 #include "gateway/configuration.hpp"
 #include "gateway/dispatcher.hpp"
 #include "gateway/header_names.hpp"
+#include "http/buffer_budget.hpp"
 #include "membership/listed_targets.hpp"
 #include "relay/relay.hpp"
 #include "settings/value_type.hpp"
@@ -121,6 +122,7 @@
     std::chrono::milliseconds strikeLearnTime { 0 }; ///< See the function of this name.
     bool shareStrikes = true; ///< Off: each process counts the crashes that it has seen itself.
     RetryLimit retries; ///< The slack is divided among the processes that the relay knows.
+    std::shared_ptr<http::BufferBudget> buffers; ///< For requests, answers and messages of this process.
     std::optional<relay::RelayOptions> relay; ///< If nullopt, this process reads the store itself.
 };
 
--- a/src/gateway/refusal.cpp
+++ b/src/gateway/refusal.cpp
@@ -1,10 +1,8 @@
 #include "gateway/refusal.hpp"
 
+#include "http/retry_after.hpp"
 #include "http/status.hpp"
 
-#include <array>
-#include <cstdio>
-
 namespace chivewinch::gateway {
 
 namespace internal {
@@ -14,13 +12,6 @@
 constexpr unsigned badGateway = 502;
 constexpr unsigned gatewayTimeout = 504;
 
-std::string seconds(std::chrono::milliseconds time)
-{
-    std::array<char, 32> text {};
-    std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(time.count()) / 1'000);
-    return text.data();
-}
-
 } // namespace internal
 
 unsigned statusOf(const Refusal& refusal) noexcept
@@ -46,7 +37,7 @@
     response.body = R"({"error":{"code":")" + std::string { base::toString(refusal.reason) } + R"(","outcome":")"
         + std::string { base::toString(refusal.outcome) } + R"("}})";
     if (refusal.retryAfter.count() > 0)
-        response.headers.emplace_back("Retry-After", internal::seconds(refusal.retryAfter));
+        response.headers.emplace_back("Retry-After", http::retryAfterValue(refusal.retryAfter));
     return response;
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -225,7 +225,7 @@
         .team = this->team == nullptr ? std::string_view {} : std::string_view { this->team->name },
         .deadline = this->deadline,
         .isLast = number >= this->route->maxAttempts };
-    const auto end = co_await this->runAttempt(this->services.dispatcher.findUsable(choice->target), input);
+    auto end = co_await this->runAttempt(this->services.dispatcher.findUsable(choice->target), input);
     this->recordAttempt(*choice, end, number);
     if (this->isCallerGone || end.callerFailed) {
         this->isCallerGone = true;
@@ -258,14 +258,16 @@
     co_return end;
 }
 
-void RequestRun::recordAttempt(const routing::Choice& choice, const AttemptResult& end, std::uint32_t number)
+void RequestRun::recordAttempt(const routing::Choice& choice, AttemptResult& end, std::uint32_t number)
 {
     const bool isCancelled = this->isCallerGone || this->isDrainOver;
     const auto result = isCancelled ? routing::Result::Cancelled : end.result;
     this->services.dispatcher.finished(this->pool, choice.target, result, this->services.clock.now());
     this->tried.push_back(choice.target);
-    if (end.answer)
-        this->targetAnswer = end.answer;
+    if (end.answer) {
+        this->targetAnswer = std::move(end.answer);
+        this->targetAnswerMemory = std::move(end.memory);
+    }
     this->timedOut = end.kind == delivery::EventKind::TimedOut || this->isDrainOver;
     const bool isCrash = this->recordCrash(choice, end);
     if (end.kind == delivery::EventKind::Complete)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -45,6 +45,7 @@
     std::unique_ptr<Attempt> attempt;
     std::vector<base::TargetId> tried;
     std::optional<http::Response> targetAnswer; ///< Most recent failure answer of a target.
+    http::BufferReservation targetAnswerMemory;
     bool isCallerGone = false;
     bool isDrainOver = false;
     bool timedOut = false;
@@ -64,7 +65,8 @@
     [[nodiscard]] http::Task<std::optional<delivery::Finish>> runNextAttempt(delivery::DeliveryPlan& plan);
     [[nodiscard]] http::Task<AttemptResult> runAttempt(
         const membership::ListedTarget* target, const AttemptInput& input);
-    void recordAttempt(const routing::Choice& choice, const AttemptResult& end, std::uint32_t number);
+    /** Records the result and takes over the answer of the target. */
+    void recordAttempt(const routing::Choice& choice, AttemptResult& end, std::uint32_t number);
     /** Records what the attempt shows about the request as the cause of a crash; returns true if it can be. */
     bool recordCrash(const routing::Choice& choice, const AttemptResult& end);
     [[nodiscard]] delivery::AttemptEvent toAttemptEvent(
--- a/src/gateway/target_clients.cpp
+++ b/src/gateway/target_clients.cpp
@@ -25,7 +25,8 @@
             http::ClientOptions { .server = target.endpoint,
                 .connectTimeout = this->options.connectTimeout,
                 .maxIdleConnections = this->maxIdleFor(target.pool),
-                .unacknowledgedTimeout = this->options.unacknowledgedTimeout });
+                .unacknowledgedTimeout = this->options.unacknowledgedTimeout,
+                .buffers = this->buffers });
     }
     return client;
 }
--- a/src/gateway/target_clients.hpp
+++ b/src/gateway/target_clients.hpp
@@ -30,9 +30,11 @@
  */
 class TargetClients {
 public:
-    TargetClients(boost::asio::any_io_executor executor, AttemptOptions options)
+    TargetClients(boost::asio::any_io_executor executor, AttemptOptions options,
+        std::shared_ptr<http::BufferBudget> buffers = nullptr)
         : executor { std::move(executor) }
         , options { options }
+        , buffers { std::move(buffers) }
     {
     }
 
@@ -49,6 +51,7 @@
 
     boost::asio::any_io_executor executor;
     AttemptOptions options;
+    std::shared_ptr<http::BufferBudget> buffers;
     struct PoolClient {
         std::string pool;
         std::shared_ptr<http::Client> client;
--- a/src/group/group_agent.cpp
+++ b/src/group/group_agent.cpp
@@ -52,7 +52,8 @@
 {
     auto made = std::make_shared<http::Server>(
         this->context.get_executor(),
-        http::ServerOptions { .listen = listen, .maxConnections = internal::maxConnections },
+        http::ServerOptions {
+            .listen = listen, .buffers = this->options.access.buffers, .maxConnections = internal::maxConnections },
         [this](const http::Request& request, http::ResponseWriter& writer) { return this->serve(request, writer); },
         [](http::RequestFailure kind) { logging::Event { "bad_input" }.field("reason", http::toString(kind)).info(); });
     if (made->start())
--- a/src/group/rank_access.cpp
+++ b/src/group/rank_access.cpp
@@ -35,7 +35,8 @@
     , agents { std::move(executor),
         { .connectTimeout = this->options.agentTimeout,
             .readTimeout = this->options.agentTimeout,
-            .maxIdleConnections = 1 } }
+            .maxIdleConnections = 1,
+            .buffers = this->options.buffers } }
 {
 }
 
--- a/src/group/rank_access.hpp
+++ b/src/group/rank_access.hpp
@@ -21,6 +21,7 @@
 /** Options of an agent's access to the engines of its group. */
 struct RankAccessOptions {
     settings::Endpoint engine; ///< Engine on this machine.
+    std::shared_ptr<http::BufferBudget> buffers; ///< For messages to and from other agents.
     std::uint16_t agentPort = 0; ///< Port of all agents. Each agent runs on the machine of its engine.
     /**
      * Longest time between two readings of the counts. A difference over a longer time says little about the present
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -83,6 +84,17 @@
     (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
 }
 
+using OutgoingRequest = beast::http::request<beast::http::span_body<const char>>;
+
+/** The request with a body that it does not own. */
+OutgoingRequest withBody(beast::http::request_header<> header, std::string_view body)
+{
+    OutgoingRequest message { std::move(header) };
+    message.body() = { body.data(), body.size() };
+    message.prepare_payload();
+    return message;
+}
+
 /** Whether a failed read is due to the bytes of the server rather than to the end of its connection. */
 ErrorCode readErrorCode(const beast::error_code& error)
 {
@@ -104,6 +116,7 @@
     beast::flat_buffer buffer;
     beast::http::response_parser<beast::http::buffer_body> parser;
     std::array<char, internal::readChunkBytes> chunk {};
+    BufferReservation memory; ///< For this object.
 
     /** Returns the connection to the pool if the complete response was read and no bytes followed it. */
     void release()
@@ -276,16 +289,22 @@
         co_return nullptr;
     if (request.count(beast::http::field::host) == 0)
         request.set(beast::http::field::host, settings::toString(this->options.server));
-    request.prepare_payload();
+    const auto body = sendOptions.body.value_or(request.body());
+    const auto message = internal::withBody(std::move(request.base()), body);
 
     auto result = std::make_unique<ResponseStream>();
     auto& current = *result->state;
+    current.memory = BufferReservation { this->options.buffers };
+    if (!current.memory.growTo(sizeof(ResponseStream::State) + request.body().size())) {
+        reason = { .code = ErrorCode::NotSent, .detail = "no memory for the request" };
+        co_return nullptr;
+    }
     current.isKept = isKept;
     current.readTimeout = sendOptions.readTimeout.value_or(this->options.readTimeout);
     current.maxIdle = this->options.maxIdleConnections;
     current.maxIdleTime = this->options.maxIdleTime;
     current.pool = this->pool;
-    current.parser.body_limit(this->options.maxBodyBytes);
+    current.parser.body_limit(boost::none);
     current.parser.header_limit(this->options.maxHeadBytes);
     // The parser does not limit the chunk headers and trailers of a chunked body, so the buffer size does.
     current.buffer.max_size(this->options.maxHeadBytes + internal::readChunkBytes);
@@ -299,7 +318,7 @@
     cancellation.stream = stream.get();
     const auto detachCancellation = [&cancellation] { cancellation.stream = nullptr; };
     stream->expires_after(current.readTimeout);
-    const auto [writeError, written] = co_await beast::http::async_write(*stream, request, internal::awaitResult);
+    const auto [writeError, written] = co_await beast::http::async_write(*stream, message, internal::awaitResult);
     if (writeError) {
         detachCancellation();
         reason = { .code = written == 0 ? ErrorCode::NotSent : ErrorCode::NoResponse,
@@ -325,6 +344,7 @@
     if (!stream)
         co_return std::nullopt;
     Response response { .status = stream->status(), .contentType = std::string { stream->header("Content-Type") } };
+    BufferReservation memory { this->options.buffers };
     while (true) {
         const auto remaining
             = std::chrono::floor<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
@@ -334,6 +354,15 @@
             co_return std::nullopt;
         if (bytes->empty())
             co_return response;
+        const auto size = response.body.size() + bytes->size();
+        if (size > this->options.maxBodyBytes) {
+            reason = { .code = ErrorCode::InvalidResponse, .detail = "the response is too long" };
+            co_return std::nullopt;
+        }
+        if (!memory.growTo(size)) {
+            reason = { .code = ErrorCode::NoMemory, .detail = "no memory for the response" };
+            co_return std::nullopt;
+        }
         response.body += *bytes;
     }
 }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/buffer_budget.hpp"
 #include "http/message.hpp"
 #include "settings/value_type.hpp"
 
@@ -22,6 +23,7 @@
     NotSent, ///< No byte of the request was sent.
     NoResponse, ///< The request may have reached the server, but no complete response was received.
     InvalidResponse, ///< The server sent bytes that are no valid response or exceed a limit.
+    NoMemory, ///< The process has no memory left for the response. Nothing is known of the server.
 };
 
 /** Reason why a request received no complete response. */
@@ -42,7 +44,10 @@
     std::chrono::milliseconds maxIdleTime { std::chrono::seconds { 10 } };
     /** Fails a connection whose sent bytes stay unacknowledged for this time (TCP_USER_TIMEOUT); 0 for no limit. */
     std::chrono::milliseconds unacknowledgedTimeout { 0 };
+    /** Largest body of a response that send() reads; a ResponseStream has no limit, since it holds one piece only. */
     std::uint64_t maxBodyBytes = 16U << 20;
+    /** Shared by all buffers of the process; nullptr for no limit. */
+    std::shared_ptr<BufferBudget> buffers;
     /** Largest header section of a response, and largest chunk header or trailer section in its body. */
     std::uint32_t maxHeadBytes = 32U << 10;
     /**
@@ -78,6 +83,8 @@
     bool freshConnection = false;
     /** Must outlive the call; nullptr for none. */
     Cancellation* cancellation = nullptr;
+    /** Body to send in place of that of the request, so that it need not be copied. Must outlive the call. */
+    std::optional<std::string_view> body;
 };
 
 /** Whether a server accepts connections. */
@@ -132,7 +139,10 @@
     /** Sends a request and reads the response header. Sets the Host field unless the request already has one. */
     [[nodiscard]] Task<std::unique_ptr<ResponseStream>> open(Request request, SendOptions options, Error& reason);
 
-    /** Sends a request and reads its complete response, within a multiple of the read timeout. */
+    /**
+     * Sends a request and reads its complete response, within a multiple of the read timeout. The body counts against
+     * the buffers of the process until it is complete; the caller decodes it at once.
+     */
     [[nodiscard]] Task<std::optional<Response>> send(Request request, SendOptions options, Error& reason);
 
     /** Opens a connection to find out whether the server still runs; keeps it for later requests if it does. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.hpp"
 
 #include "http/listen.hpp"
+#include "http/retry_after.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -47,6 +48,7 @@
     { "body_too_large", 413, "the request body is too large" },
     { "too_slow", 0, "" },
     { "too_many_connections", 503, "too many connections" },
+    { "no_memory", 503, "the server has no memory for the request" },
     { "handler_failed", 500, "" },
 } };
 
@@ -56,6 +58,13 @@
 
 constexpr unsigned version11 = 11;
 
+// Piece by which the memory of a body without a stated length grows, and largest piece that is read at once.
+constexpr std::size_t bodyPieceBytes = 64U << 10;
+
+// Time for which the rest of a refused request is read and discarded. A connection that is closed with unread bytes is
+// reset, and its caller could lose the answer.
+constexpr std::chrono::milliseconds discardTime { 2'000 };
+
 /**
  * True if the framing and the host of the request are unambiguous: exactly one Host field (RFC 9112, section 3.2), and
  * no transfer coding except chunked (section 6.1). An intermediary could interpret an ambiguous request differently.
@@ -88,6 +97,11 @@
     return internal::requestFailureInfos[static_cast<std::size_t>(kind)].name;
 }
 
+struct Server::ReceivedRequest {
+    Request request;
+    BufferReservation memory;
+};
+
 struct Server::Connection {
     explicit Connection(Tcp::socket socket)
         : stream { std::move(socket) }
@@ -167,7 +181,7 @@
     }
 }
 
-Task<std::optional<Request>> Server::readRequest(std::shared_ptr<Connection> connection)
+Task<std::optional<Server::ReceivedRequest>> Server::readRequest(std::shared_ptr<Connection> connection)
 {
     auto& stream = connection->stream;
     beast::http::request_parser<beast::http::string_body> parser;
@@ -177,6 +191,7 @@
 
     // The idle timeout applies until the first byte arrives; the request timeout applies to the rest of the request.
     if (connection->buffer.size() == 0) {
+        connection->buffer.shrink_to_fit();
         stream.expires_after(
             this->draining ? std::min(internal::drainFirstByteTimeout, current.idleTimeout) : current.idleTimeout);
         const auto [error, bytes] = co_await stream.async_read_some(
@@ -188,10 +203,27 @@
     }
     connection->busy = true;
     stream.expires_after(current.requestTimeout);
-    const auto [error, bytes]
-        = co_await beast::http::async_read(stream, connection->buffer, parser, internal::awaitTuple);
-    if (!error && internal::isUnambiguous(parser.get()))
-        co_return parser.release();
+    ReceivedRequest received { .request = {}, .memory = BufferReservation { this->options.buffers } };
+    auto [error, headBytes]
+        = co_await beast::http::async_read_header(stream, connection->buffer, parser, internal::awaitTuple);
+    while (!error) {
+        const auto isDone = parser.is_done();
+        const auto bodyBytes = parser.get().body().size();
+        const auto stated = parser.content_length().value_or(bodyBytes + (isDone ? 0 : internal::bodyPieceBytes));
+        if (!received.memory.growTo(headBytes + std::max<std::size_t>(stated, bodyBytes))) {
+            co_await this->refuse(connection, RequestFailure::NoMemory);
+            co_return std::nullopt;
+        }
+        if (isDone)
+            break;
+        const auto [readError, bytes]
+            = co_await beast::http::async_read_some(stream, connection->buffer, parser, internal::awaitTuple);
+        error = readError;
+    }
+    if (!error && internal::isUnambiguous(parser.get())) {
+        received.request = parser.release();
+        co_return std::move(received);
+    }
     if (!error) {
         co_await this->refuse(connection, RequestFailure::Malformed);
         co_return std::nullopt;
@@ -215,7 +247,24 @@
     const auto body = R"({"error":{"message":")" + std::string { info.message }
         + R"(","type":"invalid_request_error","code":")" + std::string { info.name } + R"("}})";
     Response response { .status = info.status, .body = body };
-    (void)co_await writer.send(std::move(response));
+    if (kind == RequestFailure::NoMemory)
+        response.headers.emplace_back("Retry-After", retryAfterValue(this->options.noMemoryRetryAfter));
+    const bool isSent = co_await writer.send(std::move(response));
+    if (isSent && (kind == RequestFailure::NoMemory || kind == RequestFailure::BodyTooLarge))
+        co_await discardInput(connection);
+}
+
+Task<void> Server::discardInput(std::shared_ptr<Connection> connection)
+{
+    beast::error_code error;
+    connection->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+    connection->buffer.clear();
+    connection->stream.expires_after(internal::discardTime);
+    while (!error) {
+        const auto [readError, bytes] = co_await connection->stream.async_read_some(
+            connection->buffer.prepare(internal::firstReadBytes), internal::awaitTuple);
+        error = readError;
+    }
 }
 
 Task<void> Server::serve(std::shared_ptr<Connection> connection)
@@ -230,16 +279,17 @@
     bool reusable = true;
     while (reusable) {
         connection->busy = false;
-        const auto request = co_await this->readRequest(connection);
-        if (!request)
+        const auto received = co_await this->readRequest(connection);
+        if (!received)
             break;
+        const auto& request = received->request;
         ++this->requests;
-        ResponseWriter writer { connection->stream, *request, this->options.writeTimeout };
+        ResponseWriter writer { connection->stream, request, this->options.writeTimeout };
         if (this->draining || this->keepAliveDisabled)
             writer.disableKeepAlive();
         connection->stream.expires_never();
         try {
-            co_await this->handler(*request, writer);
+            co_await this->handler(request, writer);
         } catch (const std::exception&) {
             // The caller sees a closed connection. The exception must not skip the decrement below, since a drain
             // relies on the number of open requests.
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/buffer_budget.hpp"
 #include "http/message.hpp"
 #include "http/response_writer.hpp"
 #include "settings/value_type.hpp"
@@ -24,6 +25,11 @@
     settings::Endpoint listen;
     std::uint32_t maxHeaderBytes = 16U << 10;
     std::uint64_t maxBodyBytes = 8U << 20;
+    /** Shared by all buffers of the process; nullptr for no limit. Requests that find no memory are refused with 503.
+     */
+    std::shared_ptr<BufferBudget> buffers;
+    /** Retry-After of requests that are refused for lack of memory. */
+    std::chrono::milliseconds noMemoryRetryAfter { 500 };
     std::size_t maxConnections = 20'000;
     /** A complete request must arrive within this time after its first byte; slower callers are disconnected. */
     std::chrono::milliseconds requestTimeout { std::chrono::seconds { 10 } };
@@ -40,6 +46,7 @@
     BodyTooLarge,
     RequestTimeout,
     TooManyConnections,
+    NoMemory, ///< The buffers of the process are full.
     HandlerFailed, ///< The handler threw an exception; this is a bug in the program.
     Count
 };
@@ -92,6 +99,7 @@
 
 private:
     struct Connection;
+    struct ReceivedRequest;
 
     boost::asio::any_io_executor executor;
     ServerOptions options;
@@ -113,8 +121,10 @@
     void acceptPending();
     void startServing(boost::asio::ip::tcp::socket socket);
     [[nodiscard]] Task<void> serve(std::shared_ptr<Connection> connection);
-    [[nodiscard]] Task<std::optional<Request>> readRequest(std::shared_ptr<Connection> connection);
+    [[nodiscard]] Task<std::optional<ReceivedRequest>> readRequest(std::shared_ptr<Connection> connection);
     [[nodiscard]] Task<void> refuse(std::shared_ptr<Connection> connection, RequestFailure kind);
+    /** Ends the sending side, then reads until the caller closes the connection, for a limited time. */
+    [[nodiscard]] static Task<void> discardInput(std::shared_ptr<Connection> connection);
     void removeConnection(const std::shared_ptr<Connection>& connection);
     [[nodiscard]] std::set<std::shared_ptr<Connection>> connectionSnapshot();
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -55,6 +55,7 @@
         { .connectTimeout = this->options.slack,
             .readTimeout = this->options.wait + this->options.slack,
             .maxIdleConnections = 1,
+            .buffers = this->options.buffers,
             .responseTimeoutFactor = 1 } }
     , timer { executor }
 {
@@ -89,7 +90,9 @@
     this->add(this->options.peersWatch.table, this->peersWatcher);
     this->server = std::make_shared<http::Server>(
         this->executor,
-        http::ServerOptions { .listen = this->options.listen, .maxConnections = internal::maxConnections },
+        http::ServerOptions { .listen = this->options.listen,
+            .buffers = this->options.buffers,
+            .maxConnections = internal::maxConnections },
         [this](const http::Request& request, http::ResponseWriter& writer) { return this->serve(request, writer); },
         [](http::RequestFailure kind) { logging::Event { "bad_input" }.field("reason", http::toString(kind)).info(); });
     if (!this->server->start()) {
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -36,6 +36,7 @@
     /** A process whose last answer from the store is older than this does not serve peers. */
     std::chrono::milliseconds maxAge { 1'100 };
     PeerBackoff backoff;
+    std::shared_ptr<http::BufferBudget> buffers; ///< For messages to and from peers.
     /**
      * Time from the registration of this process to the first read of the peers. All processes of an installation start
      * within 0.3 s, so that their rows are written by then.
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -615,6 +615,23 @@
 
 INSTANTIATE_TEST_SUITE_P(Kinds, EndlessAnswerTest, testing::Values(RouteKind::NotRepeatable, RouteKind::Stream));
 
+// Guards against a body that is lost or shortened on its way to a target.
+TEST_F(GatewayTest, TargetsGetTheBodyAtEachAttempt)
+{
+    std::vector<std::string> bodies;
+    this->start(RouteKind::Repeatable, [&bodies](int, const auto& request, auto& writer) -> http::Task<void> {
+        bodies.push_back(request.body());
+        if (bodies.size() == 1)
+            writer.abort();
+        else
+            (void)co_await writer.send(sealedResponse(request));
+    });
+    auto request = callerRequest();
+    request.body() = std::string(100'000, 'x');
+    EXPECT_EQ(this->send(request).status, 200U);
+    EXPECT_EQ(bodies, (std::vector<std::string>(2, request.body())));
+}
+
 // Guards against a caller that waits longer than the timeout of the route.
 TEST_F(GatewayTest, AnswersWhenTheRouteTimeoutExpires)
 {
