Resume a stream whose target sends only comments

What callers saw: a stream without events, filled with comments, until the route's time limit; no other target was tried.

Cause: Attempt::forwardEvents took comments for progress, and a read of bytes that have already arrived ends before its timer is looked at.

Evidence: GatewayTest.ResumesAStreamWhoseTargetSendsOnlyComments failed before the change (3.2 s, one target).

Change: only events extend the time of a stream; the time is checked before each read.

Result: the test passes (0.33 s, two targets).

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -316,6 +316,7 @@
 http::Task<std::optional<AttemptResult>> Attempt::forwardEvents(http::EventSplitter& splitter)
 {
     std::string ready;
+    const auto deliveredBefore = this->events.delivered();
     bool hasGap = false;
     while (const auto event = splitter.next()) {
         const auto verdict = this->events.accept(*event);
@@ -329,9 +330,12 @@
         const bool started = co_await this->startStream();
         if (!started)
             co_return internal::callerFailed();
-        this->lastEventAt = this->services.clock.now();
-        this->services.crashes.recordAnswer(this->target, this->lastEventAt);
-        this->timing.recordWrite(this->lastEventAt);
+        // Comments do not bring the caller forward, so a target may not extend its time with them.
+        if (this->events.delivered() > deliveredBefore) {
+            this->lastEventAt = this->services.clock.now();
+            this->services.crashes.recordAnswer(this->target, this->lastEventAt);
+            this->timing.recordWrite(this->lastEventAt);
+        }
         const bool written = co_await this->writer.write(ready);
         if (!written)
             co_return internal::callerFailed();
@@ -347,7 +351,13 @@
     http::BufferReservation memory { this->services.options.buffers };
     http::Error reason;
     while (true) {
-        this->stream->setReadTimeout(this->nextReadTimeout());
+        const auto timeLeft = this->nextReadTimeout();
+        if (timeLeft.count() == 0) {
+            // Bytes that have already arrived could be read without waiting, again and again.
+            this->stream->cancel();
+            co_return this->transportFailure({ .code = http::ErrorCode::NoResponse, .detail = "no event in time" });
+        }
+        this->stream->setReadTimeout(timeLeft);
         const auto bytes = co_await this->read(reason);
         if (!bytes)
             co_return this->transportFailure(reason);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -481,6 +481,30 @@
     EXPECT_LT(written, 20'000'000U);
 }
 
+// Guards against a stream that gets no events because its target sends comments without end.
+TEST_F(GatewayTest, ResumesAStreamWhoseTargetSendsOnlyComments)
+{
+    this->start(RouteKind::Stream, [this](int call, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.start(sealedResponse(request));
+        const auto end = this->clock.now() + 3s;
+        bool isOpen = call == 1;
+        while (isOpen && this->clock.now() < end)
+            isOpen = co_await writer.write(std::string(3'000, ':') + "\n\n");
+        if (call == 1) {
+            writer.abort();
+            co_return;
+        }
+        (void)co_await writer.write(eventText(0) + eventText(1));
+        (void)co_await writer.finish();
+    });
+    const auto startTime = this->clock.now();
+    const auto response = this->send(callerRequest());
+    EXPECT_EQ(response.status, 200U);
+    EXPECT_TRUE(response.body.ends_with(eventText(0) + eventText(1)));
+    EXPECT_EQ(this->sentTo.size(), 2U);
+    EXPECT_LT(this->clock.now() - startTime, 1'000ms);
+}
+
 /** How the answer of a target is framed, and how its connection ends. */
 struct CutAnswer {
     RouteKind kind = RouteKind::NotRepeatable;
