Test the memory of an entry whose store never ends its pages

StoreFeed::readAll kept all pages of a table until the last one. With a store that always announces another page, an entry of used 310 MB in 20 s, and more each second.

--- a/tests/platform/processes/bounded_buffers_test.py
+++ b/tests/platform/processes/bounded_buffers_test.py
@@ -1,5 +1,8 @@
 #!/usr/bin/env python3
-"""Lets engines answer without end, or callers send large bodies, and checks the memory of the entry and sound requests."""
+"""
+Lets engines or the store answer without end, or callers send large bodies, and checks the memory of the entry and that
+sound requests are served.
+"""
 
 import argparse
 import collections
@@ -8,7 +11,7 @@
 import threading
 import time
 
-from site_processes import MEMORY_MB, Site, STATUS_NONE, STATUS_OK
+from site_processes import MEMORY_MB, Site, STATUS_NONE, STATUS_OK, wait_until
 
 PATHS = {"body": "/calls/x", "orders": "/orders/x", "chunks": "/calls/x", "event": "/streams/x",
          "comments": "/streams/x", "head": "/calls/x", "interim": "/calls/x", "chunk_extension": "/calls/x"}
@@ -25,6 +28,8 @@
         self.end = time.monotonic() + seconds
         self.statuses, self.sound, self.told_late = collections.Counter(), collections.Counter(), 0
         self.lock = threading.Lock()
+        if scenario == "store_pages":
+            callers = 0
         threads = [threading.Thread(target=self.send_faulty, args=[number], daemon=True) for number in range(callers)]
         threads += [threading.Thread(target=self.send_sound, args=[number], daemon=True)
                     for number in range(SOUND_CALLERS)]
@@ -54,7 +59,7 @@
 
     def send_sound(self, number):
         count = 0
-        while time.monotonic() < self.end:
+        while time.monotonic() < self.end and self.site.peak_memory(0) <= 2 * MEMORY_MB:
             count += 1
             request = f"sound-{number}-{count}"
             path = ["/calls/x", "/orders/x", "/streams/x"][count % 3]
@@ -85,16 +90,22 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("scenario", choices=[*PATHS, "large_requests"])
+    parser.add_argument("scenario", choices=[*PATHS, "large_requests", "store_pages"])
     parser.add_argument("--binaries", required=True)
     parser.add_argument("--callers", type=int, default=48)
     parser.add_argument("--engines", type=int, default=8)
-    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--seconds", type=float, help="10 by default, or 20 for the pages of the store")
     parser.add_argument("--logs", help="folder for the logs of the processes; a temporary one by default")
     arguments = parser.parse_args()
+    seconds = arguments.seconds or (20 if arguments.scenario == "store_pages" else 10)
     with tempfile.TemporaryDirectory() as folder, Site(arguments.binaries, arguments.logs or folder, 1,
                                                        arguments.engines, slots=12) as site:
-        load = Load(site, arguments.scenario, arguments.callers, arguments.seconds)
+        if arguments.scenario == "store_pages":
+            # A process reads the tables in full when it starts.
+            site.store.endless_table = "peers"
+            site.restart_entry(0)
+            wait_until(lambda: site.is_ready(0), "the entry is ready")
+        load = Load(site, arguments.scenario, arguments.callers, seconds)
         peak = site.peak_memory(0)
         failures = failures_of(site, load, peak)
     print(f"{arguments.scenario}: peak {peak:.0f} MB; faulty {dict(load.statuses)}; sound {dict(load.sound)}")
--- a/tests/platform/processes/store.py
+++ b/tests/platform/processes/store.py
@@ -20,6 +20,7 @@
         self.changed = threading.Condition()
         self.rows = {}  # (table, key) -> (version, value), with the value None for a deleted row
         self.version = 1
+        self.endless_table = None  # Reads of this table always get another page.
         self.server = Server((address, 0), self.handler())
         self.address = f"{address}:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
@@ -43,6 +44,12 @@
             return row | {"tombstone": True}
         return row | {"value": base64.b64encode(data).decode()}
 
+    def read_endless_page(self, table, first):
+        """A page of the range that begins with this key, or with the first one."""
+        number = int(first.rstrip("\0")[3:] or 0) + 1 if first else 0
+        rows = [self.row(table, f"row{number + index:09}", 1, b"x" * 2000) for index in range(400)]
+        return {"rows": rows, "ver": self.version, "truncated": True, "nowMs": 0}
+
     def read_all(self, table):
         with self.changed:
             rows = [self.row(table, key, version, data) for (name, key), (version, data) in sorted(self.rows.items())
@@ -70,7 +77,9 @@
             def do_GET(self):
                 path = urllib.parse.urlsplit(self.path)
                 query = {name: values[0] for name, values in urllib.parse.parse_qs(path.query).items()}
-                if path.path == "/api/rows-get":
+                if path.path == "/api/rows-get" and query["table"] == store.endless_table:
+                    self.answer(store.read_endless_page(query["table"], query.get("from")))
+                elif path.path == "/api/rows-get":
                     self.answer(store.read_all(query["table"]))
                 elif path.path == "/api/rows-feed":
                     self.answer(store.read_changes(query["table"], int(query["sinceRev"]), int(query["waitMs"]) / 1000))
