--- a/src/expert/held_activation.cpp
+++ b/src/expert/held_activation.cpp
@@ -15,12 +15,21 @@
 
 using States = std::vector<std::optional<RankMapState>>;
 
-/** The first rank's switch at another step than the held one. That step was released, so all ranks are armed for it. */
-std::optional<std::uint64_t> releasedSwitch(const RankMapState& first, const HeldActivationChecks& checks)
+/**
+ * True if the first rank is armed for another step than the held one. It can hold one step at a time, so that the other
+ * step has been released, and all ranks are armed for it.
+ */
+bool hasReleasedSwitch(const RankMapState& first, const HeldActivationChecks& checks)
 {
-    if (!checks.respectReleased || !first.held || !first.armed || first.armed->step == *first.held)
+    return checks.respectReleased && first.held && first.armed && first.armed->step != *first.held;
+}
+
+/** The order to release a held step that keeps a later, released switch from beginning; nullopt if there is none. */
+std::optional<MapOrder> releaseBeforeSwitch(const RankMapState& first, const HeldActivationChecks& checks)
+{
+    if (!hasReleasedSwitch(first, checks) || first.armed->step < *first.held)
         return std::nullopt;
-    return first.armed->step;
+    return MapOrder { .kind = MapOrderKind::Release, .epoch = first.epoch, .step = *first.held };
 }
 
 bool areAllInEpoch(const States& ranks, std::uint64_t epoch)
@@ -34,7 +43,7 @@
     if (ranks.empty() || !ranks.front() || !ranks.front()->held)
         return std::nullopt;
     const auto& first = *ranks.front();
-    if (releasedSwitch(first, checks) || !areAllInEpoch(ranks, first.epoch))
+    if (hasReleasedSwitch(first, checks) || !areAllInEpoch(ranks, first.epoch))
         return std::nullopt;
     // All ranks may have loaded a newer map since they were armed, but the step may have been released for this one.
     const bool allArmed = checks.replaceDeadOnly && first.armed
@@ -159,10 +168,9 @@
         this->enter(ActivationPhase::Idle, now);
     if (this->currentPhase == ActivationPhase::Idle)
         this->adoptHeldChange(reported, now);
-    const auto& first = reported.front();
-    if (first && internal::releasedSwitch(*first, this->options.checks) > first->held) {
-        // The released switch waits for the held step, which keeps its map.
-        return { { .kind = MapOrderKind::Release, .epoch = first->epoch, .step = *first->held } };
+    if (reported.front()) {
+        if (const auto release = internal::releaseBeforeSwitch(*reported.front(), this->options.checks))
+            return { *release };
     }
     const auto ranks = this->filterByEpoch(std::move(reported));
     switch (this->currentPhase) {
@@ -290,11 +298,9 @@
 {
     const auto wanted = internal::findHeldChange(ranks, checks);
     if (!wanted) {
-        const bool isReleased
-            = !ranks.empty() && ranks.front() && internal::releasedSwitch(*ranks.front(), checks) > ranks.front()->held;
-        if (!isReleased)
-            return {};
-        return { { .kind = MapOrderKind::Release, .epoch = ranks.front()->epoch, .step = *ranks.front()->held } };
+        const bool isFirstKnown = !ranks.empty() && ranks.front();
+        const auto release = isFirstKnown ? internal::releaseBeforeSwitch(*ranks.front(), checks) : std::nullopt;
+        return release ? std::vector { *release } : std::vector<MapOrder> {};
     }
     const auto epoch = ranks.front()->epoch;
     std::vector<MapOrder> orders;
@@ -317,7 +323,7 @@
         return false;
     const auto& first = *ranks.front();
     const HeldActivationChecks checks;
-    return internal::areAllInEpoch(ranks, first.epoch) && !internal::releasedSwitch(first, checks)
+    return internal::areAllInEpoch(ranks, first.epoch) && !internal::hasReleasedSwitch(first, checks)
         && !internal::findHeldChange(ranks, checks);
 }
 
--- a/src/expert/held_activation.hpp
+++ b/src/expert/held_activation.hpp
@@ -91,11 +91,11 @@
  * fencing numbers, and may execute an order seconds after the sender has timed out. Runs in the agent of the first
  * rank; the agents of the other ranks run completeHeldChange at the same time, possibly on outdated reports.
  *
- * Safety, for a step that no agent may release twice with different results:
+ * Safety, whatever other agents do:
  * - Ranks are armed for a step only after a report of the first rank that shows the step as held, and no switch at
  *   another step, and only after every rank has reported that it has loaded the map.
  * - A step is released only if all ranks are armed for it with one map, or if it precedes a released switch of the
- * first rank. A held step that belongs to no change is therefore used for the next change.
+ *   first rank. A held step that belongs to no change is therefore used for the next change.
  * - The armed map of a rank is replaced or cancelled only if some rank has loaded a newer map without being armed with
  *   this one. That rank can no longer be armed with it, so no agent can have released the step for it.
  */
