Record nothing against a target whose answer finds no memory

An answer can find no memory because of answers of other targets. The router counted it as a failure of the target.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -110,6 +110,13 @@
     return this->events.delivered() > 0 ? delivery::EventKind::StreamBroken : delivery::EventKind::ConnectionLost;
 }
 
+AttemptResult Attempt::noMemory()
+{
+    this->stream->cancel();
+    // Other answers may have taken the memory, so nothing is recorded against the target.
+    return { .kind = this->lostKind(), .result = routing::Result::Cancelled, .detail = "no memory for the answer" };
+}
+
 std::optional<base::SteadyTime> Attempt::silentSince() const
 {
     const bool sentLately
@@ -283,11 +290,12 @@
             break;
         // A body without a stated length can be endless.
         const auto size = response.body.size() + bytes->size();
-        if (size > this->services.options.attempts.maxAnswerBytes || !memory.growTo(size)) {
+        if (size > this->services.options.attempts.maxAnswerBytes) {
             this->stream->cancel();
-            co_return AttemptResult { .kind = delivery::EventKind::ConnectionLost,
-                .detail = "the answer is too long: " + std::to_string(size) + " bytes" };
+            co_return AttemptResult { .kind = delivery::EventKind::ConnectionLost, .detail = "the answer is too long" };
         }
+        if (!memory.growTo(size))
+            co_return this->noMemory();
         response.body += *bytes;
     }
     if (auto broken = co_await this->checkEnd())
@@ -365,10 +373,8 @@
             break;
         splitter.append(*bytes);
         // Complete events are copied before they are written.
-        if (!memory.growTo(2 * splitter.rest().size())) {
-            this->stream->cancel();
-            co_return AttemptResult { .kind = this->lostKind(), .detail = "no memory for an event" };
-        }
+        if (!memory.growTo(2 * splitter.rest().size()))
+            co_return this->noMemory();
         if (auto end = co_await this->forwardEvents(splitter))
             co_return std::move(*end);
         if (splitter.rest().size() > this->services.options.attempts.maxEventBytes) {
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -87,6 +87,8 @@
     void recordRequestLimit(const membership::ListedTarget& target, const AnswerHead& head, base::SteadyTime now);
     [[nodiscard]] AttemptResult transportFailure(const http::Error& reason) const;
     [[nodiscard]] delivery::EventKind lostKind() const;
+    /** Ends the answer, for which the process has no memory. */
+    [[nodiscard]] AttemptResult noMemory();
     /** Last sign of the target; nullopt if it has been sending bytes. */
     [[nodiscard]] std::optional<base::SteadyTime> silentSince() const;
     /** Finds out whether the run can have crashed the target. */
