Send no requests to evacuated zones

Change: the rows arrive with the table of the configuration. membership::ZoneEvacuations keeps the set of zones; the dispatcher takes their targets out of the router and checks the zone once more before a request is sent. A complete reading of the table replaces the set. The table is watched within the shorter one of the bounds of configurations and evacuations.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -49,12 +49,30 @@
 {
     if (!this->notices.recordLeaving(target, incarnation, now))
         return false;
+    this->rebuildRouter(now);
+    return true;
+}
+
+void Dispatcher::setEvacuatedZones(const std::set<base::ZoneId>& zones, base::SteadyTime now)
+{
+    if (this->evacuatedZones == zones)
+        return;
+    this->evacuatedZones = zones;
+    this->rebuildRouter(now);
+}
+
+bool Dispatcher::isUsable(const membership::ListedTarget& target) const
+{
+    return !target.leaving && !this->evacuatedZones.contains(target.zone);
+}
+
+void Dispatcher::rebuildRouter(base::SteadyTime now)
+{
     std::vector<membership::ListedTarget> known;
     known.reserve(this->targets.size());
     for (const auto& [id, listed] : this->targets)
         known.push_back(listed);
     this->rebuildRouter(known, now);
-    return true;
 }
 
 void Dispatcher::markTargetClosed(
@@ -79,7 +97,7 @@
             .address = settings::toString(target.endpoint),
             .incarnation = target.incarnation,
             .state = membership::TargetState::Live,
-            .held = target.leaving });
+            .held = !this->isUsable(target) });
         auto& pool = pools[target.pool];
         pool.name = target.pool;
         pool.targets.push_back(target.id);
@@ -102,14 +120,14 @@
 const membership::ListedTarget* Dispatcher::findUsable(const base::TargetId& target) const
 {
     const auto found = this->targets.find(target);
-    return found == this->targets.end() || found->second.leaving ? nullptr : &found->second;
+    return found == this->targets.end() || !this->isUsable(found->second) ? nullptr : &found->second;
 }
 
 std::vector<base::TargetId> Dispatcher::usableTargets(std::string_view pool) const
 {
     std::vector<base::TargetId> usable;
     for (const auto& [id, target] : this->targets)
-        if (target.pool == pool && !target.leaving)
+        if (target.pool == pool && this->isUsable(target))
             usable.push_back(id);
     return usable;
 }
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,6 +71,8 @@
 
     /** Replaces the list of targets. Targets that are leaving get no new requests. */
     void setTargets(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now);
+    /** Replaces the zones whose targets get no new requests. Waiting requests go to other targets. */
+    void setEvacuatedZones(const std::set<base::ZoneId>& zones, base::SteadyTime now);
 
     [[nodiscard]] Reply request(const TargetRequest& targetRequest, Notify notify, base::SteadyTime now);
     /** Removes a waiting request from the queue. */
@@ -97,9 +100,9 @@
     [[nodiscard]] std::chrono::milliseconds retryAfter(
         const std::string& pool, std::chrono::milliseconds timeLeft, base::SteadyTime now);
 
-    /** The target if it is listed and not leaving; nullptr otherwise. */
+    /** The target if it may get new requests: it is listed, not leaving, and its zone is not evacuated; or nullptr. */
     [[nodiscard]] const membership::ListedTarget* findUsable(const base::TargetId& target) const;
-    /** The targets of the pool that are listed and not leaving. */
+    /** The targets of the pool that may get new requests. */
     [[nodiscard]] std::vector<base::TargetId> usableTargets(std::string_view pool) const;
     [[nodiscard]] std::size_t waitingCount() const noexcept { return this->waitQueue.size(); }
 
@@ -111,6 +114,7 @@
     routing::PoolQueues waitQueue;
     TargetNotices notices;
     std::map<base::TargetId, membership::ListedTarget> targets;
+    std::set<base::ZoneId> evacuatedZones;
     std::map<std::string, std::uint32_t> consecutiveFailures; ///< By pool.
     /** Times at which refused callers were asked to return to a pool whose targets have used up their limits. */
     std::map<std::string, std::deque<base::SteadyTime>> plannedReturns;
@@ -118,7 +122,10 @@
     /** True if a request can wait for a target that has used up its limit. */
     [[nodiscard]] bool opensInTime(const TargetRequest& targetRequest, base::SteadyTime now) const;
     [[nodiscard]] std::chrono::milliseconds planReturn(const std::string& pool, base::SteadyTime now);
+    [[nodiscard]] bool isUsable(const membership::ListedTarget& target) const;
     void rebuildRouter(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now);
+    /** Rebuilds the router with the known targets. */
+    void rebuildRouter(base::SteadyTime now);
 };
 
 } // namespace chivewinch::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <set>
 #include <utility>
 
 namespace chivewinch::gateway {
@@ -83,17 +84,21 @@
     , random { random }
     , decoders { std::move(decoders) }
     , requestMetrics { this->registry }
+    , evacuatedZonesMetric { this->registry.gauge(
+          "chivewinch_evacuated_zones", "Zones whose targets get no new requests because of an evacuation") }
     , targets { this->options.targets }
     , dispatcher { this->options.dispatcher, random }
     , clients { context.get_executor(), this->options.attempts, this->options.buffers }
     , configurationWatcher { context.get_executor(), feeds.configuration, feeds.configurationWatch,
         { .onSnapshot =
                 [this, table = feeds.configurationWatch.table](const auto& rows) {
+                    this->applyEvacuationRows(rows, true);
                     this->applyConfigurationRows(rows);
                     this->forwardRows(table, rows, true);
                 },
             .onChanges =
                 [this, table = feeds.configurationWatch.table](const auto& rows) {
+                    this->applyEvacuationRows(rows, false);
                     this->applyConfigurationRows(rows);
                     this->forwardRows(table, rows, false);
                 },
@@ -262,6 +267,42 @@
     }
 }
 
+void Gateway::applyEvacuationRows(const std::vector<watch::RowChange>& rows, bool isSnapshot)
+{
+    if (!this->decoders.evacuatedZone)
+        return;
+    std::set<base::ZoneId> requested;
+    for (const auto& row : rows) {
+        const auto zone = this->decoders.evacuatedZone(row.key);
+        // The row requests the evacuation, whatever its value is.
+        if (zone && isSnapshot && row.value)
+            requested.insert(*zone);
+        else if (zone && !isSnapshot)
+            this->evacuations.set(*zone, row.value.has_value());
+    }
+    if (isSnapshot)
+        this->evacuations.replace(requested);
+    const auto changes = this->evacuations.takeChanges();
+    if (changes.empty())
+        return;
+    this->dispatcher.setEvacuatedZones(this->evacuations.zones(), this->clock.now());
+    this->evacuatedZonesMetric.Set(static_cast<double>(this->evacuations.zones().size()));
+    for (const auto& change : changes)
+        this->logEvacuation(change);
+}
+
+void Gateway::logEvacuation(const membership::ZoneChange& change) const
+{
+    const auto& known = this->options.knownZones;
+    const bool isKnown = known.empty() || known.contains(change.zone);
+    logging::Event event { "zone_evacuation" };
+    event.field("zone", change.zone).field("state", change.isEvacuated ? "begun" : "ended");
+    if (isKnown)
+        event.info();
+    else
+        event.field("reason", "no zone of this name is known").warning();
+}
+
 void Gateway::applyTargetRows(const std::vector<watch::RowChange>& rows, bool isSnapshot)
 {
     const auto now = this->clock.now();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "gateway/services.hpp"
 #include "http/server.hpp"
 #include "membership/listed_targets.hpp"
+#include "membership/zone_evacuations.hpp"
 #include "metrics/registry.hpp"
 #include "watch/row_watcher.hpp"
 
@@ -33,6 +34,8 @@
         const std::string& key, const std::string& value, std::string& reason)>
         target;
     std::string configurationKey; ///< Key of the row that holds the newest configuration.
+    /** Zone whose evacuation a row of the configuration's table requests by its key; nullopt for other rows. */
+    std::function<std::optional<base::ZoneId>(const std::string& key)> evacuatedZone;
 };
 
 /** Tables of the deployment; they must outlive the gateway. */
@@ -73,9 +76,11 @@
     Decoders decoders;
     metrics::Registry registry;
     RequestMetrics requestMetrics;
+    prometheus::Gauge& evacuatedZonesMetric;
     SnapshotHolder snapshots;
     membership::ListedTargets targets;
     std::uint64_t targetsVersion = 0;
+    membership::ZoneEvacuations evacuations;
     Dispatcher dispatcher;
     TargetClients clients;
     watch::RowWatcher configurationWatcher;
@@ -108,6 +113,8 @@
     /** Passes rows of a watcher to the relay for the peers. */
     void forwardRows(const std::string& table, const std::vector<watch::RowChange>& rows, bool isSnapshot);
     void applyConfigurationRows(const std::vector<watch::RowChange>& rows);
+    void applyEvacuationRows(const std::vector<watch::RowChange>& rows, bool isSnapshot);
+    void logEvacuation(const membership::ZoneChange& change) const;
     void applyTargetRows(const std::vector<watch::RowChange>& rows, bool isSnapshot);
     void applyTargets();
     [[nodiscard]] http::Task<void> tick();
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <set>
 
 namespace chivewinch::gateway {
 
@@ -51,7 +52,7 @@
 /** Times within which changes must take effect, set by the deployment. */
 struct ChangeBounds {
     std::chrono::milliseconds leaving { 2'000 }; ///< Until a leaving target gets no new requests.
-    std::chrono::milliseconds configuration { 2'000 }; ///< Until a new configuration is in force.
+    std::chrono::milliseconds configuration { 2'000 }; ///< Until a new configuration or an evacuation is in force.
     std::chrono::milliseconds contact { 3'000 }; ///< Time that a process has to recover from a connection fault.
 };
 
@@ -107,6 +108,7 @@
 struct GatewayOptions {
     std::string instance; ///< ID of this process.
     base::ZoneId zone;
+    std::set<base::ZoneId> knownZones; ///< Zones of the deployment; empty if they are not known.
     settings::Endpoint listen; ///< For callers.
     settings::Endpoint readiness; ///< Endpoint for the upstream balancer.
     std::optional<settings::Endpoint> metrics;
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -73,6 +73,66 @@
     EXPECT_EQ(this->dispatcher.findUsable("a"), nullptr);
 }
 
+class EvacuationTest : public DispatcherTest {
+protected:
+    static membership::ListedTarget inZone(const std::string& id, const std::string& zone)
+    {
+        auto result = target(id);
+        result.zone = zone;
+        return result;
+    }
+
+    const std::vector<membership::ListedTarget> listed { inZone("a1", "a"), inZone("a2", "a"), inZone("b", "b") };
+};
+
+// Guards against a request that reaches an evacuated zone: a new one, one that has its target already but is not sent
+// yet, or one after the list was read again. Trials of requests that crash targets use the same set of targets.
+TEST_F(EvacuationTest, SendsNoRequestsToAnEvacuatedZone)
+{
+    this->dispatcher.setTargets(this->listed, this->now);
+    this->dispatcher.setEvacuatedZones({ "a" }, this->now);
+    EXPECT_EQ(this->dispatcher.findUsable("a1"), nullptr);
+    EXPECT_EQ(this->dispatcher.usableTargets("p"), (std::vector<base::TargetId> { "b" }));
+    EXPECT_EQ(this->dispatcher.request(this->targetRequest(1), {}, this->now).choice.value().target, "b");
+    auto longer = this->listed;
+    longer.push_back(inZone("a3", "a"));
+    this->dispatcher.setTargets(longer, this->now);
+    EXPECT_EQ(this->dispatcher.findUsable("a3"), nullptr);
+    EXPECT_TRUE(this->dispatcher.markTargetLeaving("a2", {}, this->now));
+    EXPECT_EQ(this->dispatcher.request(this->targetRequest(2), {}, this->now).choice.value().target, "b");
+    EXPECT_FALSE(this->dispatcher.request(this->targetRequest(3), {}, this->now).choice);
+}
+
+// Guards against a waiting request that gets a place in an evacuated zone when one becomes free there.
+TEST_F(EvacuationTest, WaitingRequestsGoToOtherZones)
+{
+    this->dispatcher.setTargets(this->listed, this->now);
+    for (std::uint64_t i = 0; i < 6; ++i)
+        ASSERT_TRUE(this->dispatcher.request(this->targetRequest(i), {}, this->now).choice);
+    std::optional<routing::Choice> granted;
+    const auto reply = this->dispatcher.request(
+        this->targetRequest(9), [&](const auto& choice) { granted = choice; }, this->now);
+    ASSERT_EQ(reply.reason, RefusalReason::None);
+    this->dispatcher.setEvacuatedZones({ "a" }, this->now);
+    this->dispatcher.finished("p", "a1", routing::Result::Success, this->now + 1ms);
+    EXPECT_FALSE(granted);
+    this->dispatcher.finished("p", "b", routing::Result::Success, this->now + 2ms);
+    ASSERT_TRUE(granted);
+    EXPECT_EQ(granted->target, "b");
+}
+
+// Guards against keeping callers waiting while no zone is left, and against a zone that stays unused after its
+// evacuation.
+TEST_F(EvacuationTest, RefusesAtOnceWithoutAZoneAndReturnsToIt)
+{
+    this->dispatcher.setTargets(this->listed, this->now);
+    this->dispatcher.setEvacuatedZones({ "a", "b" }, this->now);
+    EXPECT_EQ(this->dispatcher.request(this->targetRequest(1), {}, this->now).reason, RefusalReason::NoTarget);
+    this->dispatcher.setEvacuatedZones({ "b" }, this->now);
+    EXPECT_EQ(this->dispatcher.usableTargets("p"), (std::vector<base::TargetId> { "a1", "a2" }));
+    EXPECT_TRUE(this->dispatcher.request(this->targetRequest(2), {}, this->now).choice);
+}
+
 // Guards against using a target that has reported that it leaves, when an older list still shows it, or shows it again
 // after the target has left.
 TEST_F(DispatcherTest, ExcludesATargetThatReportedLeaving)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -100,14 +100,20 @@
         this->readiness = options.readiness;
         const Decoders decoders { .configuration = [kind](const auto&, auto&) { return configuration(kind); },
             .target = [](const auto& key, const auto& value, auto&) -> std::optional<membership::ListedTarget> {
-                return membership::ListedTarget {
-                    .id = key, .pool = "p", .endpoint = *settings::parseEndpoint(value), .zone = "z", .capacity = 4
-                };
+                return membership::ListedTarget { .id = key,
+                    .pool = "p",
+                    .endpoint = *settings::parseEndpoint(value),
+                    .zone = "z-" + key,
+                    .capacity = 4 };
             },
-            .configurationKey = "config" };
+            .configurationKey = "config",
+            .evacuatedZone = [](const auto& key) -> std::optional<base::ZoneId> {
+                return key.starts_with("evacuate ") ? std::optional { key.substr(9) } : std::nullopt;
+            } };
         this->gateway = std::make_unique<Gateway>(this->context, options, this->clock, this->random,
             Feeds { .configuration = *this->configurationFeed,
                 .targets = *this->targetFeed,
+                .configurationWatch = { .wait = 20ms },
                 .targetsWatch = { .wait = 20ms } },
             decoders);
         ASSERT_TRUE(this->gateway->start()) << this->gateway->lastReason();
@@ -381,6 +387,28 @@
     EXPECT_EQ(std::ranges::count(this->sentTo, this->sentTo.front()), 1);
 }
 
+// Guards against requests to a zone that the operator evacuates, and against a zone that stays unused when the request
+// for its evacuation is gone. The value of the row does not matter; other rows of the table are no requests.
+TEST_F(GatewayTest, SendsNoRequestsToAnEvacuatedZone)
+{
+    this->start(RouteKind::NotRepeatable, [](int, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.send(sealedResponse(request));
+    });
+    EXPECT_EQ(this->send(callerRequest()).status, 200U);
+    this->configurationFeed->setNextChanges(
+        { { .key = "evacuate z-t1", .value = "" }, { .key = "z-t2", .value = "x" } });
+    EXPECT_EQ(this->send(callerRequest(), 80ms).status, 200U);
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(this->send(callerRequest()).status, 200U);
+        EXPECT_EQ(this->sentTo.back(), "t2");
+    }
+    this->configurationFeed->setNextChanges({ { .key = "evacuate z-t2", .value = "{}" } });
+    EXPECT_EQ(this->send(callerRequest(), 80ms).status, 503U);
+    this->configurationFeed->setNextChanges({ { .key = "evacuate z-t1", .value = std::nullopt } });
+    EXPECT_EQ(this->send(callerRequest(), 80ms).status, 200U);
+    EXPECT_EQ(this->sentTo.back(), "t1");
+}
+
 // Guards against sending requests to a target that has asked for none for some time, and against callers that wait for
 // the target or retry too early.
 TEST_F(GatewayTest, SkipsClosedTargetsUntilTheyReopen)
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -45,6 +45,14 @@
     EXPECT_EQ(configuration->targetConnections, (std::map<std::string, std::uint32_t> { { "s", 178 } }));
 }
 
+TEST(Decode, ReadsEvacuatedZones)
+{
+    EXPECT_EQ(evacuatedZone("evacuate/kl-a"), "kl-a");
+    EXPECT_EQ(evacuatedZone("config"), std::nullopt);
+    EXPECT_EQ(evacuatedZone("evacuate/"), std::nullopt);
+    EXPECT_EQ(evacuatedZone("x/evacuate/kl-a"), std::nullopt);
+}
+
 // Guards against requests of an unknown kind that are repeated.
 TEST(Decode, TreatsAnUnknownKindAsNotRepeatable)
 {
--- a/tests/platform/processes/site_processes.py
+++ b/tests/platform/processes/site_processes.py
@@ -32,7 +32,7 @@
     """An engine process; the site starts it again when it has ended or fallen silent."""
 
     def __init__(self, site, number):
-        self.site = site
+        self.site, self.number = site, number
         self.id = f"i-{number}"
         self.listen = f"{site.network}.{100 + number}:7000"
         self.journal = site.folder / f"engine-{number}.journal"
@@ -69,10 +69,11 @@
 
 class Site:
     def __init__(self, binaries, folder, entries, engines, restart_seconds=2.0, list_delay=0, contact_ms=3000, slots=10,
-                 timeout_ms=4000):
+                 timeout_ms=4000, engine_zones=("z0",), entry_settings=()):
         self.binaries, self.folder = pathlib.Path(binaries), pathlib.Path(folder)
         self.restart_seconds, self.list_delay, self.contact_ms = restart_seconds, list_delay, contact_ms
         self.slots, self.timeout_ms = slots, timeout_ms
+        self.engine_zones, self.entry_settings = engine_zones, entry_settings
         self.network = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.store = Store(f"{self.network}.250")
         self.started_at = time.monotonic()
@@ -116,8 +117,11 @@
 
     def list_engine(self, engine):
         self.store.put("servers", engine.id, {
-            "service": "app", "address": engine.listen, "zone": "z0", "version": 1, "slots": self.slots, "state": "ready",
-            "coldRemainingMs": 0, "seq": 1, "born": int(time.time() * 1000)})
+            "service": "app", "address": engine.listen, "zone": self.zone_of(engine), "version": 1, "slots": self.slots,
+            "state": "ready", "coldRemainingMs": 0, "seq": 1, "born": int(time.time() * 1000)})
+
+    def zone_of(self, engine):
+        return self.engine_zones[engine.number % len(self.engine_zones)]
 
     def start_entry(self, number):
         address = f"{self.network}.{number + 1}"
@@ -127,7 +131,7 @@
             f"listen.ready={address}:8220", f"platform.address={self.store.address}", "portRange=7340,7355",
             f"bounds.contactMs={self.contact_ms}", "bounds.drainMs=2000", "bounds.applyMs=2000", "bounds.graceS=8",
             "bounds.retryBudgetRatio=0.2", "bounds.budgetSlack=94", "bounds.budgetWindowS=10",
-            f"limits.memoryMb={MEMORY_MB}", ""]))
+            f"limits.memoryMb={MEMORY_MB}", *self.entry_settings, ""]))
         with open(self.folder / f"entry-{number}.log", "ab") as log:
             return subprocess.Popen([self.binaries / "chivewinch-platform-entry"], stdout=log, stderr=log,
                                     stdin=subprocess.DEVNULL,
--- a/tests/platform/processes/store.py
+++ b/tests/platform/processes/store.py
@@ -21,6 +21,7 @@
         self.rows = {}  # (table, key) -> (version, value), with the value None for a deleted row
         self.version = 1
         self.endless_table = None  # Reads of this table always get another page.
+        self.oldest_version = 0  # Changes before it are not available any more.
         self.server = Server((address, 0), self.handler())
         self.address = f"{address}:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
@@ -33,6 +34,12 @@
             self.rows[table, key] = (self.version, data)
             self.changed.notify_all()
 
+    def lose_history(self):
+        with self.changed:
+            self.version += 1
+            self.oldest_version = self.version
+            self.changed.notify_all()
+
     def stop(self):
         self.server.shutdown()
         self.server.server_close()
@@ -81,6 +88,8 @@
                     self.answer(store.read_endless_page(query["table"], query.get("from")))
                 elif path.path == "/api/rows-get":
                     self.answer(store.read_all(query["table"]))
+                elif path.path == "/api/rows-feed" and int(query["sinceRev"]) < store.oldest_version:
+                    self.answer({}, 410)
                 elif path.path == "/api/rows-feed":
                     self.answer(store.read_changes(query["table"], int(query["sinceRev"]), int(query["waitMs"]) / 1000))
                 else:
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -29,6 +29,28 @@
     EXPECT_LT(settings->gateway.drain.total, 8s);
     EXPECT_EQ(settings->gateway.relay.value().listen, (settings::Endpoint { .address = "10.1.0.40", .port = 7340 }));
     EXPECT_DOUBLE_EQ(settings->gateway.dispatcher.router.retryBudget.share, 0.2);
+    EXPECT_TRUE(settings->gateway.knownZones.empty());
+}
+
+TEST(PlatformSettings, ReadsTheZonesOfTheDeployment)
+{
+    std::string reason;
+    const auto settings = entry(entryText + "zones.z=here\nzones.y=here\nzonesx=1\n", reason);
+    ASSERT_TRUE(settings) << reason;
+    EXPECT_EQ(settings->gateway.knownZones, (std::set<base::ZoneId> { "y", "z" }));
+}
+
+// Guards against an evacuation that takes effect later than its own bound, if that is the shorter one.
+TEST(PlatformSettings, WatchesTheConfigurationWithinTheBoundOfEvacuations)
+{
+    std::string reason;
+    const auto plain = entry(entryText + "bounds.applyMs=2000\n", reason);
+    const auto longer = entry(entryText + "bounds.applyMs=2000\nbounds.evacuateMs=5000\n", reason);
+    const auto shorter = entry(entryText + "bounds.applyMs=2000\nbounds.evacuateMs=800\n", reason);
+    ASSERT_TRUE(plain && longer && shorter) << reason;
+    EXPECT_EQ(plain->configurationWatch, longer->configurationWatch);
+    EXPECT_LT(shorter->configurationWatch.wait, plain->configurationWatch.wait);
+    EXPECT_LT(shorter->gateway.relay->maxAge, plain->gateway.relay->maxAge);
 }
 
 // Guards against a process that runs with an invalid setting, and against an error that does not name the setting.
