Send cold targets no more than the rate they tolerate

Cause: nothing read for how long a target states that it remains cold, nor the rate that its service tolerates meanwhile. The bound on cold targets (FAILBACK) was kept only because many entries spread their requests evenly.

Change: quota::ColdTargets divides the rate among some entries, chosen as for stated limits; the others send nothing to a cold target. All entries together start at most the stated rate within any second, without messages. The zone of an evacuation that has ended counts as cold. A restarted entry keeps its shares: its row is in the store, which it finds by writing it only if it is absent. The members of a limit and their history move to quota::ShareOwners.

An entry decoded rows of targets without an ID to compare them, which the decoder refuses, so that each report counted as a change and was passed on to the peers. It now compares them with an ID, and ignores the shrinking cold time.

--- a/src/gateway/configuration.hpp
+++ b/src/gateway/configuration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/id.hpp"
+#include "quota/cold_targets.hpp"
 
 #include <chrono>
 #include <compare>
@@ -77,6 +78,9 @@
     CallerLimits limits;
     /** Connections that a target accepts from all processes together, by pool; a pool without an entry has no limit. */
     std::map<std::string, std::uint32_t> targetConnections;
+    /** What cold targets tolerate, by pool; the targets of a pool without an entry have no limit while they are cold.
+     */
+    std::map<std::string, quota::ColdRate> coldRates;
 
     auto operator<=>(const Configuration&) const = default;
 };
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -18,6 +18,11 @@
     return static_cast<std::uint8_t>(maxQueuePriority - std::min(priority, maxQueuePriority));
 }
 
+quota::LimitedTarget limitedTarget(const membership::ListedTarget& target)
+{
+    return { .incarnation = target.incarnation, .zone = target.zone, .pool = target.pool };
+}
+
 routing::RouteRequest routeRequest(const TargetRequest& targetRequest)
 {
     return { .pool = targetRequest.pool, .attempt = targetRequest.attempt, .excluded = targetRequest.excluded };
@@ -40,7 +45,7 @@
     this->notices.update(listed, now);
     std::map<base::TargetId, quota::LimitedTarget> limited;
     for (const auto& target : listed)
-        limited.emplace(target.id, quota::LimitedTarget { target.incarnation, target.zone });
+        limited.emplace(target.id, internal::limitedTarget(target));
     this->limits.setTargets(std::move(limited), now);
     this->rebuildRouter(listed, now);
 }
@@ -57,10 +62,18 @@
 {
     if (this->evacuatedZones == zones)
         return;
-    this->evacuatedZones = zones;
+    for (const auto& zone : std::exchange(this->evacuatedZones, zones)) {
+        if (!zones.contains(zone))
+            this->limits.coldTargets().markZone(zone, now);
+    }
     this->rebuildRouter(now);
 }
 
+void Dispatcher::recordColdTime(const membership::ListedTarget& target, base::SteadyTime now)
+{
+    this->limits.coldTargets().report(target.id, internal::limitedTarget(target), target.coldFor, now);
+}
+
 bool Dispatcher::isUsable(const membership::ListedTarget& target) const
 {
     return !target.leaving && !this->evacuatedZones.contains(target.zone);
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -73,6 +73,8 @@
     void setTargets(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now);
     /** Replaces the zones whose targets get no new requests. Waiting requests go to other targets. */
     void setEvacuatedZones(const std::set<base::ZoneId>& zones, base::SteadyTime now);
+    /** Records for how long the target states that it remains cold. */
+    void recordColdTime(const membership::ListedTarget& target, base::SteadyTime now);
 
     [[nodiscard]] Reply request(const TargetRequest& targetRequest, Notify notify, base::SteadyTime now);
     /** Removes a waiting request from the queue. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -86,6 +86,8 @@
     , requestMetrics { this->registry }
     , evacuatedZonesMetric { this->registry.gauge(
           "chivewinch_evacuated_zones", "Zones whose targets get no new requests because of an evacuation") }
+    , coldTargetsMetric { this->registry.gauge(
+          "chivewinch_cold_targets", "Targets that get a limited rate of requests because they are cold") }
     , targets { this->options.targets }
     , dispatcher { this->options.dispatcher, random }
     , clients { context.get_executor(), this->options.attempts, this->options.buffers }
@@ -146,12 +148,8 @@
         return;
     }
     // Targets report continuously; only changes that affect requests are relayed.
-    const auto isSame = [decode = this->decoders.target](const std::string& left, const std::string& right) {
-        std::string reason;
-        const auto first = decode({}, left, reason);
-        return first && first == decode({}, right, reason);
-    };
-    this->relay->add(feeds.targetsWatch.table, this->targetsWatcher, isSame);
+    this->relay->add(feeds.targetsWatch.table, this->targetsWatcher,
+        [this](const auto& left, const auto& right) { return this->isSameTarget(left, right); });
     this->relay->add(feeds.configurationWatch.table, this->configurationWatcher);
     this->limitExchange = std::make_unique<LimitExchange>(
         context.get_executor(), this->dispatcher.targetLimits(), *this->relay, clock, random);
@@ -235,6 +233,20 @@
     (void)co_await writer.send(std::move(response));
 }
 
+bool Gateway::isSameTarget(const std::string& left, const std::string& right) const
+{
+    std::string reason;
+    auto before = this->decoders.target("target", left, reason);
+    auto after = this->decoders.target("target", right, reason);
+    if (!before || !after)
+        return false;
+    // The rest of the cold time shrinks with each report; a reader has computed its end from an earlier one.
+    const bool isCold = after->coldFor.count() > 0;
+    if (!this->hasColdRates || (isCold && after->coldFor <= before->coldFor))
+        before->coldFor = after->coldFor;
+    return before == after;
+}
+
 void Gateway::forwardRows(const std::string& table, const std::vector<watch::RowChange>& rows, bool isSnapshot)
 {
     if (this->relay)
@@ -255,9 +267,12 @@
         const auto version = configuration->version;
         const auto routes = configuration->routes.size();
         const auto limits = configuration->limits;
+        const auto coldRates = configuration->coldRates;
         this->connectionLimits = configuration->targetConnections;
         if (!this->snapshots.replaceIfNewer(std::move(*configuration)))
             continue;
+        this->hasColdRates = !coldRates.empty();
+        this->dispatcher.targetLimits().coldTargets().setRates(coldRates, this->clock.now());
         this->callerServer->setLimits({ .maxHeaderBytes = limits.maxHeaderBytes,
             .maxBodyBytes = limits.maxBodyBytes,
             .requestTimeout = limits.headerTimeout,
@@ -312,6 +327,11 @@
         auto target = row.value ? this->decoders.target(row.key, *row.value, decodeError) : std::nullopt;
         if (row.value && !target)
             logging::Event { "target_entry_refused" }.field("target", row.key).field("reason", decodeError).warning();
+        if (target) {
+            this->dispatcher.recordColdTime(*target, now);
+            // It is not part of the list: the list would change with each report.
+            target->coldFor = std::chrono::milliseconds { 0 };
+        }
         if (target && isSnapshot)
             listed.push_back(std::move(*target));
         else if (target)
@@ -361,6 +381,7 @@
     this->crashes.advance(now);
     this->dispatcher.advance(now);
     this->logShareChanges();
+    this->logColdChanges();
     this->advanceDrain(now);
 }
 
@@ -388,6 +409,8 @@
     if (!this->relay || this->peersVersion == this->relay->knownPeers().version())
         return;
     this->peersVersion = this->relay->knownPeers().version();
+    if (this->relay->wasRegistered())
+        this->dispatcher.targetLimits().setRegisteredBefore();
     std::vector<quota::Member> members;
     for (const auto& [instance, peer] : this->relay->knownPeers().all())
         members.push_back({ instance, peer.zone });
@@ -406,6 +429,22 @@
     }
 }
 
+void Gateway::logColdChanges()
+{
+    auto& cold = this->dispatcher.targetLimits().coldTargets();
+    const auto changes = cold.takeChanges();
+    if (changes.empty())
+        return;
+    this->coldTargetsMetric.Set(static_cast<double>(cold.size()));
+    for (const auto& change : changes) {
+        logging::Event event { "target_cold" };
+        event.field("target", change.target).field("state", change.isCold ? "begun" : "ended");
+        if (change.isCold)
+            event.field("owners", change.owners).field("owner", change.isOwner);
+        event.info();
+    }
+}
+
 void Gateway::handleSuspension()
 {
     this->dispatcher.targetLimits().dropPermits();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -77,6 +77,7 @@
     metrics::Registry registry;
     RequestMetrics requestMetrics;
     prometheus::Gauge& evacuatedZonesMetric;
+    prometheus::Gauge& coldTargetsMetric;
     SnapshotHolder snapshots;
     membership::ListedTargets targets;
     std::uint64_t targetsVersion = 0;
@@ -97,6 +98,7 @@
     std::uint64_t peersVersion = 0; ///< Version of the peers among which the request limits are divided.
     SharePosition position; ///< Position among the entries that the relay knows.
     std::map<std::string, std::uint32_t> connectionLimits; ///< Connections that a target accepts, by pool.
+    bool hasColdRates = false; ///< The configuration limits the requests to cold targets.
     std::shared_ptr<http::Server> callerServer;
     std::shared_ptr<http::Server> readinessServer;
     std::shared_ptr<http::Server> metricsServer;
@@ -111,6 +113,8 @@
     [[nodiscard]] http::Task<void> serveCaller(const http::Request& request, http::ResponseWriter& writer);
     [[nodiscard]] http::Task<void> serveStatus(const http::Request& request, http::ResponseWriter& writer) const;
     /** Passes rows of a watcher to the relay for the peers. */
+    /** True if a new row of a target has the same effect on requests as the row before. */
+    [[nodiscard]] bool isSameTarget(const std::string& left, const std::string& right) const;
     void forwardRows(const std::string& table, const std::vector<watch::RowChange>& rows, bool isSnapshot);
     void applyConfigurationRows(const std::vector<watch::RowChange>& rows);
     void applyEvacuationRows(const std::vector<watch::RowChange>& rows, bool isSnapshot);
@@ -125,6 +129,7 @@
     void divideConnections();
     void updateLimitMembers(base::SteadyTime now);
     void logShareChanges();
+    void logColdChanges();
     void advanceDrain(base::SteadyTime now);
     void handleSuspension();
     void stop();
--- a/src/http/status.hpp
+++ b/src/http/status.hpp
@@ -8,6 +8,7 @@
 constexpr unsigned badRequest = 400;
 constexpr unsigned notFound = 404;
 constexpr unsigned gone = 410;
+constexpr unsigned preconditionFailed = 412;
 constexpr unsigned misdirected = 421;
 constexpr unsigned unavailable = 503;
 
--- a/src/quota/owners.cpp
+++ b/src/quota/owners.cpp
@@ -3,7 +3,6 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdint>
 #include <utility>
 
@@ -16,11 +15,11 @@
 
 } // namespace internal
 
-std::size_t ownerCount(double limit, std::size_t members) noexcept
+std::size_t ownerCount(double limit) noexcept
 {
-    const auto largest = static_cast<double>(members);
-    const auto wanted = std::floor(limit) + static_cast<double>(internal::minOwners);
-    return wanted < largest ? static_cast<std::size_t>(wanted) : members;
+    // No fleet has more members; a larger number would not fit the type.
+    constexpr double maxOwners = 1e6;
+    return static_cast<std::size_t>(std::min(limit, maxOwners)) + internal::minOwners;
 }
 
 std::vector<std::string> chooseOwners(
--- a/src/quota/owners.hpp
+++ b/src/quota/owners.hpp
@@ -19,10 +19,10 @@
 };
 
 /**
- * Number of members that divide the limit among them. Each owner may send one request at once, so the number of owners
- * bounds the burst at the target.
+ * Number of members that divide the limit among them, if there are as many. Each owner may send one request at once, so
+ * the number of owners bounds the burst at the target.
  */
-[[nodiscard]] std::size_t ownerCount(double limit, std::size_t members) noexcept;
+[[nodiscard]] std::size_t ownerCount(double limit) noexcept;
 
 /**
  * The members that own a share of the target's limit; the same for all processes that know the same members. One half,
--- a/src/quota/target_limits.cpp
+++ b/src/quota/target_limits.cpp
@@ -3,7 +3,7 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -46,6 +46,8 @@
 
 TargetLimits::TargetLimits(TargetLimitsOptions given)
     : options { std::move(given) }
+    , owners { this->options.instance, this->options.settleTime }
+    , cold { this->owners, this->options.divideLimits }
     , queries { base::hash64(this->options.instance) % 1'024 }
 {
 }
@@ -58,13 +60,10 @@
 
 void TargetLimits::setMembers(std::vector<Member> newMembers, base::SteadyTime now)
 {
-    std::ranges::sort(newMembers);
-    if (newMembers == this->members)
+    if (!this->owners.setMembers(std::move(newMembers), now))
         return;
-    std::erase_if(
-        this->pastMembers, [this, now](const auto& past) { return now - past.replacedAt >= this->options.settleTime; });
-    this->pastMembers.push_back({ std::exchange(this->members, std::move(newMembers)), now });
     this->refreshAll(now);
+    this->cold.refresh(now);
 }
 
 void TargetLimits::setTargets(std::map<base::TargetId, LimitedTarget> listed, base::SteadyTime now)
@@ -75,6 +74,7 @@
         incarnations.emplace(id, target.incarnation);
     this->statements.update(incarnations, now);
     this->refreshAll(now);
+    this->cold.setTargets(this->targets, now);
 }
 
 LimitChange TargetLimits::observe(const base::TargetId& target, base::Incarnation incarnation,
@@ -121,9 +121,12 @@
     const auto before = std::tuple { share.limit, share.owners.size(), share.isOwner };
     share.limit = statement->limit;
     if (share.limit) {
-        share.owners = this->ownersAmong(target, *share.limit, this->members);
-        share.isOwner = internal::contains(share.owners, this->options.instance);
-        share.ownerFrom = this->ownerFrom(target, *share.limit);
+        const auto listed = this->targets.find(target);
+        const auto zone = listed == this->targets.end() ? base::ZoneId {} : listed->second.zone;
+        const auto count = this->maxOwners(*share.limit);
+        share.owners = this->owners.of(target, zone, count);
+        share.isOwner = this->owners.isOwner(share.owners);
+        share.ownerFrom = this->owners.usableFrom(target, zone, count, true);
         if (share.isOwner) {
             const auto divisor = this->options.divideLimits ? static_cast<double>(share.owners.size()) : 1.0;
             const auto rate = internal::rateOf(*share.limit) / divisor;
@@ -134,23 +137,9 @@
         this->changes.push_back({ target, share.limit, share.owners.size(), share.isOwner });
 }
 
-std::vector<std::string> TargetLimits::ownersAmong(
-    const base::TargetId& target, double limit, const std::vector<Member>& among) const
+std::size_t TargetLimits::maxOwners(double limit) const noexcept
 {
-    const auto listed = this->targets.find(target);
-    const auto zone = listed == this->targets.end() ? base::ZoneId {} : listed->second.zone;
-    const auto count = this->options.divideLimits ? ownerCount(limit, among.size()) : among.size();
-    return chooseOwners(target, zone, among, count);
-}
-
-base::SteadyTime TargetLimits::ownerFrom(const base::TargetId& target, double limit) const
-{
-    base::SteadyTime from {};
-    for (const auto& past : this->pastMembers) {
-        if (!internal::contains(this->ownersAmong(target, limit, past.members), this->options.instance))
-            from = std::max(from, past.replacedAt + this->options.settleTime);
-    }
-    return from;
+    return this->options.divideLimits ? ownerCount(limit) : std::numeric_limits<std::size_t>::max();
 }
 
 TargetLimits::Share* TargetLimits::findLimited(const base::TargetId& target)
@@ -165,7 +154,10 @@
     return found == this->shares.end() || !found->second.limit ? nullptr : &found->second;
 }
 
-bool TargetLimits::isLimited(const base::TargetId& target) const { return this->findLimited(target) != nullptr; }
+bool TargetLimits::isLimited(const base::TargetId& target) const
+{
+    return this->findLimited(target) != nullptr || this->cold.isLimited(target);
+}
 
 bool TargetLimits::hasOwnToken(const Share& share, base::SteadyTime now) noexcept
 {
@@ -173,6 +165,11 @@
 }
 
 bool TargetLimits::mayStart(const base::TargetId& target, base::SteadyTime now)
+{
+    return this->cold.mayStart(target, now) && this->mayStartByStatement(target, now);
+}
+
+bool TargetLimits::mayStartByStatement(const base::TargetId& target, base::SteadyTime now)
 {
     auto* share = this->findLimited(target);
     if (share == nullptr)
@@ -187,6 +184,7 @@
 
 void TargetLimits::recordStart(const base::TargetId& target, base::SteadyTime now)
 {
+    this->cold.recordStart(target, now);
     auto* share = this->findLimited(target);
     if (share == nullptr)
         return;
@@ -198,6 +196,16 @@
 
 std::optional<Opening> TargetLimits::opening(
     const base::TargetId& target, std::size_t index, base::SteadyTime now) const
+{
+    const auto stated = this->openingByStatement(target, index, now);
+    const auto warm = this->cold.opening(target, index, now);
+    if (!stated || !warm)
+        return stated ? stated : warm;
+    return Opening { std::max(stated->at, warm->at), stated->isOwn && warm->isOwn };
+}
+
+std::optional<Opening> TargetLimits::openingByStatement(
+    const base::TargetId& target, std::size_t index, base::SteadyTime now) const
 {
     const auto* share = this->findLimited(target);
     if (share == nullptr)
@@ -260,8 +268,9 @@
     return isUseful && hasOwnToken(share, now) && share.bucket.take(now);
 }
 
-void TargetLimits::advance(base::SteadyTime now) noexcept
+void TargetLimits::advance(base::SteadyTime now)
 {
+    this->cold.advance(now);
     if (now - this->advancedAt > maxStall)
         this->stalledUntil = now + maxStall;
     this->advancedAt = now;
--- a/src/quota/target_limits.hpp
+++ b/src/quota/target_limits.hpp
@@ -3,8 +3,10 @@
 #include "base/clock.hpp"
 #include "base/id.hpp"
 #include "base/random.hpp"
+#include "quota/cold_targets.hpp"
 #include "quota/message.hpp"
-#include "quota/owners.hpp"
+#include "quota/opening.hpp"
+#include "quota/share_owners.hpp"
 #include "quota/stated_limits.hpp"
 #include "quota/token_bucket.hpp"
 
@@ -31,20 +33,6 @@
     bool divideLimits = true;
 };
 
-/** Time at which this process may send a request to a target with a limit. */
-struct Opening {
-    base::SteadyTime at {};
-    bool isOwn = false; ///< Part of the share of this process; otherwise an estimate for all processes together.
-};
-
-/** Listed target. */
-struct LimitedTarget {
-    base::Incarnation incarnation {};
-    base::ZoneId zone;
-
-    auto operator<=>(const LimitedTarget&) const = default;
-};
-
 /** Change of this process's share of a limit, for the log. */
 struct ShareChange {
     base::TargetId target;
@@ -56,7 +44,8 @@
 };
 
 /**
- * Keeps the requests of many processes to one target within the limit that the target states for all of them together.
+ * Keeps the requests of many processes to one target within the limit that the target states for all of them together,
+ * and within the rate that it tolerates while it is cold (see ColdTargets).
  *
  * A few members own equal shares of a limit, each as a token bucket. Which ones follows from the list of members alone,
  * so the sum is kept without agreement, whoever is alive or reachable. The other members ask the owners for permits for
@@ -79,6 +68,8 @@
 
     explicit TargetLimits(TargetLimitsOptions options);
 
+    /** See ShareOwners::setRegisteredBefore. Only the rates of cold targets use it. */
+    void setRegisteredBefore() noexcept { this->owners.setRegisteredBefore(); }
     /** Replaces the processes among which the limits are divided. Without a call, this process owns no share. */
     void setMembers(std::vector<Member> newMembers, base::SteadyTime now);
     void setTargets(std::map<base::TargetId, LimitedTarget> listed, base::SteadyTime now);
@@ -91,6 +82,9 @@
         return this->statements.recordInvalid(target, value);
     }
 
+    /** Rates of cold targets, and which targets are cold. */
+    [[nodiscard]] ColdTargets& coldTargets() noexcept { return this->cold; }
+
     [[nodiscard]] bool isLimited(const base::TargetId& target) const;
     /** True if this process may send a request now. If not, the next query asks for a permit. */
     [[nodiscard]] bool mayStart(const base::TargetId& target, base::SteadyTime now);
@@ -102,7 +96,7 @@
     /** The owner to ask next, and the query; nullopt if there is nothing to ask. Call it after each queryPause. */
     [[nodiscard]] std::optional<std::pair<std::string, LimitQuery>> nextQuery(base::SteadyTime now);
     /** Must be called by a timer. After a pause of more than maxStall, this process counts as having been frozen. */
-    void advance(base::SteadyTime now) noexcept;
+    void advance(base::SteadyTime now);
 
     /**
      * Answers the query of another process. Queries that arrived while this process was frozen get an empty answer: the
@@ -132,16 +126,10 @@
         base::SteadyTime opensAt {}; ///< As reported by an owner.
     };
 
-    /** Members that were replaced; some processes may still act on them. */
-    struct PastMembers {
-        std::vector<Member> members;
-        base::SteadyTime replacedAt {};
-    };
-
     TargetLimitsOptions options;
     StatedLimits statements;
-    std::vector<Member> members;
-    std::vector<PastMembers> pastMembers;
+    ShareOwners owners;
+    ColdTargets cold;
     std::map<base::TargetId, LimitedTarget> targets;
     std::map<base::TargetId, Share> shares;
     std::vector<ShareChange> changes;
@@ -152,9 +140,10 @@
 
     void refreshAll(base::SteadyTime now);
     void refresh(const base::TargetId& target, base::SteadyTime now);
-    [[nodiscard]] std::vector<std::string> ownersAmong(
-        const base::TargetId& target, double limit, const std::vector<Member>& among) const;
-    [[nodiscard]] base::SteadyTime ownerFrom(const base::TargetId& target, double limit) const;
+    [[nodiscard]] bool mayStartByStatement(const base::TargetId& target, base::SteadyTime now);
+    [[nodiscard]] std::optional<Opening> openingByStatement(
+        const base::TargetId& target, std::size_t index, base::SteadyTime now) const;
+    [[nodiscard]] std::size_t maxOwners(double limit) const noexcept;
     [[nodiscard]] Share* findLimited(const base::TargetId& target);
     [[nodiscard]] const Share* findLimited(const base::TargetId& target) const;
     [[nodiscard]] LimitReport report(const base::TargetId& target, base::SteadyTime now) const;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -132,9 +132,11 @@
 http::Task<void> Relay::registerSelf()
 {
     const Peer own { .instance = this->options.instance, .zone = this->options.zone, .endpoint = this->options.listen };
-    while (!this->isStopped) {
-        const bool written = co_await this->sink.put(own.instance, encode(own));
-        if (written)
+    for (bool isFirst = true; !this->isStopped; isFirst = false) {
+        const auto result = co_await this->sink.put(own.instance, encode(own));
+        // After a write that was not acknowledged, an unchanged row can be its own result.
+        this->isRegisteredBefore = isFirst && result == watch::PutResult::Unchanged;
+        if (result != watch::PutResult::Failed)
             break;
         co_await this->sleep(this->options.retryTime);
     }
@@ -143,7 +145,9 @@
 http::Task<void> Relay::run()
 {
     co_await this->registerSelf();
-    co_await this->sleep(this->options.settleTime);
+    // The peers of a process that was registered before have not waited for it.
+    if (!this->isRegisteredBefore)
+        co_await this->sleep(this->options.settleTime);
     asio::co_spawn(this->executor, this->peersWatcher.run(), asio::detached);
     while (!this->isStopped) {
         const auto peer = this->peers.source(this->clock.now());
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -106,6 +106,8 @@
     void drain();
     void stop();
 
+    /** True if this process was registered already when it started, so that its peers count with it. */
+    [[nodiscard]] bool wasRegistered() const noexcept { return this->isRegisteredBefore; }
     /** True while this process gets its rows from a peer. */
     [[nodiscard]] bool isRelayed() const noexcept { return this->relayed; }
     /** All registered processes; empty before the first read. Rows of processes that have ended are included. */
@@ -128,6 +130,7 @@
     std::vector<std::shared_ptr<boost::asio::steady_timer>> waiting; ///< Timers of the requests that wait for a change.
     std::string source; ///< Instance of the peer from which this process reads; empty if it reads the store.
     bool relayed = false;
+    bool isRegisteredBefore = false;
     bool isDraining = false;
     bool isStopped = false;
     std::string reason;
--- a/src/watch/row_sink.hpp
+++ b/src/watch/row_sink.hpp
@@ -2,10 +2,17 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <string>
 
 namespace chivewinch::watch {
 
+enum class PutResult : std::uint8_t {
+    Failed, ///< The store did not acknowledge the write; the row may still be written.
+    Written,
+    Unchanged, ///< The row had this value already.
+};
+
 /** Write access to one table of a store. */
 class RowSink {
 public:
@@ -16,11 +23,8 @@
     RowSink& operator=(const RowSink&) = delete;
     virtual ~RowSink() = default;
 
-    /**
-     * Writes the row unconditionally. Returns false if the store did not acknowledge the write; the row may still be
-     * written in that case.
-     */
-    [[nodiscard]] virtual Task<bool> put(std::string key, std::string value) = 0;
+    /** Writes the row unless it has this value already. */
+    [[nodiscard]] virtual Task<PutResult> put(std::string key, std::string value) = 0;
 };
 
 } // namespace chivewinch::watch
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -133,6 +133,38 @@
     EXPECT_TRUE(this->dispatcher.request(this->targetRequest(2), {}, this->now).choice);
 }
 
+// Guards against a flood after an evacuation: the targets of the zone may be cold before their reports say so.
+TEST_F(EvacuationTest, LimitsTheZoneAfterItsEvacuation)
+{
+    auto& limits = this->dispatcher.targetLimits();
+    limits.coldTargets().setRates({ { "p", { .requestsPerSecond = 2, .duration = 3s } } }, this->now);
+    this->dispatcher.setTargets(this->listed, this->now);
+    this->dispatcher.setEvacuatedZones({ "a" }, this->now);
+    EXPECT_FALSE(limits.isLimited("a1"));
+    this->dispatcher.setEvacuatedZones({}, this->now);
+    EXPECT_TRUE(limits.isLimited("a1"));
+    EXPECT_FALSE(limits.isLimited("b"));
+    limits.advance(this->now + 3s);
+    EXPECT_FALSE(limits.isLimited("a1"));
+}
+
+// Load: a target that is cold and has no requests looks least loaded to all entries. Guards against sending it all of
+// them.
+TEST_F(EvacuationTest, SendsAColdTargetOnlyWhatItTolerates)
+{
+    auto& limits = this->dispatcher.targetLimits();
+    limits.setMembers({ { .instance = {}, .zone = "a" } }, this->now);
+    limits.coldTargets().setRates({ { "p", { .requestsPerSecond = 2, .duration = 3s } } }, this->now);
+    this->dispatcher.setTargets(this->listed, this->now);
+    auto cold = this->listed.front();
+    cold.coldFor = 2s;
+    this->dispatcher.recordColdTime(cold, this->now);
+    std::map<std::string, int> uses;
+    for (std::uint64_t i = 0; i < 5; ++i)
+        ++uses[this->dispatcher.request(this->targetRequest(i), {}, this->now).choice.value().target];
+    EXPECT_EQ(uses, (std::map<std::string, int> { { "a1", 1 }, { "a2", 2 }, { "b", 2 } }));
+}
+
 // Guards against using a target that has reported that it leaves, when an older list still shows it, or shows it again
 // after the target has left.
 TEST_F(DispatcherTest, ExcludesATargetThatReportedLeaving)
--- a/tests/gateway/request_limit_test.cpp
+++ b/tests/gateway/request_limit_test.cpp
@@ -54,11 +54,11 @@
         co_return co_await this->readAll(reason);
     }
 
-    [[nodiscard]] RowSink::Task<bool> put(std::string key, std::string value) override
+    [[nodiscard]] RowSink::Task<watch::PutResult> put(std::string key, std::string value) override
     {
         this->table.rows.insert_or_assign(std::move(key), std::move(value));
         ++this->table.version;
-        co_return true;
+        co_return watch::PutResult::Written;
     }
 
 private:
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -16,12 +16,12 @@
 "kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"gapTargetMs":120,"priority":1,"weightedBackends":[{"service":"s","weight":90},
 {"service":"u","weight":10}],"maxAttempts":2,"noAuth":false,"sticky":true,"resumeStreams":true,"gapTargetMs":120},
 {"name":"q","hostname":"h.example","prefix":"/b/","kind":"never heard of","service":"s"}],
-"services":[{"name":"s","healthPath":"/health","maxConns":178,"engine":{"slots":12,"sets":4,"experts":64,"placements":5,"spare":2}}],
+"services":[{"name":"s","healthPath":"/health","maxConns":178,"coldStartS":2.5,"coldPerS":14.0,"engine":{"slots":12,"sets":4,"experts":64,"placements":5,"spare":2}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1}]})";
 
 const std::string targetText = R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":12,
-"state":"ready","coldRemainingMs":0,"seq":4,"born":1779017309900,
+"state":"ready","coldRemainingMs":1200,"seq":4,"born":1779017309900,
 "group":{"name":"g0","epoch":3,"rank":5,"state":"open"},"size":16})";
 
 TEST(Decode, ReadsTheConfiguration)
@@ -43,6 +43,25 @@
     EXPECT_TRUE(configuration->hasTeams);
     EXPECT_EQ(configuration->limits.idleTimeout, 15s);
     EXPECT_EQ(configuration->targetConnections, (std::map<std::string, std::uint32_t> { { "s", 178 } }));
+    EXPECT_EQ(configuration->coldRates,
+        (std::map<std::string, quota::ColdRate> { { "s", { .requestsPerSecond = 14, .duration = 2'500ms } } }));
+}
+
+// Guards against an invalid rate that is taken for no limit; the last valid configuration stays in force.
+TEST(Decode, RejectsInvalidColdRates)
+{
+    for (const auto* value : { "-1", "\"many\"", "null", "[]" }) {
+        const auto text = R"({"version":7,"routes":[],"services":[{"name":"s","coldStartS":2,"coldPerS":)"
+            + std::string { value } + "}]}";
+        std::string reason;
+        EXPECT_FALSE(decodeConfiguration(text, reason)) << value;
+        EXPECT_NE(reason.find("coldPerS"), std::string::npos) << reason;
+    }
+    std::string reason;
+    const auto without = decodeConfiguration(
+        R"({"version":7,"routes":[],"services":[{"name":"s","coldStartS":0,"coldPerS":0},{"name":"u"}]})", reason);
+    ASSERT_TRUE(without) << reason;
+    EXPECT_TRUE(without->coldRates.empty());
 }
 
 TEST(Decode, ReadsEvacuatedZones)
@@ -71,6 +90,7 @@
     EXPECT_EQ(target->id, "i-1");
     EXPECT_EQ(target->endpoint, (settings::Endpoint { .address = "10.1.0.9", .port = 8080 }));
     EXPECT_EQ(target->capacity, 12U);
+    EXPECT_EQ(target->coldFor, 1'200ms);
     EXPECT_FALSE(target->leaving);
     EXPECT_EQ(target->incarnation, base::Incarnation { 1779017309900 });
 }
@@ -83,7 +103,9 @@
              R"({"service":7,"state":"ready","zone":"z","address":"10.0.0.1:80"})",
              R"({"service":"s","state":"ready","zone":"z","address":"nowhere"})",
              R"({"service":"s","state":"ready","zone":"z","address":"10.0.0.1:80","slots":"many"})",
-             R"({"service":"s","state":"ready","zone":"z","address":"10.0.0.1:80","slots":-1})" }) {
+             R"({"service":"s","state":"ready","zone":"z","address":"10.0.0.1:80","slots":-1})",
+             R"({"service":"s","state":"ready","zone":"z","address":"10.0.0.1:80","coldRemainingMs":-1})",
+             R"({"service":"s","state":"ready","zone":"z","address":"10.0.0.1:80","coldRemainingMs":"soon"})" }) {
         std::string reason;
         EXPECT_FALSE(decodeTarget("i", value, reason)) << value;
         EXPECT_FALSE(reason.empty()) << value;
--- a/tests/quota/target_limits_test.cpp
+++ b/tests/quota/target_limits_test.cpp
@@ -156,7 +156,7 @@
     std::vector<Member> members;
     for (int i = 0; i < 9; ++i)
         members.push_back({ "e" + std::to_string(i), "z" });
-    const auto owners = chooseOwners("t", "z", members, ownerCount(1, members.size()));
+    const auto owners = chooseOwners("t", "z", members, ownerCount(1));
     const auto borrower = std::ranges::find_if(
         members, [&owners](const auto& member) { return std::ranges::find(owners, member.instance) == owners.end(); });
     TargetLimits limits { { .instance = borrower->instance } };
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -54,12 +54,15 @@
         co_return co_await this->read(since, reason);
     }
 
-    [[nodiscard]] RowSink::Task<bool> put(std::string key, std::string value) override
+    [[nodiscard]] RowSink::Task<watch::PutResult> put(std::string key, std::string value) override
     {
         if (this->isDisconnected || this->store.isUnavailable)
-            co_return false;
+            co_return watch::PutResult::Failed;
+        const auto row = this->store.tables[this->table].find(key);
+        if (row != this->store.tables[this->table].end() && row->second.first == value)
+            co_return watch::PutResult::Unchanged;
         this->store.put(this->table, key, std::move(value));
-        co_return true;
+        co_return watch::PutResult::Written;
     }
 
 private:
