Use no targets that others have replaced at their address

Cause: a target that has lost power stays in the list for several report intervals. If another one has started at its address meanwhile, requests to the old one are refused with 421.

Change: of the listed targets at one address, only the one that was started last gets requests.

--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -18,6 +18,25 @@
     return static_cast<std::uint8_t>(maxQueuePriority - std::min(priority, maxQueuePriority));
 }
 
+/**
+ * Targets at whose address a later one has started. Their entries expire only after several report intervals, and the
+ * later target would refuse their requests.
+ */
+std::set<base::TargetId> replacedTargets(const std::vector<membership::ListedTarget>& listed)
+{
+    std::map<settings::Endpoint, base::Incarnation> newest;
+    for (const auto& target : listed) {
+        auto& incarnation = newest.try_emplace(target.endpoint, target.incarnation).first->second;
+        incarnation = std::max(incarnation, target.incarnation);
+    }
+    std::set<base::TargetId> replaced;
+    for (const auto& target : listed) {
+        if (target.incarnation < newest.at(target.endpoint))
+            replaced.insert(target.id);
+    }
+    return replaced;
+}
+
 quota::LimitedTarget limitedTarget(const membership::ListedTarget& target)
 {
     return { .incarnation = target.incarnation, .zone = target.zone, .pool = target.pool };
@@ -76,7 +95,7 @@
 
 bool Dispatcher::isUsable(const membership::ListedTarget& target) const
 {
-    return !target.leaving && !this->evacuatedZones.contains(target.zone);
+    return !target.leaving && !this->evacuatedZones.contains(target.zone) && !this->replacedTargets.contains(target.id);
 }
 
 void Dispatcher::rebuildRouter(base::SteadyTime now)
@@ -99,6 +118,7 @@
 
 void Dispatcher::rebuildRouter(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now)
 {
+    this->replacedTargets = internal::replacedTargets(listed);
     std::vector<membership::TargetView> views;
     views.reserve(listed.size());
     std::map<std::string, routing::PoolSpec> pools;
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -117,6 +117,7 @@
     TargetNotices notices;
     std::map<base::TargetId, membership::ListedTarget> targets;
     std::set<base::ZoneId> evacuatedZones;
+    std::set<base::TargetId> replacedTargets; ///< Listed, but another target has started at the same address since.
     std::map<std::string, std::uint32_t> consecutiveFailures; ///< By pool.
     /** Times at which refused callers were asked to return to a pool whose targets have used up their limits. */
     std::map<std::string, std::deque<base::SteadyTime>> plannedReturns;
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -73,6 +73,24 @@
     EXPECT_EQ(this->dispatcher.findUsable("a"), nullptr);
 }
 
+// Load: all targets were restarted under new IDs, and the entries of their predecessors have not expired. Guards
+// against sending half of the requests to targets that do not exist any more, where they are refused.
+TEST_F(DispatcherTest, SendsNoRequestsToATargetThatAnotherHasReplaced)
+{
+    auto before = target("before");
+    before.incarnation = base::Incarnation { 5 };
+    auto after = target("after");
+    after.incarnation = base::Incarnation { 6 };
+    auto elsewhere = target("elsewhere");
+    elsewhere.endpoint.port = 81;
+    elsewhere.incarnation = base::Incarnation { 1 };
+    this->dispatcher.setTargets({ before, elsewhere }, this->now);
+    EXPECT_NE(this->dispatcher.findUsable("before"), nullptr);
+    this->dispatcher.setTargets({ before, after, elsewhere }, this->now);
+    EXPECT_EQ(this->dispatcher.findUsable("before"), nullptr);
+    EXPECT_EQ(this->dispatcher.usableTargets("p"), (std::vector<base::TargetId> { "after", "elsewhere" }));
+}
+
 class EvacuationTest : public DispatcherTest {
 protected:
     static membership::ListedTarget inZone(const std::string& id, const std::string& zone)
