Leave out groups of targets that cannot run requests

Cause: a group that has lost a rank refuses each request at once, and its targets look least loaded. With two groups, half of the requests went to the one that was broken; the retries of the entries were soon used up, although the other group could serve.

Change: an answer that names another target as the faulty one closes the group of the target for 0.5 s, as long as the pool has targets outside of closed groups. The list gives the group of each target.

--- a/src/gateway/answer_check.hpp
+++ b/src/gateway/answer_check.hpp
@@ -22,6 +22,7 @@
     bool isOnKeptConnection = false; ///< A faulty target may have answered an earlier request once more.
     bool hasSeal = false;
     bool statesNotRun = false;
+    std::string_view faultyTarget; ///< Address of the target that kept this one from running the request.
     bool statesLeaving = false; ///< The target finishes its open requests and accepts no new ones.
     std::optional<std::string_view> requestLimit; ///< As stated by the target; may be invalid.
     std::optional<std::chrono::milliseconds> retryAfter; ///< The target asks for no requests during this time.
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -133,6 +133,7 @@
     if (head.statesLeaving && this->services.dispatcher.markTargetLeaving(target.id, target.incarnation, now))
         logging::Event { "target_leaves" }.field("request", this->input.head.id).field("target", target.id).info();
     this->recordRequestLimit(target, head, now);
+    this->recordGroupFault(target, head, now);
     if (!head.retryAfter || head.status != http::status::unavailable)
         return;
     this->services.dispatcher.markTargetClosed(target.id, target.incarnation, now + *head.retryAfter, now);
@@ -143,6 +144,21 @@
         .info();
 }
 
+void Attempt::recordGroupFault(const membership::ListedTarget& target, const AnswerHead& head, base::SteadyTime now)
+{
+    // A target that is full names itself.
+    const bool isGroupFault = head.status == http::status::unavailable && head.statesNotRun
+        && !head.faultyTarget.empty() && head.faultyTarget != settings::toString(target.endpoint);
+    if (!isGroupFault || !this->services.dispatcher.closeGroup(target.id, now))
+        return;
+    logging::Event { "group_closed" }
+        .field("request", this->input.head.id)
+        .field("target", target.id)
+        .field("group", target.group)
+        .field("faulty_target", head.faultyTarget.substr(0, internal::maxLoggedValueSize))
+        .info();
+}
+
 void Attempt::recordRequestLimit(const membership::ListedTarget& target, const AnswerHead& head, base::SteadyTime now)
 {
     auto& limits = this->services.dispatcher.targetLimits();
@@ -241,6 +257,7 @@
         .isOnKeptConnection = this->stream->isOnKeptConnection(),
         .hasSeal = !this->stream->header(names.seal).empty(),
         .statesNotRun = !this->stream->header(names.notRun).empty(),
+        .faultyTarget = this->stream->header(names.faultyTarget),
         .statesLeaving = this->stream->header(names.leaving) == "1",
         .requestLimit = this->stream->hasHeader(names.requestLimit)
             ? std::optional { this->stream->header(names.requestLimit) }
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -84,6 +84,8 @@
     [[nodiscard]] http::Request makeRequest(const membership::ListedTarget& target) const;
     /** Records the state that the target reports in the header fields of its answer. */
     void recordTargetState(const membership::ListedTarget& target, const AnswerHead& head);
+    /** Closes the group of a target that another target of the group keeps from running requests. */
+    void recordGroupFault(const membership::ListedTarget& target, const AnswerHead& head, base::SteadyTime now);
     void recordRequestLimit(const membership::ListedTarget& target, const AnswerHead& head, base::SteadyTime now);
     [[nodiscard]] AttemptResult transportFailure(const http::Error& reason) const;
     [[nodiscard]] delivery::EventKind lostKind() const;
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -116,6 +116,35 @@
         this->router.closeUntil(target, until);
 }
 
+bool Dispatcher::isGroupClosed(const membership::ListedTarget& target, base::SteadyTime now) const
+{
+    const auto closed = this->closedGroups.find({ target.pool, target.group });
+    return closed != this->closedGroups.end() && now < closed->second;
+}
+
+bool Dispatcher::closeGroup(const base::TargetId& id, base::SteadyTime now)
+{
+    const auto found = this->targets.find(id);
+    if (found == this->targets.end() || found->second.group.empty() || this->isGroupClosed(found->second, now))
+        return false;
+    const auto target = found->second;
+    const bool hasOthers = std::ranges::any_of(this->targets, [&](const auto& item) {
+        const auto& other = item.second;
+        return other.pool == target.pool && other.group != target.group && this->isUsable(other)
+            && !this->isGroupClosed(other, now);
+    });
+    // Without another target, each request is offered: the group may run again at any moment.
+    if (!hasOthers)
+        return false;
+    const auto until = now + this->options.groupRetryTime;
+    this->closedGroups.insert_or_assign({ target.pool, target.group }, until);
+    for (const auto& [otherId, other] : this->targets) {
+        if (other.pool == target.pool && other.group == target.group)
+            this->router.closeUntil(otherId, until);
+    }
+    return true;
+}
+
 void Dispatcher::rebuildRouter(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now)
 {
     this->replacedTargets = internal::replacedTargets(listed);
--- a/src/gateway/dispatcher.hpp
+++ b/src/gateway/dispatcher.hpp
@@ -19,6 +19,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace chivewinch::gateway {
@@ -49,6 +50,8 @@
      * seconds, and a caller retries only once.
      */
     double minRetryShareInOutage = 0.25;
+    /** Time until a group of targets that could not run a request is tried again. */
+    std::chrono::milliseconds groupRetryTime { 500 };
     /** Number of consecutive failed attempts from which a pool counts as having an outage. */
     std::uint32_t outageThreshold = 4;
 };
@@ -89,6 +92,11 @@
     /** Records that the target has asked for no new requests before the given time. */
     void markTargetClosed(
         const base::TargetId& target, base::Incarnation incarnation, base::SteadyTime until, base::SteadyTime now);
+    /**
+     * Records that the target cannot run requests because of another target of its group. The group gets no requests
+     * for groupRetryTime. Returns false if this was known, or if the pool has no targets outside of such groups.
+     */
+    bool closeGroup(const base::TargetId& target, base::SteadyTime now);
     /** Request limits that the targets state. */
     [[nodiscard]] quota::TargetLimits& targetLimits() noexcept { return this->limits; }
     /** Starts waiting requests for which a target is available; refuses those that can no longer start in time. */
@@ -117,6 +125,7 @@
     TargetNotices notices;
     std::map<base::TargetId, membership::ListedTarget> targets;
     std::set<base::ZoneId> evacuatedZones;
+    std::map<std::pair<std::string, std::string>, base::SteadyTime> closedGroups; ///< By pool and group; end.
     std::set<base::TargetId> replacedTargets; ///< Listed, but another target has started at the same address since.
     std::map<std::string, std::uint32_t> consecutiveFailures; ///< By pool.
     /** Times at which refused callers were asked to return to a pool whose targets have used up their limits. */
@@ -125,6 +134,7 @@
     /** True if a request can wait for a target that has used up its limit. */
     [[nodiscard]] bool opensInTime(const TargetRequest& targetRequest, base::SteadyTime now) const;
     [[nodiscard]] std::chrono::milliseconds planReturn(const std::string& pool, base::SteadyTime now);
+    [[nodiscard]] bool isGroupClosed(const membership::ListedTarget& target, base::SteadyTime now) const;
     [[nodiscard]] bool isUsable(const membership::ListedTarget& target) const;
     void rebuildRouter(const std::vector<membership::ListedTarget>& listed, base::SteadyTime now);
     /** Rebuilds the router with the known targets. */
--- a/src/gateway/header_names.hpp
+++ b/src/gateway/header_names.hpp
@@ -12,6 +12,7 @@
     std::string team; ///< Team of the key; set by this process only.
     std::string expectedTarget; ///< A target with another ID refuses the request with 421.
     std::string notRun; ///< On an answer: the target states that it did not run the request.
+    std::string faultyTarget; ///< On an answer: address of the target that kept this one from running the request.
     std::string leaving; ///< On an answer: the target finishes its open requests and accepts no new ones.
     std::string requestLimit; ///< On an answer: requests per second that the target takes from all processes together.
     std::string seal; ///< On an answer: shows that the target itself sent it.
--- a/src/membership/listed_targets.hpp
+++ b/src/membership/listed_targets.hpp
@@ -21,6 +21,7 @@
     base::Incarnation incarnation {}; ///< One start of the target; changes with each restart under the same id.
     std::uint32_t capacity = 0; ///< Requests that the target runs at the same time; 0 if unknown.
     bool leaving = false; ///< The target finishes its running work and gets no new work.
+    std::string group; ///< Group of targets that run their requests together; empty if the target is in none.
     /** Time for which the target remains cold, as of its report; it tolerates fewer requests until then. */
     std::chrono::milliseconds coldFor { 0 };
 
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 
 namespace chivewinch::gateway {
 namespace {
@@ -91,6 +92,61 @@
     EXPECT_EQ(this->dispatcher.usableTargets("p"), (std::vector<base::TargetId> { "after", "elsewhere" }));
 }
 
+class GroupTest : public DispatcherTest {
+protected:
+    static membership::ListedTarget inGroup(const std::string& id, const std::string& group)
+    {
+        auto result = target(id);
+        result.group = group;
+        result.capacity = 20;
+        return result;
+    }
+
+    std::set<std::string> usedTargets(int requests)
+    {
+        std::set<std::string> used;
+        for (int i = 0; i < requests; ++i) {
+            const auto reply = this->dispatcher.request(this->targetRequest(++this->requestCount), {}, this->now);
+            if (reply.choice)
+                used.insert(reply.choice->target);
+        }
+        return used;
+    }
+
+    const std::vector<membership::ListedTarget> listed { inGroup("a1", "a"), inGroup("a2", "a"), inGroup("b1", "b"),
+        inGroup("b2", "b") };
+    std::uint64_t requestCount = 0;
+};
+
+// Load: one of two groups has lost a rank, and all of its targets refuse at once. Guards against offering them half of
+// the requests, which uses up the retries, while the other group can serve them.
+TEST_F(GroupTest, SendsNoRequestsToAGroupThatCannotRun)
+{
+    this->dispatcher.setTargets(this->listed, this->now);
+    EXPECT_TRUE(this->dispatcher.closeGroup("a1", this->now));
+    EXPECT_FALSE(this->dispatcher.closeGroup("a2", this->now));
+    EXPECT_EQ(this->usedTargets(8), (std::set<std::string> { "b1", "b2" }));
+    this->dispatcher.setTargets(this->listed, this->now);
+    EXPECT_EQ(this->usedTargets(8), (std::set<std::string> { "b1", "b2" }));
+    this->now += 500ms;
+    EXPECT_EQ(this->usedTargets(2), (std::set<std::string> { "a1", "a2" }));
+}
+
+// Guards against a pool that refuses everything because its last group was closed, and against closing targets that are
+// in no group.
+TEST_F(GroupTest, KeepsTheLastGroupOpen)
+{
+    this->dispatcher.setTargets({ inGroup("a1", "a"), inGroup("a2", "a"), target("c") }, this->now);
+    EXPECT_FALSE(this->dispatcher.closeGroup("c", this->now));
+    EXPECT_FALSE(this->dispatcher.closeGroup("unknown", this->now));
+    this->dispatcher.setTargets(this->listed, this->now);
+    EXPECT_TRUE(this->dispatcher.closeGroup("a1", this->now));
+    EXPECT_FALSE(this->dispatcher.closeGroup("b1", this->now));
+    EXPECT_EQ(this->usedTargets(4), (std::set<std::string> { "b1", "b2" }));
+    this->dispatcher.setEvacuatedZones({ "z" }, this->now);
+    EXPECT_FALSE(this->dispatcher.closeGroup("b1", this->now + 1s));
+}
+
 class EvacuationTest : public DispatcherTest {
 protected:
     static membership::ListedTarget inZone(const std::string& id, const std::string& zone)
--- a/tests/gateway/names.hpp
+++ b/tests/gateway/names.hpp
@@ -19,6 +19,7 @@
         .team = "T-Team",
         .expectedTarget = "T-Target",
         .notRun = "T-Not-Run",
+        .faultyTarget = "T-Faulty",
         .leaving = "T-Leaving",
         .requestLimit = "T-Limit",
         .seal = "T-Seal",
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -91,6 +91,7 @@
     EXPECT_EQ(target->endpoint, (settings::Endpoint { .address = "10.1.0.9", .port = 8080 }));
     EXPECT_EQ(target->capacity, 12U);
     EXPECT_EQ(target->coldFor, 1'200ms);
+    EXPECT_EQ(target->group, "g0");
     EXPECT_FALSE(target->leaving);
     EXPECT_EQ(target->incarnation, base::Incarnation { 1779017309900 });
 }
