--- a/tests/platform/processes/engine.py
+++ b/tests/platform/processes/engine.py
@@ -76,8 +76,9 @@
                 self.answer_stream(seconds, request)
             else:
                 time.sleep(seconds)
-                self.start_answer(request, len(b"answer"))
-                self.wfile.write(b"answer")
+                answer = b"answer".ljust(int(self.headers.get("X-Answer-Bytes", 0)), b"x")
+                self.start_answer(request, len(answer))
+                self.wfile.write(answer)
             journal.add("done", request, body)
 
         do_GET = do_POST
