Bound what the clients of a door hold, and make room for new ones

Change: heads and their fields are reserved from the budget of the process. The number of connections follows from the memory and the descriptors of the machine. Beyond it, connections that are not being served are closed, those of the source that has most of them first; a request that finds no memory takes the place of a much larger unfinished one. Rejected input is logged once a second for each reason, and counted.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,6 +84,7 @@
     , random { random }
     , decoders { std::move(decoders) }
     , requestMetrics { this->registry }
+    , badInput { clock, this->registry }
     , evacuatedZonesMetric { this->registry.gauge(
           "chivewinch_evacuated_zones", "Zones whose targets get no new requests because of an evacuation") }
     , coldTargetsMetric { this->registry.gauge(
@@ -167,8 +168,7 @@
 {
     auto server = std::make_shared<http::Server>(this->context.get_executor(),
         http::ServerOptions { .listen = listen, .buffers = this->options.buffers, .maxConnections = maxConnections },
-        std::move(handler),
-        [](http::RequestFailure kind) { logging::Event { "bad_input" }.field("reason", http::toString(kind)).info(); });
+        std::move(handler), [this](http::RequestFailure kind) { this->badInput.record(kind); });
     if (!server->start()) {
         this->reason = server->lastReason();
         return nullptr;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.hpp"
 #include "base/random.hpp"
+#include "gateway/bad_input_log.hpp"
 #include "gateway/crash_guard.hpp"
 #include "gateway/fwd.hpp"
 #include "gateway/limit_exchange.hpp"
@@ -76,6 +77,7 @@
     Decoders decoders;
     metrics::Registry registry;
     RequestMetrics requestMetrics;
+    BadInputLog badInput;
     prometheus::Gauge& evacuatedZonesMetric;
     prometheus::Gauge& coldTargetsMetric;
     SnapshotHolder snapshots;
--- a/src/http/response_writer.cpp
+++ b/src/http/response_writer.cpp
@@ -34,15 +34,30 @@
 } // namespace internal
 
 ResponseWriter::ResponseWriter(
-    beast::tcp_stream& stream, const Request& request, std::chrono::milliseconds writeTimeout)
+    beast::tcp_stream& stream, const Request& request, std::chrono::milliseconds writeTimeout, WriteProgress* progress)
     : stream { stream }
     , writeTimeout { writeTimeout }
+    , progress { progress }
     , version { request.version() }
     , keepAlive { request.keep_alive() }
     , headOnly { request.method() == beast::http::verb::head }
 {
 }
 
+void ResponseWriter::beginWrite()
+{
+    this->stream.expires_after(this->writeTimeout);
+    if (this->progress != nullptr)
+        this->progress->begin();
+}
+
+void ResponseWriter::endWrite(bool hasError) noexcept
+{
+    this->hasFailed = this->hasFailed || hasError;
+    if (this->progress != nullptr)
+        this->progress->end();
+}
+
 Task<bool> ResponseWriter::send(Response response)
 {
     beast::http::response<beast::http::string_body> message { static_cast<beast::http::status>(response.status),
@@ -53,9 +68,9 @@
     if (this->headOnly)
         message.body().clear();
     this->isStarted = true;
-    this->stream.expires_after(this->writeTimeout);
+    this->beginWrite();
     const auto [error, bytes] = co_await beast::http::async_write(this->stream, message, internal::useTuple);
-    this->hasFailed = this->hasFailed || error.failed();
+    this->endWrite(error.failed());
     this->isComplete = !this->hasFailed;
     co_return this->isComplete;
 }
@@ -68,9 +83,9 @@
     message.chunked(true);
     beast::http::response_serializer<beast::http::empty_body> serializer { message };
     this->isStarted = true;
-    this->stream.expires_after(this->writeTimeout);
+    this->beginWrite();
     const auto [error, bytes] = co_await beast::http::async_write_header(this->stream, serializer, internal::useTuple);
-    this->hasFailed = this->hasFailed || error.failed();
+    this->endWrite(error.failed());
     co_return !this->hasFailed;
 }
 
@@ -78,10 +93,10 @@
 {
     if (this->hasFailed)
         co_return false;
-    this->stream.expires_after(this->writeTimeout);
+    this->beginWrite();
     const auto chunk = beast::http::make_chunk(asio::const_buffer { bytes.data(), bytes.size() });
     const auto [error, count] = co_await asio::async_write(this->stream, chunk, internal::useTuple);
-    this->hasFailed = error.failed();
+    this->endWrite(error.failed());
     co_return !this->hasFailed;
 }
 
@@ -97,10 +112,10 @@
 {
     if (this->hasFailed)
         co_return false;
-    this->stream.expires_after(this->writeTimeout);
+    this->beginWrite();
     const auto [error, count]
         = co_await asio::async_write(this->stream, beast::http::make_chunk_last(), internal::useTuple);
-    this->hasFailed = error.failed();
+    this->endWrite(error.failed());
     this->isComplete = !this->hasFailed;
     co_return this->isComplete;
 }
--- a/src/http/response_writer.hpp
+++ b/src/http/response_writer.hpp
@@ -4,15 +4,35 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <atomic>
 #include <chrono>
+#include <optional>
 #include <string_view>
 
 namespace chivewinch::http {
 
+/** Since when a write to a connection waits for its reader; read from other threads. */
+class WriteProgress {
+public:
+    void begin() noexcept { this->begun = std::chrono::steady_clock::now(); }
+    void end() noexcept { this->begun = std::chrono::steady_clock::time_point {}; }
+    /** Begin of the current write; nullopt if there is none. */
+    [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> since() const noexcept
+    {
+        const auto time = this->begun.load();
+        return time == std::chrono::steady_clock::time_point {} ? std::nullopt : std::optional { time };
+    }
+
+private:
+    std::atomic<std::chrono::steady_clock::time_point> begun { std::chrono::steady_clock::time_point {} };
+};
+
 /** Sends the response to one request, either complete or in chunks. */
 class ResponseWriter {
 public:
-    ResponseWriter(boost::beast::tcp_stream& stream, const Request& request, std::chrono::milliseconds writeTimeout);
+    /** @param progress Where the writer states whether it waits for the caller; may be nullptr. */
+    ResponseWriter(boost::beast::tcp_stream& stream, const Request& request, std::chrono::milliseconds writeTimeout,
+        WriteProgress* progress = nullptr);
 
     ResponseWriter(const ResponseWriter&) = delete;
     ResponseWriter& operator=(const ResponseWriter&) = delete;
@@ -42,6 +62,7 @@
 private:
     boost::beast::tcp_stream& stream;
     std::chrono::milliseconds writeTimeout;
+    WriteProgress* progress;
     unsigned version;
     bool keepAlive;
     bool headOnly;
@@ -50,6 +71,8 @@
     bool hasFailed = false;
 
     [[nodiscard]] Task<bool> writeBytes(std::string_view bytes);
+    void beginWrite();
+    void endWrite(bool hasError) noexcept;
 };
 
 } // namespace chivewinch::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.hpp"
 
+#include "base/hash.hpp"
 #include "http/listen.hpp"
 #include "http/retry_after.hpp"
 
@@ -7,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -17,7 +19,10 @@
 #include <algorithm>
 #include <array>
 #include <exception>
+#include <iterator>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace chivewinch::http {
 
@@ -49,6 +54,7 @@
     { "too_slow", 0, "" },
     { "too_many_connections", 503, "too many connections" },
     { "no_memory", 503, "the server has no memory for the request" },
+    { "shed", 0, "" },
     { "handler_failed", 500, "" },
 } };
 
@@ -58,6 +64,26 @@
 
 constexpr unsigned version11 = 11;
 
+using Clock = std::chrono::steady_clock;
+
+// Unfinished requests that are closed at most in order to make room for one request, and the time for each to end.
+constexpr int maxShedForRequest = 4;
+constexpr std::chrono::milliseconds shedPause { 2 };
+
+std::uint64_t sourceOf(const Tcp::socket& socket)
+{
+    beast::error_code error;
+    const auto endpoint = socket.remote_endpoint(error);
+    return error ? 0 : base::hash64(endpoint.address().to_string());
+}
+
+bool hasWholeHead(const beast::flat_buffer& buffer)
+{
+    const auto data = buffer.cdata();
+    return std::string_view { static_cast<const char*>(data.data()), data.size() }.find("\r\n\r\n")
+        != std::string_view::npos;
+}
+
 // Piece by which the memory of a body without a stated length grows, and largest piece that is read at once.
 constexpr std::size_t bodyPieceBytes = 64U << 10;
 
@@ -105,12 +131,39 @@
 struct Server::Connection {
     explicit Connection(Tcp::socket socket)
         : stream { std::move(socket) }
+        , source { internal::sourceOf(this->stream.socket()) }
     {
+        this->setState(ConnectionState::Idle);
     }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    std::atomic<bool> busy { false }; ///< A request is being received or served.
+    const std::uint64_t source;
+    std::atomic<ConnectionState> state { ConnectionState::Idle };
+    std::atomic<internal::Clock::time_point> since { internal::Clock::time_point {} };
+    std::atomic<std::size_t> bytes { 0 }; ///< Memory of the unfinished request.
+    WriteProgress writing;
+    std::atomic<bool> isShed { false };
+
+    void setState(ConnectionState next)
+    {
+        this->bytes = 0;
+        this->since = internal::Clock::now();
+        this->state = next;
+    }
+
+    /** A request is being received or served. */
+    [[nodiscard]] bool busy() const { return this->state != ConnectionState::Idle; }
+
+    [[nodiscard]] ConnectionView view(internal::Clock::time_point now) const
+    {
+        const auto since = this->writing.since();
+        const bool isBlocked = since && now - *since >= blockedWriteTime && this->state == ConnectionState::Serving;
+        return { .source = this->source,
+            .state = isBlocked ? ConnectionState::Blocked : this->state.load(),
+            .since = isBlocked ? *since : this->since.load(),
+            .bytes = this->bytes };
+    }
 };
 
 Server::Server(const asio::any_io_executor& executor, ServerOptions options, Handler handler,
@@ -189,6 +242,9 @@
     parser.header_limit(current.maxHeaderBytes);
     parser.body_limit(current.maxBodyBytes);
 
+    // Bounds the memory of an unfinished head and the pieces in which a body is read.
+    connection->buffer.max_size(
+        std::max<std::size_t>(current.maxHeaderBytes + internal::firstReadBytes, connection->buffer.size()));
     // The idle timeout applies until the first byte arrives; the request timeout applies to the rest of the request.
     if (connection->buffer.size() == 0) {
         connection->buffer.shrink_to_fit();
@@ -201,16 +257,27 @@
             co_return std::nullopt;
         connection->buffer.commit(bytes);
     }
-    connection->busy = true;
+    connection->setState(ConnectionState::Receiving);
     stream.expires_after(current.requestTimeout);
     ReceivedRequest received { .request = {}, .memory = BufferReservation { this->options.buffers } };
+    const auto firstBytes
+        = internal::hasWholeHead(connection->buffer) ? connection->buffer.capacity() : connection->buffer.max_size();
+    const bool hasMemory = co_await this->reserve(connection, received.memory, firstBytes);
+    if (!hasMemory) {
+        co_await this->refuse(connection, RequestFailure::NoMemory);
+        co_return std::nullopt;
+    }
     auto [error, headBytes]
         = co_await beast::http::async_read_header(stream, connection->buffer, parser, internal::awaitTuple);
+    const auto fieldCount = static_cast<std::size_t>(std::distance(parser.get().begin(), parser.get().end()));
+    const auto headMemoryBytes = received.memory.bytes() + headMemory(headBytes, fieldCount);
     while (!error) {
         const auto isDone = parser.is_done();
-        const auto bodyBytes = parser.get().body().size();
+        const auto bodyBytes = parser.get().body().capacity();
         const auto stated = parser.content_length().value_or(bodyBytes + (isDone ? 0 : internal::bodyPieceBytes));
-        if (!received.memory.growTo(headBytes + std::max<std::size_t>(stated, bodyBytes))) {
+        const bool hasGrown = co_await this->reserve(
+            connection, received.memory, headMemoryBytes + std::max<std::size_t>(stated, bodyBytes));
+        if (!hasGrown) {
             co_await this->refuse(connection, RequestFailure::NoMemory);
             co_return std::nullopt;
         }
@@ -233,6 +300,51 @@
     co_return std::nullopt;
 }
 
+Task<bool> Server::reserve(std::shared_ptr<Connection> connection, BufferReservation& memory, std::size_t bytes)
+{
+    for (int attempt = 0; attempt < internal::maxShedForRequest; ++attempt) {
+        if (memory.growTo(bytes)) {
+            connection->bytes = memory.bytes();
+            co_return true;
+        }
+        if (!this->closeUnfinishedRequestFor(*connection, bytes))
+            break;
+        // The closed connection returns its memory when its coroutine has ended.
+        asio::steady_timer pause { connection->stream.get_executor(), internal::shedPause };
+        co_await pause.async_wait(internal::awaitTuple);
+    }
+    co_return false;
+}
+
+bool Server::closeOther(const Connection& connection, const Choose& choose)
+{
+    std::vector<std::shared_ptr<Connection>> others;
+    std::vector<ConnectionView> views;
+    const auto now = internal::Clock::now();
+    for (const auto& other : this->connectionSnapshot()) {
+        if (other.get() == &connection || other->isShed)
+            continue;
+        others.push_back(other);
+        views.push_back(other->view(now));
+    }
+    const auto chosen = choose(views);
+    if (!chosen)
+        return false;
+    const auto& closed = others[*chosen];
+    closed->isShed = true;
+    this->onRequestFailure(RequestFailure::Shed);
+    asio::post(closed->stream.get_executor(), [closed] { closed->stream.close(); });
+    return true;
+}
+
+bool Server::closeConnectionFor(const Connection& newcomer) { return this->closeOther(newcomer, connectionToClose); }
+
+bool Server::closeUnfinishedRequestFor(const Connection& other, std::size_t bytes)
+{
+    return this->closeOther(
+        other, [bytes](const auto& connections) { return unfinishedRequestToClose(connections, bytes); });
+}
+
 Task<void> Server::refuse(std::shared_ptr<Connection> connection, RequestFailure kind)
 {
     this->onRequestFailure(kind);
@@ -269,7 +381,7 @@
 
 Task<void> Server::serve(std::shared_ptr<Connection> connection)
 {
-    if (this->connections > this->options.maxConnections) {
+    if (this->connections > this->options.maxConnections && !this->closeConnectionFor(*connection)) {
         co_await this->refuse(connection, RequestFailure::TooManyConnections);
         this->removeConnection(connection);
         co_return;
@@ -278,13 +390,14 @@
     connection->stream.socket().set_option(Tcp::no_delay { true }, ignored);
     bool reusable = true;
     while (reusable) {
-        connection->busy = false;
+        connection->setState(ConnectionState::Idle);
         const auto received = co_await this->readRequest(connection);
         if (!received)
             break;
         const auto& request = received->request;
         ++this->requests;
-        ResponseWriter writer { connection->stream, request, this->options.writeTimeout };
+        connection->setState(ConnectionState::Serving);
+        ResponseWriter writer { connection->stream, request, this->options.writeTimeout, &connection->writing };
         if (this->draining || this->keepAliveDisabled)
             writer.disableKeepAlive();
         connection->stream.expires_never();
@@ -343,7 +456,7 @@
         asio::dispatch(connection->stream.get_executor(), [connection] {
             beast::error_code error;
             const bool hasArrived = connection->stream.socket().available(error) > 0 && !error;
-            if (!connection->busy && !hasArrived)
+            if (!connection->busy() && !hasArrived)
                 connection->stream.cancel();
         });
     }
@@ -352,8 +465,7 @@
 bool Server::idle()
 {
     const auto all = this->connectionSnapshot();
-    return this->requests == 0
-        && std::ranges::none_of(all, [](const auto& connection) { return connection->busy.load(); });
+    return this->requests == 0 && std::ranges::none_of(all, [](const auto& connection) { return connection->busy(); });
 }
 
 void Server::abort()
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -3,6 +3,7 @@
 #include "http/buffer_budget.hpp"
 #include "http/message.hpp"
 #include "http/response_writer.hpp"
+#include "http/shedding.hpp"
 #include "settings/value_type.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -30,6 +31,10 @@
     std::shared_ptr<BufferBudget> buffers;
     /** Retry-After of requests that are refused for lack of memory. */
     std::chrono::milliseconds noMemoryRetryAfter { 500 };
+    /**
+     * Beyond it, connections without a request that is being served are closed to make room for new ones; if there is
+     * none, new ones are refused with 503.
+     */
     std::size_t maxConnections = 20'000;
     /** A complete request must arrive within this time after its first byte; slower callers are disconnected. */
     std::chrono::milliseconds requestTimeout { std::chrono::seconds { 10 } };
@@ -47,6 +52,7 @@
     RequestTimeout,
     TooManyConnections,
     NoMemory, ///< The buffers of the process are full.
+    Shed, ///< Closed to make room for another connection or request.
     HandlerFailed, ///< The handler threw an exception; this is a bug in the program.
     Count
 };
@@ -122,6 +128,14 @@
     void startServing(boost::asio::ip::tcp::socket socket);
     [[nodiscard]] Task<void> serve(std::shared_ptr<Connection> connection);
     [[nodiscard]] Task<std::optional<ReceivedRequest>> readRequest(std::shared_ptr<Connection> connection);
+    /** Reserves memory for an unfinished request, in place of larger ones if necessary; false if there is none. */
+    [[nodiscard]] Task<bool> reserve(
+        std::shared_ptr<Connection> connection, BufferReservation& memory, std::size_t bytes);
+    /** Closes a connection to make room for the given one; false if none can be closed. */
+    [[nodiscard]] bool closeConnectionFor(const Connection& newcomer);
+    [[nodiscard]] bool closeUnfinishedRequestFor(const Connection& other, std::size_t bytes);
+    using Choose = std::function<std::optional<std::size_t>(std::span<const ConnectionView>)>;
+    [[nodiscard]] bool closeOther(const Connection& connection, const Choose& choose);
     [[nodiscard]] Task<void> refuse(std::shared_ptr<Connection> connection, RequestFailure kind);
     /** Ends the sending side, then reads until the caller closes the connection, for a limited time. */
     [[nodiscard]] static Task<void> discardInput(std::shared_ptr<Connection> connection);
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -40,6 +40,21 @@
     EXPECT_EQ(settings->gateway.knownZones, (std::set<base::ZoneId> { "y", "z" }));
 }
 
+// Guards against more connections than the memory or the descriptors of a small machine allow, and against a limit that
+// ordinary callers of a usual machine meet.
+TEST(PlatformSettings, LimitsConnectionsByTheMachine)
+{
+    std::string reason;
+    const auto connections = [&reason](const std::string& limits) {
+        const auto settings = entry(entryText + limits, reason);
+        return settings ? settings->gateway.maxConnections : 0;
+    };
+    EXPECT_LE(connections("limits.memoryMb=64\nlimits.maxFds=8192\n"), 250U);
+    EXPECT_LE(connections("limits.memoryMb=512\nlimits.maxFds=900\n"), 350U);
+    EXPECT_GE(connections("limits.memoryMb=160\nlimits.maxFds=4100\n"), 500U);
+    EXPECT_LE(connections("limits.memoryMb=4096\nlimits.maxFds=65536\n"), 2'000U);
+}
+
 // Guards against an evacuation that takes effect later than its own bound, if that is the shorter one.
 TEST(PlatformSettings, WatchesTheConfigurationWithinTheBoundOfEvacuations)
 {
