Do not close a connection whose request has arrived meanwhile

Between the choice of the connection and its end on its own strand, its request may have been read and passed on to a target. A caller would have lost the answer of a request that runs.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -333,7 +333,12 @@
     const auto& closed = others[*chosen];
     closed->isShed = true;
     this->onRequestFailure(RequestFailure::Shed);
-    asio::post(closed->stream.get_executor(), [closed] { closed->stream.close(); });
+    asio::post(closed->stream.get_executor(), [closed] {
+        // Its request may have arrived in the meantime and may have been passed on.
+        closed->isShed = closed->view(internal::Clock::now()).state != ConnectionState::Serving;
+        if (closed->isShed)
+            closed->stream.close();
+    });
     return true;
 }
 
