Admit a connection beyond the limit only if another one is closed

Cause: the connection that was to be closed could receive a request before it was, and then stayed, but the new one was admitted all the same. With clients that send requests ahead, the entry had 1,807 descriptors where its machine has 900 (processes.HostileClients.pipelined, in a full run of the tests).

Change: the new connection waits for the result, tries up to three others, and is refused if none is closed. A connection that has received a request meanwhile ends after it.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -70,6 +70,9 @@
 constexpr int maxShedForRequest = 4;
 constexpr std::chrono::milliseconds shedPause { 2 };
 
+// Connections that are chosen in turn to be closed, if a request has arrived on them meanwhile.
+constexpr int maxChoices = 3;
+
 std::uint64_t sourceOf(const Tcp::socket& socket)
 {
     beast::error_code error;
@@ -144,6 +147,7 @@
     std::atomic<std::size_t> bytes { 0 }; ///< Memory of the unfinished request.
     WriteProgress writing;
     std::atomic<bool> isShed { false };
+    std::atomic<bool> endsAfterRequest { false }; ///< Its place is needed.
 
     void setState(ConnectionState next)
     {
@@ -307,7 +311,9 @@
             connection->bytes = memory.bytes();
             co_return true;
         }
-        if (!this->closeUnfinishedRequestFor(*connection, bytes))
+        const bool isClosed = co_await this->closeOther(
+            connection, [bytes](const auto& connections) { return unfinishedRequestToClose(connections, bytes); });
+        if (!isClosed)
             break;
         // The closed connection returns its memory when its coroutine has ended.
         asio::steady_timer pause { connection->stream.get_executor(), internal::shedPause };
@@ -316,7 +322,7 @@
     co_return false;
 }
 
-bool Server::closeOther(const Connection& connection, const Choose& choose)
+std::shared_ptr<Server::Connection> Server::chooseOther(const Connection& connection, const Choose& choose)
 {
     std::vector<std::shared_ptr<Connection>> others;
     std::vector<ConnectionView> views;
@@ -328,26 +334,35 @@
         views.push_back(other->view(now));
     }
     const auto chosen = choose(views);
-    if (!chosen)
-        return false;
-    const auto& closed = others[*chosen];
-    closed->isShed = true;
-    this->onRequestFailure(RequestFailure::Shed);
-    asio::post(closed->stream.get_executor(), [closed] {
-        // Its request may have arrived in the meantime and may have been passed on.
-        closed->isShed = closed->view(internal::Clock::now()).state != ConnectionState::Serving;
-        if (closed->isShed)
-            closed->stream.close();
-    });
-    return true;
+    return chosen ? others[*chosen] : nullptr;
 }
 
-bool Server::closeConnectionFor(const Connection& newcomer) { return this->closeOther(newcomer, connectionToClose); }
+Task<bool> Server::closeUnlessServing(std::shared_ptr<Connection> connection)
+{
+    // Its request may have arrived since the choice and may have been passed on.
+    if (connection->view(internal::Clock::now()).state == ConnectionState::Serving) {
+        connection->endsAfterRequest = true;
+        co_return false;
+    }
+    connection->isShed = true;
+    connection->stream.close();
+    co_return true;
+}
 
-bool Server::closeUnfinishedRequestFor(const Connection& other, std::size_t bytes)
+Task<bool> Server::closeOther(std::shared_ptr<Connection> connection, Choose choose)
 {
-    return this->closeOther(
-        other, [bytes](const auto& connections) { return unfinishedRequestToClose(connections, bytes); });
+    for (int attempt = 0; attempt < internal::maxChoices; ++attempt) {
+        const auto other = this->chooseOther(*connection, choose);
+        if (!other)
+            co_return false;
+        const bool isClosed
+            = co_await asio::co_spawn(other->stream.get_executor(), closeUnlessServing(other), asio::use_awaitable);
+        if (isClosed) {
+            this->onRequestFailure(RequestFailure::Shed);
+            co_return true;
+        }
+    }
+    co_return false;
 }
 
 Task<void> Server::refuse(std::shared_ptr<Connection> connection, RequestFailure kind)
@@ -386,7 +401,10 @@
 
 Task<void> Server::serve(std::shared_ptr<Connection> connection)
 {
-    if (this->connections > this->options.maxConnections && !this->closeConnectionFor(*connection)) {
+    bool hasRoom = this->connections <= this->options.maxConnections;
+    if (!hasRoom)
+        hasRoom = co_await this->closeOther(connection, connectionToClose);
+    if (!hasRoom) {
         co_await this->refuse(connection, RequestFailure::TooManyConnections);
         this->removeConnection(connection);
         co_return;
@@ -415,7 +433,7 @@
             writer.abort();
         }
         --this->requests;
-        reusable = writer.reusable() && !this->draining;
+        reusable = writer.reusable() && !this->draining && !connection->endsAfterRequest;
     }
     connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     this->removeConnection(connection);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -131,11 +131,12 @@
     /** Reserves memory for an unfinished request, in place of larger ones if necessary; false if there is none. */
     [[nodiscard]] Task<bool> reserve(
         std::shared_ptr<Connection> connection, BufferReservation& memory, std::size_t bytes);
-    /** Closes a connection to make room for the given one; false if none can be closed. */
-    [[nodiscard]] bool closeConnectionFor(const Connection& newcomer);
-    [[nodiscard]] bool closeUnfinishedRequestFor(const Connection& other, std::size_t bytes);
     using Choose = std::function<std::optional<std::size_t>(std::span<const ConnectionView>)>;
-    [[nodiscard]] bool closeOther(const Connection& connection, const Choose& choose);
+    /** Closes another connection to make room for the given one; false if none can be closed. */
+    [[nodiscard]] Task<bool> closeOther(std::shared_ptr<Connection> connection, Choose choose);
+    [[nodiscard]] std::shared_ptr<Connection> chooseOther(const Connection& connection, const Choose& choose);
+    /** Closes the connection, or lets it end after the request that is being served; returns whether it is closed. */
+    [[nodiscard]] static Task<bool> closeUnlessServing(std::shared_ptr<Connection> connection);
     [[nodiscard]] Task<void> refuse(std::shared_ptr<Connection> connection, RequestFailure kind);
     /** Ends the sending side, then reads until the caller closes the connection, for a limited time. */
     [[nodiscard]] static Task<void> discardInput(std::shared_ptr<Connection> connection);
