--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -146,7 +146,7 @@
 
 void Attempt::recordGroupFault(const membership::ListedTarget& target, const AnswerHead& head, base::SteadyTime now)
 {
-    // A target that is full names itself.
+    // A target that is at fault itself names its own address.
     const bool isGroupFault = head.status == http::status::unavailable && head.statesNotRun
         && !head.faultyTarget.empty() && head.faultyTarget != settings::toString(target.endpoint);
     if (!isGroupFault || !this->services.dispatcher.closeGroup(target.id, now))
--- a/src/quota/cold_targets.hpp
+++ b/src/quota/cold_targets.hpp
@@ -49,8 +49,8 @@
  *
  * Half of the rate is the number of owners, each of which may send one request at once; the other half is divided among
  * them and refills their token buckets. All processes together therefore start at most the stated rate within any
- * second, without messages and whoever is alive or reachable. The other processes send nothing to the target while it
- * is cold. Not thread-safe.
+ * second (1.5 requests if the rate is lower), without messages and whoever is alive or reachable. The other processes
+ * send nothing to the target while it is cold. Not thread-safe.
  */
 class ColdTargets {
 public:
