--- a/review/lib-2/engine_stand_in.py
+++ b/review/lib-2/engine_stand_in.py
@@ -2,9 +2,8 @@
 """
 Stand-in of an engine of the second review: one process that answers HTTP/1.1 requests and writes down what reaches it.
 
-Plain requests take --work seconds. The path /streams/ gives events with the ids 1, 2, ...; the header field X-Pauses of
-the request holds the pause before each event in seconds, between commas. A request whose body begins with "poison" ends
-the process before the event that CRASHING_EVENT names.
+Plain requests take --work seconds. The path /streams/ gives EVENTS events, one each 0.1 s, whose ids increase by --id-step;
+after Last-Event-Id it goes on with the event that follows that one.
 """
 
 import argparse
@@ -12,7 +11,7 @@
 import os
 import time
 
-CRASHING_EVENT = 16
+EVENTS, PAUSE = 10, 0.1
 
 
 class Engine:
@@ -40,7 +39,7 @@
             if ":" in line:
                 name, value = line.split(":", 1)
                 fields[name.strip().lower()] = value.strip()
-        body = await reader.readexactly(int(fields.get("content-length", "0")))
+        await reader.readexactly(int(fields.get("content-length", "0")))
         request = fields.get("chivewinch-request-id", "-")
         if fields.get("chivewinch-expect-instance", self.arguments.id) != self.arguments.id:
             writer.write(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n"
@@ -50,7 +49,7 @@
         self.add("arrived", request)
         common = (f"Chivewinch-Request-Id: {request}\r\nChivewinch-Response-Seal: seal-{request}\r\n").encode()
         if path.startswith("/streams/"):
-            await self.stream(writer, fields, request, common, body.startswith(b"poison"))
+            await self.stream(writer, int(fields.get("last-event-id", "0")), common)
         else:
             await asyncio.sleep(self.arguments.work)
             body = f"{method} {path} by {self.arguments.id}".encode()
@@ -59,18 +58,15 @@
         self.add("done", request)
         return True
 
-    async def stream(self, writer, fields, request, common, is_crashing):
+    async def stream(self, writer, last, common):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + common
                      + b"\r\n")
-        last = int(fields.get("last-event-id", "0"))
-        for number, pause in enumerate(fields.get("x-pauses", "0.1").split(","), 1):
-            if number <= last:
+        for number in range(1, EVENTS + 1):
+            event_id = number * self.arguments.id_step
+            if event_id <= last:
                 continue
-            await asyncio.sleep(float(pause))
-            if is_crashing and number == CRASHING_EVENT:
-                self.add("crashed", request)
-                os._exit(1)
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            await asyncio.sleep(PAUSE)
+            event = f"id: {event_id}\ndata: piece {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -83,6 +79,7 @@
     parser.add_argument("--id", required=True)
     parser.add_argument("--journal", required=True)
     parser.add_argument("--work", type=float, default=0.05)
+    parser.add_argument("--id-step", type=int, default=1)
     arguments = parser.parse_args()
     address, port = arguments.listen.rsplit(":", 1)
     engine = Engine(arguments)
--- a/review/lib-2/fixture.py
+++ b/review/lib-2/fixture.py
@@ -35,7 +35,8 @@
         """Starts it, or starts it again under the id that it had."""
         self.child = subprocess.Popen(
             [sys.executable, FOLDER / "engine_stand_in.py", "--listen", self.listen, "--id", self.id, "--journal",
-             self.site.journal_path, "--work", str(self.work)], stdin=subprocess.DEVNULL)
+             self.site.journal_path, "--work", str(self.work), "--id-step", str(self.site.id_step)],
+            stdin=subprocess.DEVNULL)
         wait_until(lambda: accepts(self.listen), f"{self.id} listens")
         self.cold_until = time.monotonic() + cold_seconds
         self.fields = {"born": int(time.time() * 1000), "seq": 0}
@@ -72,10 +73,14 @@
 
 
 class Site:
-    """config: the operator's config without its version; engines: (service, zone, seconds of work) of each."""
+    """
+    config: the operator's config without its version; engines: (service, zone, seconds of work) of each; id_step:
+    difference between the ids of two events of a stream.
+    """
 
-    def __init__(self, folder, config, engines, entries, bounds=None):
+    def __init__(self, folder, config, engines, entries, bounds=None, id_step=1):
         self.folder = pathlib.Path(folder)
+        self.id_step = id_step
         self.bounds = BOUNDS | (bounds or {})
         self.network = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.journal_path = self.folder / "engines.journal"
