--- a/review/lib-3/engine.py
+++ b/review/lib-3/engine.py
@@ -3,6 +3,7 @@
 
 "work S": an answer after S seconds. On /streams/ "work S" is a stream of one event each 0.1 s for S seconds.
 "crash S": the process ends S seconds after it began to run the request; on /streams/ it writes events until then.
+"either S": as "work S"; an engine with --unframed gives the answer no length, so that it ends with its channel.
 "pause S A P": a stream as for "work S" that is silent for P seconds after its event A, as if it had been preempted.
 """
 
@@ -23,7 +24,7 @@
         pass  # A caller that closes its channel is no error of the engine.
 
 
-def handler(own_id, journal):
+def handler(own_id, journal, leaves_length_out):
     def note(event, request):
         os.write(journal, f"{time.monotonic():.4f} {event} {request} {own_id}\n".encode())
 
@@ -45,6 +46,8 @@
                                        "Chivewinch-Request-Id": request})
                 return
             note("arrived", request)
+            if body.startswith(b"either") and leaves_length_out:
+                note("unframed", request)
             words = body.split()[:4]
             verb, seconds = (words[0], float(words[1])) if len(words) >= 2 else (b"work", 0.02)
             self.pause_after, self.pause = (int(words[2]), float(words[3])) if verb == b"pause" else (None, 0)
@@ -69,9 +72,12 @@
             os._exit(1)
 
         def stream(self, request, verb, seconds):
+            is_framed = not (verb == b"either" and leaves_length_out)
+            self.close_connection = self.close_connection or not is_framed
             self.send_response(200)
             for name, value in {"Chivewinch-Request-Id": request, "Chivewinch-Response-Seal": f"seal.{request}",
-                                "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}.items():
+                                "Content-Type": "text/event-stream",
+                                **({"Transfer-Encoding": "chunked"} if is_framed else {"Connection": "close"})}.items():
                 self.send_header(name, value)
             self.end_headers()
             first = int(self.headers.get("Last-Event-Id", 0)) + 1
@@ -81,9 +87,10 @@
                 if verb == b"crash" and time.monotonic() - began >= seconds:
                     self.crash(request)
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
-                self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event) if is_framed else event)
                 time.sleep(self.pause if number == self.pause_after else EVENT_SECONDS)
-            self.wfile.write(b"0\r\n\r\n")
+            if is_framed:
+                self.wfile.write(b"0\r\n\r\n")
 
         def answer(self, status, body, fields):
             self.send_response(status)
@@ -103,6 +110,7 @@
     parser.add_argument("--listen", required=True)
     parser.add_argument("--id", required=True)
     parser.add_argument("--journal", required=True)
+    parser.add_argument("--unframed", action="store_true")
     arguments = parser.parse_args()
     address, port = arguments.listen.rsplit(":", 1)
     journal = os.open(arguments.journal, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
@@ -114,7 +122,7 @@
         os._exit(0)
 
     threading.Thread(target=end_with_parent, daemon=True).start()
-    Server((address, int(port)), handler(arguments.id, journal)).serve_forever()
+    Server((address, int(port)), handler(arguments.id, journal, arguments.unframed)).serve_forever()
 
 
 if __name__ == "__main__":
--- a/review/lib-3/small_site.py
+++ b/review/lib-3/small_site.py
@@ -214,7 +214,7 @@
         with open(self.site.folder / f"engine-{self.number}.log", "ab") as log:
             self.child = subprocess.Popen(
                 [sys.executable, FOLDER / "engine.py", "--listen", self.listen, "--id", self.id, "--journal",
-                 self.journal], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+                 self.journal, *self.site.engine_arguments.get(self.number, [])], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         self.down_since = None
         wait_until(self.accepts, f"engine {self.number} listens")
         self.report("ready", 1)
@@ -229,7 +229,7 @@
 
     def report(self, state, seq):
         self.site.store.put("servers", self.id, {
-            "service": self.site.service_of.get(self.number, "app"), "address": self.listen, "zone": "z0",
+            "service": "app", "address": self.listen, "zone": "z0",
             "version": "v1", "slots": 12, "state": state, "coldRemainingMs": 0, "seq": seq, "born": self.born})
 
     def advance(self):
@@ -253,7 +253,8 @@
 
 
 class Site:
-    def __init__(self, record, entries=3, engines=6, limits=None, routes=None, restart_seconds=2.0, service_of=None):
+    def __init__(self, record, entries=3, engines=6, limits=None, routes=None, restart_seconds=2.0,
+                 engine_arguments=None):
         self.record, self.restart_seconds = record, restart_seconds
         with open(ROOT / "deploy/system.toml", "rb") as file:
             self.command = tomllib.load(file)["roles"]["entry"]["run"].split()
@@ -267,7 +268,7 @@
         self.limits, self.routes, self.version = dict(limits or LIMITS), routes or self.usual_routes(), 0
         self.service = {"name": "app", "healthPath": "/health", "maxConns": 400}
         self.keys, self.store_of = dict(KEYS), {}
-        self.service_of = service_of or {}
+        self.engine_arguments = engine_arguments or {}
         try:
             self.configure()
             for number in range(engines):
@@ -387,8 +388,11 @@
 
     def __init__(self, path):
         self.path, self.start, self.lines, self.lock = path, time.monotonic(), [], threading.Lock()
+        self.unrecorded = None  # Part of the ids of requests that are left out.
 
     def add(self, event, fields, at=None):
+        if self.unrecorded and self.unrecorded in (fields if isinstance(fields, str) else fields.get("request", "")):
+            return
         with self.lock:
             self.lines.append(((time.monotonic() if at is None else at) - self.start, event, fields))
 
