--- a/review/6/case.py
+++ b/review/6/case.py
@@ -55,7 +55,7 @@
 
 
 def run(record, trouble):
-    record.unrecorded = "call-"  # The short calls beside the streams.
+    record.short = "call-"
     arguments = {number: ["--unframed"] for number in UNFRAMED_ENGINES}
     with Site(record, ENTRIES, ENGINES, restart_seconds=DOWN, engine_arguments=arguments) as site:
         callers = Callers(site)
--- a/review/lib-3/small_site.py
+++ b/review/lib-3/small_site.py
@@ -388,18 +388,24 @@
 
     def __init__(self, path):
         self.path, self.start, self.lines, self.lock = path, time.monotonic(), [], threading.Lock()
-        self.unrecorded = None  # Part of the ids of requests that are left out.
+        self.short = None  # The requests whose ids begin with this get one line each.
 
     def add(self, event, fields, at=None):
-        if self.unrecorded and self.unrecorded in (fields if isinstance(fields, str) else fields.get("request", "")):
-            return
         with self.lock:
             self.lines.append(((time.monotonic() if at is None else at) - self.start, event, fields))
 
     def write(self, verdict):
         with self.lock:
+            requests, others = {}, []
+            for line in sorted(self.lines, key=lambda line: line[0]):
+                fields = line[2]
+                request = fields.split(" ")[0] if isinstance(fields, str) else fields.get("request", "")
+                (requests.setdefault(request, []) if self.short and request.startswith(self.short) else others).append(line)
+            for request, events in requests.items():
+                others.append((events[0][0], request, ", ".join(
+                    f"{event} {at:.3f}" + (f" {fields['status']}" if "status" in fields else "") for at, event, fields in events)))
             lines = [f"{at:9.3f} {event} {fields if isinstance(fields, str) else json.dumps(fields)}"
-                     for at, event, fields in sorted(self.lines, key=lambda line: line[0])]
+                     for at, event, fields in sorted(others, key=lambda line: line[0])]
         pathlib.Path(self.path).write_text("\n".join([*lines, verdict, ""]))
 
 
