Take an answer without a length for whole only if its sender still runs

Cause: such an answer ends with its connection, and Attempt::checkEnd took it for whole unless a new connection to the target was refused. A reset, a timeout or a full queue counted as good evidence, and a new connection says nothing of the process that wrote the answer: another one may accept it.

Change: SenderCheck asks the target after the end of the answer. It is whole if the target states the start time that the list of targets had before the request was sent, or answers on a connection that was accepted before that of the answer; ServerLifetimes joins the spans in which connections show one process running. A process cannot answer after its end, and its connections end with it. Otherwise a stream is resumed, a repeatable request is sent again, and other callers see the failure. Answers with a length or chunks are not checked. The event answer_end_unproved states what was found.

Evidence: EndedTargetTest lets a target end within an answer, and then resets new connections, or accepts them in another process.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,5 +1,6 @@
 #include "gateway/attempt.hpp"
 
+#include "gateway/sender_check.hpp"
 #include "http/status.hpp"
 #include "logging/event.hpp"
 #include "quota/request_limit.hpp"
@@ -209,12 +210,23 @@
 {
     if (!this->stream->endsWithConnection())
         co_return std::nullopt;
-    const auto state = co_await this->client->probe();
-    if (state != http::ServerState::Refuses)
+    SenderCheck check { this->services, this->target, this->client };
+    const auto sender = co_await check.run(*this->stream, this->timeUntil(this->limit));
+    if (sender == SenderState::Runs)
         co_return std::nullopt;
-    co_return AttemptResult {
-        .kind = this->lostKind(), .crashed = true, .targetEnded = true, .detail = "the target has ended with its answer"
-    };
+    const bool isReplaced = sender == SenderState::Ended;
+    const auto state = isReplaced ? http::ServerState::Accepts : co_await this->client->probe();
+    const bool hasEnded = isReplaced || state == http::ServerState::Refuses;
+    logging::Event { "answer_end_unproved" }
+        .field("request", this->input.head.id)
+        .field("target", this->target.id)
+        .field("sender", toString(sender))
+        .field("target_ended", hasEnded)
+        .info();
+    co_return AttemptResult { .kind = this->lostKind(),
+        .crashed = hasEnded || state == http::ServerState::Unknown,
+        .targetEnded = hasEnded,
+        .detail = "the answer has no length, and its sender is not known to run" };
 }
 
 http::Task<std::optional<std::string>> Attempt::read(http::Error& reason)
@@ -233,7 +245,7 @@
     const auto& options = this->services.options.attempts;
     this->started = this->services.clock.now();
     this->lastEventAt = this->started;
-    this->target = target.id;
+    this->target = target;
     this->limit = this->input.deadline + options.deadlineGrace;
     if (!this->input.isLast && this->input.route.kind == RouteKind::Repeatable) {
         const auto share
@@ -265,6 +277,8 @@
         .retryAfter = parseRetryAfter(this->stream->header("Retry-After")),
         .hasContentEncoding = !this->stream->header("Content-Encoding").empty() };
     const auto kind = classifyAnswer(head, this->input.head.id);
+    if (head.requestId == this->input.head.id)
+        this->stream->recordAnswered();
     if (kind != AnswerKind::Foreign) {
         this->services.crashes.recordAnswer(target.id, this->services.clock.now());
         this->recordTargetState(target, head);
@@ -358,7 +372,7 @@
         // Comments do not bring the caller forward, so a target may not extend its time with them.
         if (this->events.delivered() > deliveredBefore) {
             this->lastEventAt = this->services.clock.now();
-            this->services.crashes.recordAnswer(this->target, this->lastEventAt);
+            this->services.crashes.recordAnswer(this->target.id, this->lastEventAt);
             this->timing.recordWrite(this->lastEventAt);
         }
         const bool written = co_await this->writer.write(ready);
--- a/src/gateway/attempt.hpp
+++ b/src/gateway/attempt.hpp
@@ -76,7 +76,7 @@
     std::optional<base::SteadyTime> bodyBegan; ///< Time of the first bytes of the body.
     std::optional<base::SteadyTime> lastBytesAt; ///< Time of the newest bytes of the body.
     base::SteadyTime lastEventAt {}; ///< Time of the last event sent to the caller, or start of the attempt.
-    base::TargetId target;
+    membership::ListedTarget target;
 
     [[nodiscard]] std::chrono::milliseconds timeUntil(base::SteadyTime end) const;
     [[nodiscard]] std::chrono::milliseconds eventTimeout() const;
@@ -96,8 +96,8 @@
     /** Finds out whether the run can have crashed the target. */
     [[nodiscard]] http::Task<void> examineCrash(AttemptResult& end);
     /**
-     * Checks the end of an answer without a stated end: a target that has ended with it has not completed it. Returns
-     * the failure of the attempt; nullopt if the answer is complete.
+     * Checks the end of an answer without a stated end, which is complete only if its sender is known to run after it.
+     * Returns the failure of the attempt; nullopt if the answer is complete.
      */
     [[nodiscard]] http::Task<std::optional<AttemptResult>> checkEnd();
     [[nodiscard]] http::Task<AttemptResult> send(const membership::ListedTarget& target);
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -12,8 +12,10 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <set>
+#include <string>
 
 namespace chivewinch::gateway {
 
@@ -43,6 +45,10 @@
     std::chrono::milliseconds retryAfterWithoutTarget { 500 };
     std::chrono::milliseconds unacknowledgedTimeout { 2'000 };
     std::size_t maxIdleConnections = 4; ///< Per target.
+    /** Longest time for the check whether the sender of an answer without a length still runs. */
+    std::chrono::milliseconds senderCheckTimeout { 1'000 };
+    /** Off if the targets state their start time; see http::Client::keepWitness. */
+    bool keepWitnesses = true;
     /** Maximum size of an answer that is buffered until it is complete; a faulty target can send an endless body. */
     std::size_t maxAnswerBytes = std::size_t { 8 } << 20;
     /** Maximum size of one event of a stream. */
@@ -105,6 +111,13 @@
 /** Options for blocking requests that crash directly reached targets. */
 [[nodiscard]] suspect::StrikeOptions directStrikeOptions() noexcept;
 
+/** How targets state which process they are. */
+struct TargetIdentity {
+    std::string path = "/"; ///< Read from a target.
+    /** Start time of the target from the body of its answer; nullopt if it is not stated. Empty if none states it. */
+    std::function<std::optional<base::Incarnation>(const std::string& body)> incarnation;
+};
+
 struct GatewayOptions {
     std::string instance; ///< ID of this process.
     base::ZoneId zone;
@@ -116,6 +129,7 @@
     std::string metricsPath = "/metrics";
     std::size_t maxConnections = 2'000;
     HeaderNames headers;
+    TargetIdentity targetIdentity;
     AttemptOptions attempts;
     DrainOptions drain;
     DispatcherOptions dispatcher;
--- a/src/gateway/target_clients.cpp
+++ b/src/gateway/target_clients.cpp
@@ -27,6 +27,8 @@
                 .maxIdleConnections = this->maxIdleFor(target.pool),
                 .unacknowledgedTimeout = this->options.unacknowledgedTimeout,
                 .buffers = this->buffers });
+        if (this->options.keepWitnesses || this->poolsWithWitnesses.contains(pool))
+            client->keepWitness();
     }
     return client;
 }
@@ -39,6 +41,16 @@
         poolClient.client->setMaxIdleConnections(this->maxIdleFor(poolClient.pool));
 }
 
+void TargetClients::keepWitnesses(const std::string& pool)
+{
+    if (!this->poolsWithWitnesses.insert(pool).second)
+        return;
+    for (auto& [key, poolClient] : this->clients) {
+        if (poolClient.pool == pool)
+            poolClient.client->keepWitness();
+    }
+}
+
 void TargetClients::keepOnly(const std::vector<membership::ListedTarget>& listed)
 {
     std::erase_if(this->clients, [&listed](const auto& item) {
--- a/src/gateway/target_clients.hpp
+++ b/src/gateway/target_clients.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,6 +44,8 @@
     void keepOnly(const std::vector<membership::ListedTarget>& listed);
     /** Divides the connections that the targets of each pool accept among this number of processes. */
     void setConnectionLimits(std::map<std::string, std::uint32_t> limitsByPool, std::size_t processCount);
+    /** Keeps witnesses for the targets of this pool, because they do not state their start time. */
+    void keepWitnesses(const std::string& pool);
     /** Closes all idle connections. */
     void closeIdleConnections() noexcept;
 
@@ -60,6 +63,7 @@
     std::map<Key, PoolClient> clients;
     std::map<std::string, std::uint32_t> limits; ///< Connections that a target accepts, by pool.
     std::size_t processes = 1;
+    std::set<std::string> poolsWithWitnesses;
 
     [[nodiscard]] std::size_t maxIdleFor(const std::string& pool) const;
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -109,6 +110,9 @@
 struct ResponseStream::State {
     std::unique_ptr<beast::tcp_stream> stream;
     std::weak_ptr<Client::Pool> pool;
+    std::shared_ptr<ServerLifetimes> lifetimes;
+    EventNumber accepted = 0;
+    EventNumber sent = 0;
     bool isKept = false;
     std::size_t maxIdle = 0;
     std::chrono::milliseconds maxIdleTime {};
@@ -128,8 +132,9 @@
         if (this->stream && lockedPool && this->parser.keep_alive() && this->buffer.size() == 0 && idleTime.count() > 0
             && lockedPool->size() < this->maxIdle) {
             this->stream->expires_never();
-            lockedPool->push_back(
-                { .stream = std::move(this->stream), .usableUntil = std::chrono::steady_clock::now() + idleTime });
+            lockedPool->push_back({ .stream = std::move(this->stream),
+                .usableUntil = std::chrono::steady_clock::now() + idleTime,
+                .accepted = this->accepted });
         }
         this->stream.reset();
     }
@@ -158,6 +163,8 @@
 
 bool ResponseStream::endsWithConnection() const { return this->state->parser.need_eof(); }
 
+void ResponseStream::recordAnswered() { this->state->lifetimes->record(this->state->accepted, this->state->sent); }
+
 Headers ResponseStream::headers() const
 {
     Headers all;
@@ -205,6 +212,7 @@
     : executor { std::move(executor) }
     , options { std::move(options) }
     , pool { std::make_shared<Pool>() }
+    , lifetimes { std::make_shared<ServerLifetimes>() }
 {
 }
 
@@ -217,23 +225,61 @@
         this->pool->erase(this->pool->begin(), this->pool->end() - static_cast<std::ptrdiff_t>(count));
 }
 
-Task<std::unique_ptr<beast::tcp_stream>> Client::connect(bool fresh, bool& isKept, Error& reason)
+bool Client::senderRanAt(const ResponseStream& response, EventNumber event) const
+{
+    return this->lifetimes->isOneProcess(response.state->accepted, event);
+}
+
+std::optional<Client::IdleConnection> Client::takeIdle(bool oldest)
+{
+    while (!this->pool->empty()) {
+        auto chosen = std::prev(this->pool->end());
+        if (oldest)
+            chosen = std::ranges::min_element(*this->pool, {}, &IdleConnection::accepted);
+        auto idle = std::move(*chosen);
+        this->pool->erase(chosen);
+        if (std::chrono::steady_clock::now() < idle.usableUntil && internal::hasNoPendingInput(idle.stream->socket()))
+            return idle;
+    }
+    return std::nullopt;
+}
+
+void Client::keepIdle(std::unique_ptr<beast::tcp_stream> stream, EventNumber accepted)
+{
+    stream->expires_never();
+    this->pool->push_back({ .stream = std::move(stream),
+        .usableUntil = std::chrono::steady_clock::now() + this->options.maxIdleTime,
+        .accepted = accepted });
+}
+
+Task<void> Client::openWitness()
+{
+    if (auto oldest = this->takeIdle(true)) {
+        this->pool->insert(this->pool->begin(), std::move(*oldest));
+        co_return;
+    }
+    boost::system::error_code error;
+    auto stream = co_await this->openConnection(error);
+    if (stream)
+        this->keepIdle(std::move(stream), this->lifetimes->next());
+}
+
+Task<Client::Connection> Client::connect(SendOptions sendOptions, Error& reason)
 {
-    isKept = true;
-    while (!fresh && !this->pool->empty()) {
-        auto kept = std::move(this->pool->back());
-        this->pool->pop_back();
-        if (std::chrono::steady_clock::now() < kept.usableUntil && internal::hasNoPendingInput(kept.stream->socket()))
-            co_return std::move(kept.stream);
+    if (this->keepsWitness && !sendOptions.oldestConnection)
+        co_await this->openWitness();
+    const std::size_t reserved = this->keepsWitness && !sendOptions.oldestConnection ? 1 : 0;
+    if (!sendOptions.freshConnection && this->pool->size() > reserved) {
+        if (auto idle = this->takeIdle(sendOptions.oldestConnection))
+            co_return Connection { .stream = std::move(idle->stream), .accepted = idle->accepted, .isKept = true };
     }
-    isKept = false;
     boost::system::error_code error;
     auto stream = co_await this->openConnection(error);
     if (!stream) {
         reason = { .code = ErrorCode::NotSent,
             .detail = "connect " + settings::toString(this->options.server) + ": " + error.message() };
     }
-    co_return stream;
+    co_return Connection { .stream = std::move(stream), .accepted = this->lifetimes->next() };
 }
 
 Task<std::unique_ptr<beast::tcp_stream>> Client::openConnection(boost::system::error_code& error)
@@ -267,15 +313,14 @@
             co_return ServerState::Refuses;
         if (!stream)
             co_return ServerState::Unknown;
+        const auto accepted = this->lifetimes->next();
         stream->expires_never();
         asio::steady_timer timer { this->executor, internal::probeSettleTime };
         (void)co_await timer.async_wait(internal::awaitResult);
         if (!internal::hasNoPendingInput(stream->socket()))
             continue;
-        if (this->pool->size() < this->options.maxIdleConnections) {
-            this->pool->push_back({ .stream = std::move(stream),
-                .usableUntil = std::chrono::steady_clock::now() + this->options.maxIdleTime });
-        }
+        if (this->pool->size() < this->options.maxIdleConnections)
+            this->keepIdle(std::move(stream), accepted);
         co_return ServerState::Accepts;
     }
     co_return ServerState::Unknown;
@@ -283,8 +328,8 @@
 
 Task<std::unique_ptr<ResponseStream>> Client::open(Request request, SendOptions sendOptions, Error& reason)
 {
-    bool isKept = false;
-    auto stream = co_await this->connect(sendOptions.freshConnection, isKept, reason);
+    auto connection = co_await this->connect(sendOptions, reason);
+    auto& stream = connection.stream;
     if (!stream)
         co_return nullptr;
     if (request.count(beast::http::field::host) == 0)
@@ -299,7 +344,10 @@
         reason = { .code = ErrorCode::NotSent, .detail = "no memory for the request" };
         co_return nullptr;
     }
-    current.isKept = isKept;
+    current.isKept = connection.isKept;
+    current.lifetimes = this->lifetimes;
+    current.accepted = connection.accepted;
+    current.sent = this->lifetimes->next();
     current.readTimeout = sendOptions.readTimeout.value_or(this->options.readTimeout);
     current.maxIdle = this->options.maxIdleConnections;
     current.maxIdleTime = this->options.maxIdleTime;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -2,6 +2,7 @@
 
 #include "http/buffer_budget.hpp"
 #include "http/message.hpp"
+#include "http/server_lifetimes.hpp"
 #include "settings/value_type.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -81,6 +82,8 @@
      * not be sent again after that failure.
      */
     bool freshConnection = false;
+    /** Uses the idle connection that was opened first, even if the client keeps it as a witness. */
+    bool oldestConnection = false;
     /** Must outlive the call; nullptr for none. */
     Cancellation* cancellation = nullptr;
     /** Body to send in place of that of the request, so that it need not be copied. Must outlive the call. */
@@ -113,6 +116,11 @@
      * the body is complete.
      */
     [[nodiscard]] bool endsWithConnection() const;
+    /**
+     * Records that the server has run since it accepted the connection until the request was sent. To be called once
+     * the response is known to answer this request: a faulty server may answer an earlier one again.
+     */
+    void recordAnswered();
     /** All header fields in the order in which they arrived. */
     [[nodiscard]] Headers headers() const;
     /** Returns the next bytes of the body; empty at its end; nullopt and an error if the body is incomplete. */
@@ -148,6 +156,20 @@
     /** Opens a connection to find out whether the server still runs; keeps it for later requests if it does. */
     [[nodiscard]] Task<ServerState> probe();
 
+    /** Number of an event that happens now; see ServerLifetimes. */
+    [[nodiscard]] EventNumber nextEvent() { return this->lifetimes->next(); }
+    /**
+     * True if the process that sent the response is known to have run at this event, which a response on a connection
+     * that is older than that of the first one shows.
+     */
+    [[nodiscard]] bool senderRanAt(const ResponseStream& response, EventNumber event) const;
+
+    /**
+     * Sends each request only on a connection that is younger than an idle one, so that the idle one can later show
+     * whether the process that accepted the request still runs.
+     */
+    void keepWitness() noexcept { this->keepsWitness = true; }
+
     /** Closes the idle connections, for instance after the process was suspended. */
     void closeIdleConnections() noexcept { this->pool->clear(); }
 
@@ -162,14 +184,30 @@
     struct IdleConnection {
         std::unique_ptr<boost::beast::tcp_stream> stream;
         std::chrono::steady_clock::time_point usableUntil;
+        EventNumber accepted = 0; ///< Event at which it was opened.
     };
     using Pool = std::vector<IdleConnection>;
 
     boost::asio::any_io_executor executor;
     ClientOptions options;
     std::shared_ptr<Pool> pool;
+    std::shared_ptr<ServerLifetimes> lifetimes;
+    bool keepsWitness = false;
+
+    /** Connection for a request. */
+    struct Connection {
+        std::unique_ptr<boost::beast::tcp_stream> stream;
+        EventNumber accepted = 0;
+        bool isKept = false;
+    };
 
-    [[nodiscard]] Task<std::unique_ptr<boost::beast::tcp_stream>> connect(bool fresh, bool& isKept, Error& reason);
+    /** Returns a connection without a stream and sets the error if none can be opened. */
+    [[nodiscard]] Task<Connection> connect(SendOptions sendOptions, Error& reason);
+    /** Returns an idle connection that is usable, and removes it from the pool. */
+    [[nodiscard]] std::optional<IdleConnection> takeIdle(bool oldest);
+    /** Opens an idle connection unless there is one. */
+    [[nodiscard]] Task<void> openWitness();
+    void keepIdle(std::unique_ptr<boost::beast::tcp_stream> stream, EventNumber accepted);
     /** Opens a new connection; returns nullptr and sets the error if that fails. */
     [[nodiscard]] Task<std::unique_ptr<boost::beast::tcp_stream>> openConnection(boost::system::error_code& error);
 };
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway/names.hpp"
 #include "http/client.hpp"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -558,6 +559,13 @@
     return answers;
 }
 
+/** What an address does after the process of its target has ended with a part of an answer. */
+enum class AfterEnd : std::uint8_t {
+    Refuses,
+    Resets, ///< Takes connections into its queue and resets them, as while the process ends.
+    Accepts, ///< Another process has taken its place.
+};
+
 /** Targets that end the connection after a part of their answer. */
 class CutAnswerTest : public GatewayTest, public testing::WithParamInterface<CutAnswer> {
 protected:
@@ -579,30 +587,52 @@
     http::Task<void> serve(asio::ip::tcp::acceptor& acceptor)
     {
         while (true) {
-            asio::ip::tcp::socket socket { this->context };
-            co_await acceptor.async_accept(socket, asio::use_awaitable);
+            auto socket = std::make_shared<asio::ip::tcp::socket>(this->context);
+            co_await acceptor.async_accept(*socket, asio::use_awaitable);
+            if (this->afterEnd == AfterEnd::Resets && this->cuts > 0) {
+                socket->set_option(asio::socket_base::linger { true, 0 });
+                socket->close();
+                continue;
+            }
+            this->sockets.push_back(socket);
             asio::co_spawn(this->context, this->answerOnce(std::move(socket)), asio::detached);
         }
     }
 
-    http::Task<void> answerOnce(asio::ip::tcp::socket socket)
+    http::Task<void> answerOnce(std::shared_ptr<asio::ip::tcp::socket> socket)
     {
         std::string request;
-        co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::use_awaitable);
+        const auto [error, size] = co_await asio::async_read_until(
+            *socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::as_tuple(asio::use_awaitable));
+        if (error)
+            co_return;
         const auto idAt = request.find("T-Id: ") + 6;
         const auto id = request.substr(idAt, request.find("\r\n", idAt) - idAt);
         const auto whole = this->headOf(id) + this->answer.body;
         const auto part = whole.substr(0, this->length);
-        co_await asio::async_write(socket, asio::buffer(part), asio::use_awaitable);
+        co_await asio::async_write(*socket, asio::buffer(part), asio::use_awaitable);
+        const bool isCut = part.size() < whole.size();
+        if (this->afterEnd && isCut)
+            this->endTargets();
         // The destructor of the socket would undo the option.
-        if (this->endsTargets && part.size() < whole.size()) {
+        if (this->answer.isReset && isCut && socket->is_open())
+            socket->set_option(asio::socket_base::linger { true, 0 });
+        socket->close();
+        this->cuts += isCut ? 1 : 0;
+    }
+
+    /** The kernel closes all connections of a process that has ended. */
+    void endTargets()
+    {
+        if (this->afterEnd == AfterEnd::Refuses) {
             for (auto& acceptor : this->acceptors)
                 acceptor->close();
         }
-        if (this->answer.isReset && part.size() < whole.size())
-            socket.set_option(asio::socket_base::linger { true, 0 });
-        socket.close();
-        this->cuts += part.size() < whole.size() ? 1 : 0;
+        for (const auto& socket : std::exchange(this->sockets, {})) {
+            if (this->answer.isReset && socket->is_open())
+                socket->set_option(asio::socket_base::linger { true, 0 });
+            socket->close();
+        }
     }
 
     [[nodiscard]] std::string headOf(const std::string& id) const
@@ -626,7 +656,8 @@
     std::size_t length = 0;
     std::size_t sent = 0;
     std::size_t cuts = 0;
-    bool endsTargets = false; ///< All targets end with a cut answer.
+    std::optional<AfterEnd> afterEnd; ///< All targets end with a cut answer.
+    std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets;
 };
 
 // Guards against an answer that a target cuts at any byte of its head or body and that reaches the caller as a whole
@@ -649,19 +680,33 @@
     EXPECT_GE(this->cuts, whole);
 }
 
+class EndedTargetTest : public CutAnswerTest {
+protected:
+    /** Sends a request whose answer is cut after an event by the end of all targets. */
+    void checkCut(AfterEnd kind)
+    {
+        this->afterEnd = kind;
+        this->startCutting(GetParam());
+        const auto head = this->headOf("id-1").size();
+        const std::string firstEvent = "id: 1\ndata: a\n\n";
+        EXPECT_FALSE(this->sendWithCut(head + this->answer.body.size()).body.ends_with(" cut"));
+        const auto response = this->sendWithCut(head + this->answer.body.find(firstEvent) + firstEvent.size());
+        // A repeated request can reach another target on a connection that was accepted before the targets ended.
+        EXPECT_GE(this->cuts, 1U);
+        EXPECT_TRUE(response.status != 200 || response.body.ends_with(" cut")) << response.body;
+    }
+};
+
 // Guards against an answer without length or chunks that looks whole although its target has ended with it.
-TEST_P(CutAnswerTest, IsNeverPassedOnAsWholeIfItsTargetEnds)
-{
-    this->endsTargets = true;
-    this->startCutting(GetParam());
-    const auto head = this->headOf("id-1").size();
-    const std::string firstEvent = "id: 1\ndata: a\n\n";
-    EXPECT_FALSE(this->sendWithCut(head + this->answer.body.size()).body.ends_with(" cut"));
-    const auto response = this->sendWithCut(head + this->answer.body.find(firstEvent) + firstEvent.size());
-    // A repeated request can reach another target on a connection that was accepted before the targets ended.
-    EXPECT_GE(this->cuts, 1U);
-    EXPECT_TRUE(response.status != 200 || response.body.ends_with(" cut")) << response.body;
-}
+TEST_P(EndedTargetTest, CutsNoAnswerThatLooksWhole) { this->checkCut(AfterEnd::Refuses); }
+
+// Guards against the same if the check of the target is reset, because the process is still ending.
+TEST_P(EndedTargetTest, CutsNoAnswerThatLooksWholeIfChecksAreReset) { this->checkCut(AfterEnd::Resets); }
+
+// Guards against the same if another process has taken the place of the target before the check.
+TEST_P(EndedTargetTest, CutsNoAnswerThatLooksWholeIfItIsReplaced) { this->checkCut(AfterEnd::Accepts); }
+
+INSTANTIATE_TEST_SUITE_P(Answers, EndedTargetTest, testing::ValuesIn(cutAnswers()));
 
 INSTANTIATE_TEST_SUITE_P(Answers, CutAnswerTest, testing::ValuesIn(cutAnswers()));
 
