Serve header fields of any size, and keep one request from ending an entry

Causes: Beast's fields hold 16-bit sizes and throw beyond them, in a coroutine that nothing guards. Its prepare_payload refuses the body of a TRACE by an exception; the server catches that, but Gateway::serveCaller had left behind a watch that refers to what was destroyed.

Change: http::Fields and http::RequestParser hold requests on both sides, bounded by the operator's limits only. Bodies are stated for any method. An exception ends the connection or the attempt in which it arises; tasks that last as long as an entry are begun again (http::keepRunning).

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -1,11 +1,13 @@
 #include "gateway/crash_guard.hpp"
 
+#include "http/keep_running.hpp"
 #include "logging/event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace chivewinch::gateway {
@@ -50,7 +52,9 @@
         if (!*each)
             continue;
         for (std::size_t index = 0; index < (*each)->senderCount(); ++index)
-            asio::co_spawn(this->executor, (*each)->runSender(index), asio::detached);
+            asio::co_spawn(this->executor,
+                http::keepRunning("strikes", [exchange = each->get(), index] { return exchange->runSender(index); }),
+                asio::detached);
     }
 }
 
@@ -184,8 +188,9 @@
         .field("granter", trial.granter)
         .info();
     if (trial.granter != this->instance) {
+        // If the message is lost, for whatever reason, the granter grants the next trial later.
         asio::co_spawn(this->executor, this->exchangeOf(trial)->endTrial(trial.granter, trial.feature, isCompleted),
-            asio::detached);
+            [](const std::exception_ptr& /*failure*/) {});
         return;
     }
     if (isCompleted)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/request_run.hpp"
 #include "http/disconnect_watch.hpp"
+#include "http/keep_running.hpp"
 #include "http/status.hpp"
 #include "logging/event.hpp"
 
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <exception>
 #include <set>
 #include <utility>
 
@@ -196,11 +198,11 @@
         this->reason = this->relay->lastReason();
         return false;
     }
-    asio::co_spawn(this->context, this->configurationWatcher.run(), asio::detached);
-    asio::co_spawn(this->context, this->targetsWatcher.run(), asio::detached);
-    asio::co_spawn(this->context, this->tick(), asio::detached);
+    this->runInBackground("configuration", [this] { return this->configurationWatcher.run(); });
+    this->runInBackground("targets", [this] { return this->targetsWatcher.run(); });
+    this->runInBackground("tick", [this] { return this->tick(); });
     if (this->limitExchange)
-        asio::co_spawn(this->context, this->limitExchange->run(), asio::detached);
+        this->runInBackground("limits", [this] { return this->limitExchange->run(); });
     this->crashes.start();
     logging::Event { "start" }
         .field("zone", this->options.zone)
@@ -209,6 +211,11 @@
     return true;
 }
 
+void Gateway::runInBackground(std::string name, std::function<http::Task<void>()> task)
+{
+    asio::co_spawn(this->context, http::keepRunning(std::move(name), std::move(task)), asio::detached);
+}
+
 http::Task<void> Gateway::serveCaller(const http::Request& request, http::ResponseWriter& writer)
 {
     const auto executor = co_await asio::this_coro::executor;
@@ -216,8 +223,16 @@
     http::DisconnectWatch watch { executor };
     watch.start(writer, [&run] { run.handleCallerDisconnect(); });
     const internal::OpenRun open { this->runs, run };
-    co_await run.run();
+    std::exception_ptr failure;
+    try {
+        co_await run.run();
+    } catch (const std::exception&) {
+        failure = std::current_exception();
+    }
+    // It refers to the run and the writer.
     co_await watch.stop();
+    if (failure)
+        std::rethrow_exception(failure);
 }
 
 http::Task<void> Gateway::serveStatus(const http::Request& request, http::ResponseWriter& writer) const
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -112,6 +112,8 @@
 
     [[nodiscard]] std::shared_ptr<http::Server> makeServer(
         const settings::Endpoint& listen, std::size_t maxConnections, http::Server::Handler handler);
+    /** See http::keepRunning. */
+    void runInBackground(std::string name, std::function<http::Task<void>()> task);
     [[nodiscard]] http::Task<void> serveCaller(const http::Request& request, http::ResponseWriter& writer);
     [[nodiscard]] http::Task<void> serveStatus(const http::Request& request, http::ResponseWriter& writer) const;
     /** Passes rows of a watcher to the relay for the peers. */
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <utility>
 
 namespace chivewinch::gateway {
@@ -249,7 +250,13 @@
     const auto copy = *target;
     this->services.crashes.started(this->features.fingerprint, copy.id);
     const auto started = this->services.clock.now();
-    auto end = co_await this->attempt->run(copy);
+    AttemptResult end;
+    try {
+        end = co_await this->attempt->run(copy);
+    } catch (const std::exception& failure) {
+        // Nothing is known of the target, but its place must be released below.
+        end = { .result = routing::Result::Cancelled, .detail = failure.what() };
+    }
     const auto now = this->services.clock.now();
     if (end.kind == delivery::EventKind::Complete)
         this->services.runTimes.record(this->route->name, now - started, now);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -85,14 +85,20 @@
     (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
 }
 
-using OutgoingRequest = beast::http::request<beast::http::span_body<const char>>;
+using OutgoingRequest = beast::http::request<beast::http::span_body<const char>, Fields>;
 
-/** The request with a body that it does not own. */
-OutgoingRequest withBody(beast::http::request_header<> header, std::string_view body)
+/** The request with a body that it does not own. A body is stated for any method, as the sender may have set one. */
+OutgoingRequest withBody(beast::http::request_header<Fields> header, std::string_view body)
 {
+    using beast::http::verb;
     OutgoingRequest message { std::move(header) };
     message.body() = { body.data(), body.size() };
-    message.prepare_payload();
+    const bool expectsBody
+        = message.method() == verb::post || message.method() == verb::put || message.method() == verb::options;
+    if (!body.empty() || expectsBody)
+        message.content_length(body.size());
+    else
+        message.content_length(boost::none);
     return message;
 }
 
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/fields.hpp"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -13,7 +15,7 @@
 
 template <typename Result> using Task = boost::asio::awaitable<Result>;
 
-using Request = boost::beast::http::request<boost::beast::http::string_body>;
+using Request = boost::beast::http::request<boost::beast::http::string_body, Fields>;
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
 /** A complete response. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "http/listen.hpp"
+#include "http/request_parser.hpp"
 #include "http/retry_after.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -13,13 +14,11 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 #include <array>
 #include <exception>
-#include <iterator>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -241,7 +240,7 @@
 Task<std::optional<Server::ReceivedRequest>> Server::readRequest(std::shared_ptr<Connection> connection)
 {
     auto& stream = connection->stream;
-    beast::http::request_parser<beast::http::string_body> parser;
+    RequestParser parser;
     const auto current = this->currentLimits();
     parser.header_limit(current.maxHeaderBytes);
     parser.body_limit(current.maxBodyBytes);
@@ -273,8 +272,7 @@
     }
     auto [error, headBytes]
         = co_await beast::http::async_read_header(stream, connection->buffer, parser, internal::awaitTuple);
-    const auto fieldCount = static_cast<std::size_t>(std::distance(parser.get().begin(), parser.get().end()));
-    const auto headMemoryBytes = received.memory.bytes() + headMemory(headBytes, fieldCount);
+    const auto headMemoryBytes = received.memory.bytes() + headMemory(headBytes, parser.get().size());
     while (!error) {
         const auto isDone = parser.is_done();
         const auto bodyBytes = parser.get().body().capacity();
@@ -400,13 +398,25 @@
 }
 
 Task<void> Server::serve(std::shared_ptr<Connection> connection)
+{
+    try {
+        co_await this->serveRequests(connection);
+    } catch (const std::exception&) {
+        // Whatever the bytes of one caller lead to, the other connections must go on.
+        this->onRequestFailure(RequestFailure::HandlerFailed);
+    }
+    beast::error_code ignored;
+    connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    this->removeConnection(connection);
+}
+
+Task<void> Server::serveRequests(std::shared_ptr<Connection> connection)
 {
     bool hasRoom = this->connections <= this->options.maxConnections;
     if (!hasRoom)
         hasRoom = co_await this->closeOther(connection, connectionToClose);
     if (!hasRoom) {
         co_await this->refuse(connection, RequestFailure::TooManyConnections);
-        this->removeConnection(connection);
         co_return;
     }
     beast::error_code ignored;
@@ -435,8 +445,6 @@
         --this->requests;
         reusable = writer.reusable() && !this->draining && !connection->endsAfterRequest;
     }
-    connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    this->removeConnection(connection);
 }
 
 void Server::removeConnection(const std::shared_ptr<Connection>& connection)
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -127,6 +127,7 @@
     void acceptPending();
     void startServing(boost::asio::ip::tcp::socket socket);
     [[nodiscard]] Task<void> serve(std::shared_ptr<Connection> connection);
+    [[nodiscard]] Task<void> serveRequests(std::shared_ptr<Connection> connection);
     [[nodiscard]] Task<std::optional<ReceivedRequest>> readRequest(std::shared_ptr<Connection> connection);
     /** Reserves memory for an unfinished request, in place of larger ones if necessary; false if there is none. */
     [[nodiscard]] Task<bool> reserve(
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay.hpp"
 
+#include "http/keep_running.hpp"
 #include "http/status.hpp"
 #include "logging/event.hpp"
 
@@ -99,7 +100,7 @@
         this->reason = this->server->lastReason();
         return false;
     }
-    asio::co_spawn(this->executor, this->run(), asio::detached);
+    asio::co_spawn(this->executor, http::keepRunning("relay", [this] { return this->run(); }), asio::detached);
     return true;
 }
 
@@ -144,11 +145,15 @@
 
 http::Task<void> Relay::run()
 {
-    co_await this->registerSelf();
-    // The peers of a process that was registered before have not waited for it.
-    if (!this->isRegisteredBefore)
-        co_await this->sleep(this->options.settleTime);
-    asio::co_spawn(this->executor, this->peersWatcher.run(), asio::detached);
+    if (!this->isWatchingPeers) {
+        co_await this->registerSelf();
+        // The peers of a process that was registered before have not waited for it.
+        if (!this->isRegisteredBefore)
+            co_await this->sleep(this->options.settleTime);
+        this->isWatchingPeers = true;
+        asio::co_spawn(
+            this->executor, http::keepRunning("peers", [this] { return this->peersWatcher.run(); }), asio::detached);
+    }
     while (!this->isStopped) {
         const auto peer = this->peers.source(this->clock.now());
         if (!peer) {
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -131,6 +131,7 @@
     std::string source; ///< Instance of the peer from which this process reads; empty if it reads the store.
     bool relayed = false;
     bool isRegisteredBefore = false;
+    bool isWatchingPeers = false;
     bool isDraining = false;
     bool isStopped = false;
     std::string reason;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -67,7 +67,8 @@
         std::vector<watch::RowChange> rows;
         for (const auto* name : { "t1", "t2" }) {
             auto server = std::make_shared<http::Server>(
-                this->context.get_executor(), http::ServerOptions { .listen = { .address = "127.0.0.1" } },
+                this->context.get_executor(),
+                http::ServerOptions { .listen = { .address = "127.0.0.1" }, .maxHeaderBytes = maxHeaderBytes },
                 [this, name, behaviour](const http::Request& request, http::ResponseWriter& writer) {
                     this->sentTo.emplace_back(name);
                     this->requests.push_back(request);
@@ -120,6 +121,8 @@
         ASSERT_TRUE(this->gateway->start()) << this->gateway->lastReason();
     }
 
+    static constexpr std::uint32_t maxHeaderBytes = 1U << 20;
+
     static Configuration configuration(RouteKind kind)
     {
         return { .version = 1,
@@ -133,7 +136,8 @@
                 .maxAttempts = 2,
                 .resumable = true } },
             .teams = { { .name = "team", .keys = { "key" } } },
-            .hasTeams = true };
+            .hasTeams = true,
+            .limits = { .maxHeaderBytes = maxHeaderBytes } };
     }
 
     std::uint16_t freePort()
@@ -235,6 +239,44 @@
     EXPECT_TRUE(this->sentTo.empty());
 }
 
+// Guards against a proper request whose header fields are refused, or end the process, because of their size: one of
+// 70,000 bytes ended it.
+TEST_F(GatewayTest, ForwardsFieldsOfAnySize)
+{
+    this->start(RouteKind::NotRepeatable, [](int, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.send(sealedResponse(request));
+    });
+    for (const std::size_t size : { 65'532U, 65'533U, 65'534U, 65'535U, 65'536U, 70'000U, 500'000U }) {
+        const std::string text(size, 'x');
+        auto request = callerRequest("/a/" + text);
+        request.insert("T-Parts", text);
+        request.insert(text, "value");
+        EXPECT_EQ(this->send(std::move(request)).status, size < 300'000U ? 200U : 431U) << size;
+        if (size >= 300'000U)
+            continue;
+        ASSERT_FALSE(this->requests.empty());
+        EXPECT_EQ(http::headerOf(this->requests.back(), "T-Parts"), text);
+        EXPECT_EQ(http::headerOf(this->requests.back(), text), "value");
+        EXPECT_EQ(http::pathOf(this->requests.back()), "/a/" + text);
+    }
+}
+
+// Guards against a method whose body the client library refuses to send, which ended the process.
+TEST_F(GatewayTest, ForwardsTheBodyOfAnyMethod)
+{
+    this->start(RouteKind::NotRepeatable, [](int, const auto& request, auto& writer) -> http::Task<void> {
+        (void)co_await writer.send(sealedResponse(request));
+    });
+    for (const std::string method : { "TRACE", "GET", "DELETE", "OPTIONS", "M-SEARCH", "UNKNOWN" }) {
+        auto request = callerRequest();
+        request.method_string(method);
+        EXPECT_EQ(this->send(std::move(request)).status, 200U) << method;
+        ASSERT_FALSE(this->requests.empty());
+        EXPECT_EQ(this->requests.back().method_string(), method);
+        EXPECT_EQ(this->requests.back().body(), "body") << method;
+    }
+}
+
 // Guards against running a non-repeatable request twice because its answer was lost.
 TEST_F(GatewayTest, DoesNotRetryWhatMayHaveRun)
 {
