Keep the strikes of requests that crash targets in the store

Cause: strikes were kept in the memory of the entries only, and an entry that starts asks the others.

Change: suspect::StrikeArchive keeps the strikes that all entries should know, and those of features that block requests, as rows of a table, one for each strike. An entry that starts is ready once it has read the rows, after 1 s at the latest.

In the simulated fleet the bound is exceeded without the rows (StrikeArchive.IsNeededForTheBound).

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -31,7 +31,7 @@
 } // namespace internal
 
 CrashGuard::CrashGuard(const asio::any_io_executor& executor, const base::Clock& clock, base::RandomSource& random,
-    const suspect::StrikeOptions& strikes, suspect::SharedStrikesOptions sharing, relay::Relay* relay)
+    const suspect::StrikeOptions& strikes, suspect::SharedStrikesOptions sharing, relay::Relay* relay, StrikeRows rows)
     : executor { executor }
     , clock { clock }
     , table { clock, internal::withCrashSeed(strikes, random) }
@@ -39,7 +39,10 @@
     , suspects { clock, random, suspect::featureOptions(internal::withCrashSeed(strikes, random), sharing) }
     , strikeExpiry { strikes.expiry }
     , instance { std::move(sharing.instance) }
+    , archive { clock, this->table, this->shared, this->suspects, { .expiry = strikes.expiry } }
 {
+    if (rows.feed != nullptr && rows.sink != nullptr)
+        this->store = std::make_unique<StrikeStore>(executor, clock, this->archive, *rows.feed, *rows.sink);
     if (relay == nullptr)
         return;
     this->exchange = std::make_unique<StrikeExchange>(executor, this->shared, *relay, "/strikes");
@@ -48,6 +51,10 @@
 
 void CrashGuard::start()
 {
+    if (this->store) {
+        asio::co_spawn(
+            this->executor, http::keepRunning("strike_rows", [this] { return this->store->run(); }), asio::detached);
+    }
     for (const auto* each : { &this->exchange, &this->featureExchange }) {
         if (!*each)
             continue;
@@ -60,6 +67,8 @@
 
 void CrashGuard::stop()
 {
+    if (this->store)
+        this->store->stop();
     if (this->exchange)
         this->exchange->stop();
     if (this->featureExchange)
@@ -78,6 +87,8 @@
         this->exchange->wake();
     if (this->featureExchange && this->suspects.sharing().hasNews())
         this->featureExchange->wake();
+    if (this->store)
+        this->store->wake();
 }
 
 void CrashGuard::advance(base::SteadyTime now)
@@ -126,6 +137,8 @@
 
 http::Task<CrashVerdict> CrashGuard::admit(const RequestFeatures& features, std::optional<Trial>& trial)
 {
+    if (this->store)
+        co_await this->store->waitUntilSettled();
     const auto block = this->suspects.blockOf(features.all);
     const bool isRequestBlocked = this->isBlocked(features.fingerprint);
     if (block.features.empty() && !isRequestBlocked)
--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -4,6 +4,7 @@
 #include "base/random.hpp"
 #include "gateway/silence_watch.hpp"
 #include "gateway/strike_exchange.hpp"
+#include "gateway/strike_store.hpp"
 #include "quota/owners.hpp"
 #include "suspect/shared_strikes.hpp"
 #include "suspect/strike_table.hpp"
@@ -58,23 +59,35 @@
     Undecided, ///< Not run, or answered with a failure.
 };
 
+/** Table in which strikes outlast the processes. */
+struct StrikeRows {
+    watch::RowFeed* feed = nullptr; ///< Nullptr for none.
+    watch::RowSink* sink = nullptr;
+};
+
 /** Keeps requests that crash the targets that run them from being sent to more targets, and limits the damage. */
 class CrashGuard {
 public:
-    /** @param relay Connection to the other processes; nullptr if there are none. Must outlive the guard. */
+    /**
+     * @param relay Connection to the other processes; nullptr if there are none. Must outlive the guard.
+     * @param rows Must outlive the guard.
+     */
     CrashGuard(const boost::asio::any_io_executor& executor, const base::Clock& clock, base::RandomSource& random,
-        const suspect::StrikeOptions& strikes, suspect::SharedStrikesOptions sharing, relay::Relay* relay);
+        const suspect::StrikeOptions& strikes, suspect::SharedStrikesOptions sharing, relay::Relay* relay,
+        StrikeRows rows = {});
 
-    /** Starts to exchange strikes with the other processes. */
+    /** Starts to exchange strikes with the other processes and with the store. */
     void start();
     void stop();
     void setMembers(const std::vector<quota::Member>& members);
+    /** True if the strikes that outlast processes were read, or if the time for that has passed. */
+    [[nodiscard]] bool isSettled() const { return !this->store || this->store->isSettled(); }
     /** Must be called by a timer. */
     void advance(base::SteadyTime now);
 
     /**
-     * Decides on a request; sets trial if the verdict is Trial. Asks another process only if the request is blocked and
-     * a trial may be due.
+     * Decides on a request, once the strikes are settled; sets trial if the verdict is Trial. Asks another process only
+     * if the request is blocked and a trial may be due.
      */
     [[nodiscard]] http::Task<CrashVerdict> admit(const RequestFeatures& features, std::optional<Trial>& trial);
     /** Must be called for each trial that does not end with a crash or a silent target. */
@@ -122,6 +135,8 @@
     std::string instance;
     std::unique_ptr<StrikeExchange> exchange;
     std::unique_ptr<StrikeExchange> featureExchange;
+    suspect::StrikeArchive archive;
+    std::unique_ptr<StrikeStore> store;
     std::unordered_map<base::TargetId, std::vector<std::uint64_t>> running; ///< Fingerprints with strikes by target.
 
     [[nodiscard]] bool isSuspect(std::uint64_t fingerprint) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -131,7 +131,7 @@
         { .instance = this->options.instance,
             .learnTime = this->options.strikeLearnTime,
             .share = this->options.shareStrikes },
-        this->relay.get() }
+        this->relay.get(), { .feed = feeds.strikes, .sink = feeds.strikesSink } }
     , services { .options = this->options,
         .clock = clock,
         .random = random,
@@ -162,7 +162,8 @@
 
 bool Gateway::ready() const noexcept
 {
-    return this->snapshots.current() != nullptr && this->hasTargets && !this->drainingSince;
+    return this->snapshots.current() != nullptr && this->hasTargets && this->crashes.isSettled()
+        && !this->drainingSince;
 }
 
 std::shared_ptr<http::Server> Gateway::makeServer(
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -48,6 +48,9 @@
     /** Table through which the entries discover each other; only needed with GatewayOptions::relay. */
     watch::RowFeed* peers = nullptr;
     watch::RowSink* peersSink = nullptr;
+    /** Table in which strikes outlast the processes; nullptr if they need not. */
+    watch::RowFeed* strikes = nullptr;
+    watch::RowSink* strikesSink = nullptr;
 };
 
 /** Forwards requests of callers to targets over direct connections. Runs on one thread. */
@@ -66,7 +69,10 @@
     /** Finishes the open requests, then stops the gateway. */
     void drain();
 
-    /** True if requests can be served: a configuration and a target list are present and no drain has begun. */
+    /**
+     * True if requests can be served: a configuration and a target list are present, strikes were read from the store
+     * or the time for that has passed, and no drain has begun.
+     */
     [[nodiscard]] bool ready() const noexcept;
 
 private:
--- a/src/suspect/shared_strikes.cpp
+++ b/src/suspect/shared_strikes.cpp
@@ -11,6 +11,7 @@
 namespace internal {
 
 constexpr std::size_t trialGranters = 2;
+constexpr std::size_t keepers = 2;
 
 // Longest difference of the pause between comparisons from its mean, as a share of the mean.
 constexpr double pauseVariation = 0.2;
@@ -259,7 +260,7 @@
     this->recordChanges(this->table.merge(message.strikes), false);
     StrikeMessage reply { .digest = this->digest() };
     if (message.wantsAll && reply.digest != message.digest)
-        reply.strikes = this->table.reportsWith(this->options.crashesToSpread, this->options.maxAllStrikes);
+        reply.strikes = this->sharedStrikes();
     if (message.trial && message.completesTrial) {
         this->completeTrial(*message.trial);
     } else if (message.trial && message.returnsTrial) {
@@ -291,6 +292,11 @@
     return blocked ? this->table.failedTrials(fingerprint, *blocked + this->options.learnTime) : 0;
 }
 
+bool SharedStrikes::isKeeper(std::uint64_t fingerprint) const
+{
+    return internal::contains(this->chooseMembers(fingerprint, internal::keepers), this->options.instance);
+}
+
 std::vector<std::string> SharedStrikes::trialGranters(std::uint64_t fingerprint) const
 {
     const auto key = std::to_string(fingerprint);
--- a/src/suspect/shared_strikes.hpp
+++ b/src/suspect/shared_strikes.hpp
@@ -94,6 +94,16 @@
     /** Clears the strikes of a fingerprint that has completed a run, in all processes. */
     void recordCompletion(std::uint64_t fingerprint);
 
+    /** Takes over strikes that were kept outside of the processes. They are not passed on. */
+    void restore(const StrikeList& strikes) { (void)this->table.merge(strikes); }
+    /** Strikes that all processes should know. */
+    [[nodiscard]] StrikeList sharedStrikes() const
+    {
+        return this->table.reportsWith(this->options.crashesToSpread, this->options.maxAllStrikes);
+    }
+    /** True if this process keeps the strikes of the fingerprint outside of the processes; two reachable ones do. */
+    [[nodiscard]] bool isKeeper(std::uint64_t fingerprint) const;
+
     /** The next message to send; nullopt if there is none now. */
     [[nodiscard]] std::optional<Outgoing> next();
     void delivered(const Outgoing& outgoing, const StrikeMessage& answer);
--- a/src/suspect/suspect_features.cpp
+++ b/src/suspect/suspect_features.cpp
@@ -186,6 +186,18 @@
     return this->isBlockedForAll(feature.inAllTeams) ? std::optional { feature.inAllTeams } : std::nullopt;
 }
 
+StrikeList SuspectFeatures::blockedStrikes() const
+{
+    StrikeList strikes;
+    for (const auto id : this->table.blockedFingerprints()) {
+        if (!this->isBlocked({ .inTeam = id }) && !this->isBlockedForAll(id))
+            continue;
+        for (auto& report : this->table.reportsOf(id))
+            strikes.push_back(std::move(report));
+    }
+    return strikes;
+}
+
 SuspectFeatures::Block SuspectFeatures::blockOf(std::span<const Feature> features) const
 {
     Block block;
--- a/src/suspect/suspect_features.hpp
+++ b/src/suspect/suspect_features.hpp
@@ -70,6 +70,8 @@
         bool allowsTrial = false; ///< Only one feature is blocked, and no other one can be the cause.
     };
     [[nodiscard]] Block blockOf(std::span<const Feature> features) const;
+    /** Strikes of all features that block requests. */
+    [[nodiscard]] StrikeList blockedStrikes() const;
     /** True if the feature has strikes of two crashes or more that count. */
     [[nodiscard]] bool isStruck(std::uint64_t feature) const
     {
--- a/src/watch/row_sink.hpp
+++ b/src/watch/row_sink.hpp
@@ -9,7 +9,7 @@
 
 enum class PutResult : std::uint8_t {
     Failed, ///< The store did not acknowledge the write; the row may still be written.
-    Written,
+    Written, ///< Or removed.
     Unchanged, ///< The row had this value already.
 };
 
@@ -25,6 +25,8 @@
 
     /** Writes the row unless it has this value already. */
     [[nodiscard]] virtual Task<PutResult> put(std::string key, std::string value) = 0;
+    /** Removes the row, if it exists. */
+    [[nodiscard]] virtual Task<PutResult> remove(std::string key) = 0;
 };
 
 } // namespace chivewinch::watch
--- a/tests/gateway/request_limit_test.cpp
+++ b/tests/gateway/request_limit_test.cpp
@@ -61,6 +61,13 @@
         co_return watch::PutResult::Written;
     }
 
+    [[nodiscard]] RowSink::Task<watch::PutResult> remove(std::string key) override
+    {
+        this->table.rows.erase(key);
+        ++this->table.version;
+        co_return watch::PutResult::Written;
+    }
+
 private:
     asio::io_context& context;
     SharedTable& table;
--- a/tests/platform/processes/crashing_part_test.py
+++ b/tests/platform/processes/crashing_part_test.py
@@ -6,7 +6,7 @@
 import tempfile
 import time
 
-from crashing_request_test import Callers, ALLOWED_RETRIES, disturb_entries, start_harmless
+from crashing_request_test import Callers, ALLOWED_RETRIES, disturb_entries, end_all_entries, start_harmless
 from engine import BETWEEN, DEADLY_PART, FRAMED, INSIDE
 from site_processes import Site, STATUS_OK
 
@@ -46,6 +46,7 @@
     def send_deadly(self, body):
         """Sends equal requests if there is a body; otherwise no two have anything in common but parts of their prompts."""
         while time.monotonic() < self.end:
+            self.wait_while_quiet()
             entry, request = self.next_try()
             first = self.own_part() if self.scenario.get("other_parts_differ") else FIRST_PART
             parts = [] if body else [first, DEADLY_PART, self.own_part()]
@@ -94,6 +95,8 @@
             callers.start(callers.send_deadly, "crash" if equal else None)
         if scenario.get("entries_change"):
             callers.start(disturb_entries, callers)
+        if scenario.get("all_end"):
+            callers.start(lambda: end_all_entries(callers, scenario["all_end"]))
         callers.join()
         return check(site, callers, arguments.seed, "crash" if equal else DEADLY_BODY,
                      CRASHES_BY_EQUAL_REQUEST if equal else CRASHES_BY_PART, deadly_began)
@@ -138,6 +141,8 @@
     "streams_unframed": {"path": "streams", "framings": UNFRAMED},
     "calls_unframed": {"path": "calls", "framings": UNFRAMED},
     "entries_change": {"path": "streams", "framings": UNFRAMED, "entries_change": True},
+    # All entries are killed at the same moment, twice.
+    "all_entries_end": {"path": "streams", "seconds": 28, "all_end": [10, 18]},
     # The older rule, on equal requests, with such answers.
     "equal_streams_unframed": {"path": "streams", "framings": [INSIDE, BETWEEN], "equal": True, "sound": False},
     "equal_calls_unframed": {"path": "calls", "framings": [INSIDE, BETWEEN], "equal": True, "sound": False},
--- a/tests/platform/processes/crashing_request_test.py
+++ b/tests/platform/processes/crashing_request_test.py
@@ -28,6 +28,7 @@
         self.lock = threading.Lock()
         self.served, self.unserved, self.statuses, self.equal = 0, [], {}, {}
         self.entry_of = {}  # by request
+        self.quiet_until = 0  # Requests that crash engines stay away until then.
         self.threads = []
 
     def start(self, target, *arguments):
@@ -44,8 +45,12 @@
             self.entry_of[request] = entry
             return entry, request
 
+    def wait_while_quiet(self):
+        time.sleep(max(0, self.quiet_until - time.monotonic()))
+
     def send_crashing(self, body, pause, method="POST"):
         while time.monotonic() < self.end:
+            self.wait_while_quiet()
             entry, request = self.next_try()
             status, retry_after = self.site.send(entry, body() if callable(body) else body, request, method=method)
             with self.lock:
@@ -114,6 +119,22 @@
         freeze.join()
 
 
+def end_all_entries(callers, times, copy_restored_at=None):
+    """
+    Ends all entries together at each of these seconds; before, the store may come back from a copy of the first moment.
+    The requests that crash engines stay away until the entries are in contact again, as the rule counts only those.
+    """
+    site, started = callers.site, time.monotonic()
+    if copy_restored_at is not None:
+        copied = site.store.copy()
+        time.sleep(copy_restored_at)
+        site.store.restore(copied)
+    for at in times:
+        time.sleep(max(0, started + at - time.monotonic()))
+        callers.quiet_until = time.monotonic() + site.contact_ms / 1000 + 2
+        site.restart_all_entries(0.5)
+
+
 def start_crashing(callers, body, bodies_change, equal_complete):
     if equal_complete:
         callers.start(callers.send_crashing, body, 0.1, "GET")
@@ -127,13 +148,15 @@
 
 
 def run(arguments, folder, body, restart_seconds, seconds, list_delay=0, bodies_change=False, entries_change=False,
-        equal_complete=False):
+        equal_complete=False, all_end=None):
     with Site(arguments.binaries, folder, arguments.entries, arguments.engines, restart_seconds, list_delay) as site:
         callers = Callers(site, arguments.seed, time.monotonic() + seconds)
         start_harmless(callers)
         start_crashing(callers, body, bodies_change, equal_complete)
         if entries_change:
             callers.start(disturb_entries, callers)
+        if all_end:
+            callers.start(lambda: end_all_entries(callers, **all_end))
         callers.join()
         # Of a request that crashes only some of its runs, the runs that crash count.
         late, crashes = retries_after_third_crash(site, callers, body, "ends" if body == "partly" else "arrived")
@@ -166,6 +189,11 @@
                                       "entries_change": True},
     # The request crashes the engine in some of its runs only.
     "some_runs": {"body": "partly", "restart_seconds": 2.0, "seconds": 20},
+    # All entries are killed at the same moment, again and again.
+    "all_entries_end": {"body": "crash", "restart_seconds": 2.0, "seconds": 36, "all_end": {"times": [6, 15, 24]}},
+    # Before that, the store comes back from a copy that is older than the first crash.
+    "all_entries_end_store_restored": {"body": "crash", "restart_seconds": 2.0, "seconds": 32, "all_end": {
+        "times": [20], "copy_restored_at": 7}},
     # Each crashing request has another body, so that none can be blocked; all other requests must still be served.
     "changing_bodies": {"body": "crash", "restart_seconds": 1.0, "seconds": 12, "bodies_change": True},
 }
--- a/tests/platform/processes/site_processes.py
+++ b/tests/platform/processes/site_processes.py
@@ -144,6 +144,18 @@
         self.entries[number] = self.start_entry(number)
         self.disturbances.append((number, started, time.monotonic()))
 
+    def restart_all_entries(self, delay):
+        """Kills all entries at the same moment and starts them after the delay."""
+        started = time.monotonic()
+        for child in self.entries:
+            child.send_signal(signal.SIGKILL)
+        for child in self.entries:
+            child.wait()
+        time.sleep(delay)
+        self.entries = [self.start_entry(number) for number in range(len(self.entries))]
+        for number in range(len(self.entries)):
+            self.disturbances.append((number, started, time.monotonic()))
+
     def freeze_entry(self, number, seconds):
         started = time.monotonic()
         self.entries[number].send_signal(signal.SIGSTOP)
--- a/tests/platform/processes/store.py
+++ b/tests/platform/processes/store.py
@@ -28,12 +28,29 @@
 
     def put(self, table, key, value):
         """Stores a JSON value, the bytes as they are, or, for None, deletes the row."""
-        data = value if value is None or isinstance(value, bytes) else json.dumps(value).encode()
+        self.put_bytes(table, key, value if value is None or isinstance(value, bytes) else json.dumps(value).encode())
+
+    def put_bytes(self, table, key, data):
         with self.changed:
             self.version += 1
             self.rows[table, key] = (self.version, data)
             self.changed.notify_all()
 
+    def copy(self):
+        """A copy of the tables of the system; those of the operator and the engines are always written again."""
+        with self.changed:
+            return self.version, {row: item for row, item in self.rows.items() if row[0] not in ("op", "servers")}
+
+    def restore(self, copied):
+        """Comes back from a copy; versions go back and are given out again."""
+        with self.changed:
+            version, rows = copied
+            kept = sorted((item for item in self.rows.items() if item[0][0] in ("op", "servers")),
+                          key=lambda item: item[1][0])
+            self.rows, self.version = dict(rows), version
+        for (table, key), (_, data) in kept:
+            self.put_bytes(table, key, data)
+
     def lose_history(self):
         with self.changed:
             self.version += 1
@@ -99,6 +116,8 @@
                 body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
                 for row in body["puts"]:
                     store.put(row["table"], row["key"], base64.b64decode(row["value"]))
+                for row in body["deletes"]:
+                    store.put(row["table"], row["key"], None)
                 self.answer({"ver": store.version})
 
             def answer(self, value, status=200):
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -65,6 +65,11 @@
         co_return watch::PutResult::Written;
     }
 
+    [[nodiscard]] RowSink::Task<watch::PutResult> remove(std::string /*key*/) override
+    {
+        co_return watch::PutResult::Failed;
+    }
+
 private:
     asio::io_context& context;
     FakeStore& store;
--- a/tests/suspect/strike_fleet.hpp
+++ b/tests/suspect/strike_fleet.hpp
@@ -2,11 +2,13 @@
 
 #include "base/random.hpp"
 #include "suspect/shared_strikes.hpp"
+#include "suspect/strike_archive.hpp"
 
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +33,7 @@
     std::chrono::milliseconds downTime { 1'000 };
     bool restartsAreListed = true;
     bool share = true;
+    bool keepsStrikes = false; ///< In a store that outlasts the processes.
     double crashShare = 1; ///< Share of the runs of the crashing request that crash their target.
     std::chrono::milliseconds noticeTime { 0 }; ///< From the crash by that request until its process notices it.
 };
@@ -40,6 +43,8 @@
 public:
     static constexpr std::chrono::milliseconds step { 10 };
     static constexpr std::uint64_t crashing = 1; ///< Fingerprint of the request that crashes its target.
+    /** Time for which a process that has started waits for the strikes of the store. */
+    static constexpr std::chrono::milliseconds loadTime { 1'000 };
 
     StrikeFleet(StrikeFleetOptions options, std::uint64_t seed)
         : options { options }
@@ -66,6 +71,19 @@
         std::erase_if(this->unnoticed, [index](const auto& crash) { return crash.process == index; });
     }
 
+    /** Ends all processes at the same moment. */
+    void restartAll()
+    {
+        for (std::size_t index = 0; index < this->processes.size(); ++index)
+            this->restart(index);
+    }
+
+    /** The store is away for this time. */
+    void disconnectStore(std::chrono::milliseconds time) { this->storeBackAt = this->clock.now() + time; }
+    /** The store comes back from the copy that it had at the last call of copyStore. */
+    void restoreStore() { this->rows = this->copiedRows; }
+    void copyStore() { this->copiedRows = this->rows; }
+
     void freeze(std::size_t index, std::chrono::milliseconds time)
     {
         this->processes[index].frozenUntil = this->clock.now() + time;
@@ -107,6 +125,9 @@
         std::string name;
         std::unique_ptr<StrikeTable> table;
         std::unique_ptr<SharedStrikes> shared;
+        std::unique_ptr<SuspectFeatures> features;
+        std::unique_ptr<StrikeArchive> archive;
+        bool isLoaded = false;
         base::SteadyTime frozenUntil {};
         base::SteadyTime cutUntil {};
         base::SteadyTime contactSince {}; ///< End of the last restart, freeze or cut.
@@ -145,6 +166,9 @@
     std::vector<base::SteadyTime> counted; ///< Runs of the crashing request that crash, from members in contact.
     std::vector<UnnoticedCrash> unnoticed;
     std::uint64_t messages = 0;
+    std::map<std::string, std::string> rows; ///< Of the store.
+    std::map<std::string, std::string> copiedRows;
+    base::SteadyTime storeBackAt {};
 
     void addProcess()
     {
@@ -164,6 +188,11 @@
         process.shared = std::make_unique<SharedStrikes>(this->clock, this->random, *process.table,
             SharedStrikesOptions {
                 .instance = process.name, .learnTime = CrashRule::contact, .share = this->options.share });
+        process.features = std::make_unique<SuspectFeatures>(
+            this->clock, this->random, featureOptions({}, { .instance = process.name }));
+        process.archive = std::make_unique<StrikeArchive>(this->clock, *process.table, *process.shared,
+            *process.features, StrikeArchiveOptions { .expiry = std::chrono::hours { 1 } });
+        process.isLoaded = false;
         process.contactSince = this->clock.now();
     }
 
@@ -205,10 +234,35 @@
         }
     }
 
+    void exchangeWithStore(Process& process)
+    {
+        if (!this->options.keepsStrikes || this->clock.now() < this->storeBackAt)
+            return;
+        if (!process.isLoaded || process.archive->needsReload())
+            process.archive->load({ this->rows.begin(), this->rows.end() });
+        process.isLoaded = true;
+        if (!process.archive->hasChanges())
+            return;
+        for (const auto& write : process.archive->writes()) {
+            // A tenth of the writes is not acknowledged, and half of these are not carried out.
+            const bool isLost = this->random.below(10) == 0;
+            if (isLost && this->random.below(2) == 0)
+                continue;
+            if (write.value)
+                this->rows.insert_or_assign(write.key, *write.value);
+            else
+                this->rows.erase(write.key);
+            if (!isLost)
+                process.archive->recordWrite(write);
+        }
+    }
+
     /** Sets granter if the run is a trial. */
     [[nodiscard]] bool mayRun(Process& process, std::uint64_t fingerprint, std::string& granter)
     {
         granter.clear();
+        if (this->options.keepsStrikes && !process.isLoaded && this->clock.now() - process.contactSince < loadTime)
+            return false;
         if (process.table->verdict(fingerprint) != Verdict::Blocked)
             return true;
         const auto due = process.shared->trialAt(fingerprint);
@@ -367,9 +421,12 @@
                 .since = this->clock.now(),
                 .nextTry = this->clock.now() });
         this->advanceHarmless();
-        for (auto& process : this->processes)
-            if (!this->isFrozen(process))
-                this->exchange(process);
+        for (auto& process : this->processes) {
+            if (this->isFrozen(process))
+                continue;
+            this->exchange(process);
+            this->exchangeWithStore(process);
+        }
     }
 };
 
