Refuse answers whose number is no status of HTTP

Callers got 600 and 999 as answers: the parser takes any three digits, and classifyAnswer took everything from 300 on for a failure of the target. (000, which other systems passed on, was refused here as no success.)

http::Client now refuses a status outside 100 to 599 as an invalid response, for all readers of answers: entries, agents, the store and peers.

Evidence: without the change, NoStatusTest fails on all three kinds of routes and ClientFraming.RejectsInvalidStatuses fails; with it they pass, as do the other tests of framing, cancellation and answer_check.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.hpp"
 
+#include "http/status.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -386,6 +388,11 @@
         reason = { .code = internal::readErrorCode(readError), .detail = "read: " + readError.message() };
         co_return nullptr;
     }
+    if (!status::isValid(result->status())) {
+        reason = { .code = ErrorCode::InvalidResponse,
+            .detail = "status " + std::to_string(result->status()) + " is invalid" };
+        co_return nullptr;
+    }
     current.stream = std::move(stream);
     co_return result;
 }
--- a/src/http/status.hpp
+++ b/src/http/status.hpp
@@ -12,4 +12,7 @@
 constexpr unsigned misdirected = 421;
 constexpr unsigned unavailable = 503;
 
+/** True for numbers of the five classes; all others are invalid (section 15). */
+constexpr bool isValid(unsigned status) noexcept { return status >= 100 && status < 600; }
+
 } // namespace chivewinch::http::status
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -320,6 +320,42 @@
     }
 }
 
+class NoStatusTest : public GatewayTest, public testing::WithParamInterface<RouteKind> { };
+
+// Guards against a number that is no final status of HTTP and reaches the caller as an answer.
+TEST_P(NoStatusTest, IsNoAnswer)
+{
+    unsigned status = 0;
+    bool isSealed = true;
+    this->start(GetParam(), [&](int, const auto& request, auto& writer) -> http::Task<void> {
+        auto response = sealedResponse(request, status);
+        if (!isSealed)
+            response.headers.pop_back();
+        (void)co_await writer.send(std::move(response));
+    });
+    for (const unsigned number : { 0U, 1U, 20U, 99U, 100U, 101U, 199U, 600U, 601U, 700U, 999U }) {
+        for (const bool sealed : { true, false }) {
+            status = number;
+            isSealed = sealed;
+            const auto response = this->send(callerRequest());
+            EXPECT_EQ(response.status, 502U) << number;
+            EXPECT_EQ(response.body.find("answer\n"), std::string::npos);
+            EXPECT_EQ(headerOf(response, "T-Seal"), "") << number;
+        }
+    }
+    for (const unsigned number : { 200U, 299U, 400U, 418U, 500U, 599U }) {
+        // A success without events is no stream.
+        if (GetParam() == RouteKind::Stream && number < 300)
+            continue;
+        status = number;
+        isSealed = true;
+        EXPECT_EQ(this->send(callerRequest()).status, number);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, NoStatusTest, testing::Values(RouteKind::NotRepeatable, RouteKind::Repeatable, RouteKind::Stream));
+
 // Guards against a refusal of an earlier request that a faulty target writes once more on a kept connection: the caller
 // would be told that its request has not run, while the target runs it.
 TEST_F(GatewayTest, TakesNoRepeatedRefusalWithoutAnIdForItsOwn)
--- a/tests/http/framing_test.cpp
+++ b/tests/http/framing_test.cpp
@@ -198,6 +198,21 @@
     EXPECT_EQ(sendOneRequest(server.endpoint()).code, ErrorCode::None);
 }
 
+// Guards against a number that is no status of HTTP and is taken for an answer, by whatever reads it.
+TEST(ClientFraming, RejectsInvalidStatuses)
+{
+    for (const std::string status : { "000", "001", "099", "600", "601", "999", "0", "20", "1000", "-20", "2 0", "" }) {
+        for (const std::string version : { "1.1", "1.0" }) {
+            RawServer server { "HTTP/" + version + " " + status + " X\r\nContent-Length: 0\r\n\r\n" };
+            EXPECT_EQ(sendOneRequest(server.endpoint()).code, ErrorCode::InvalidResponse) << version << " " << status;
+        }
+    }
+    for (const std::string status : { "200", "404", "599" }) {
+        RawServer server { "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n" };
+        EXPECT_EQ(sendOneRequest(server.endpoint()).code, ErrorCode::None) << status;
+    }
+}
+
 // Guards against a response that never ends because single bytes arrive within each read timeout.
 TEST(ClientFraming, TimesOutSlowEndlessResponse)
 {
