Keep witnesses in place, and count the memory of request heads as they are held now

A stale connection next to a witness let the client use the witness itself for the next request. http::Fields grow by doubling, and the head of a request is copied once more when it is sent, which headMemory did not count.

Tests of the witness, of start times in reports and of the removal of rows.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -238,9 +238,9 @@
     return this->lifetimes->isOneProcess(response.state->accepted, event);
 }
 
-std::optional<Client::IdleConnection> Client::takeIdle(bool oldest)
+std::optional<Client::IdleConnection> Client::takeIdle(bool oldest, std::size_t reserved)
 {
-    while (!this->pool->empty()) {
+    while (this->pool->size() > reserved) {
         auto chosen = std::prev(this->pool->end());
         if (oldest)
             chosen = std::ranges::min_element(*this->pool, {}, &IdleConnection::accepted);
@@ -277,8 +277,8 @@
     if (this->keepsWitness && !sendOptions.oldestConnection)
         co_await this->openWitness();
     const std::size_t reserved = this->keepsWitness && !sendOptions.oldestConnection ? 1 : 0;
-    if (!sendOptions.freshConnection && this->pool->size() > reserved) {
-        if (auto idle = this->takeIdle(sendOptions.oldestConnection))
+    if (!sendOptions.freshConnection) {
+        if (auto idle = this->takeIdle(sendOptions.oldestConnection, reserved))
             co_return Connection { .stream = std::move(idle->stream), .accepted = idle->accepted, .isKept = true };
     }
     boost::system::error_code error;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -203,8 +203,11 @@
 
     /** Returns a connection without a stream and sets the error if none can be opened. */
     [[nodiscard]] Task<Connection> connect(SendOptions sendOptions, Error& reason);
-    /** Returns an idle connection that is usable, and removes it from the pool. */
-    [[nodiscard]] std::optional<IdleConnection> takeIdle(bool oldest);
+    /**
+     * Returns an idle connection that is usable, and removes it from the pool.
+     * @param reserved Number of connections, from the front, that stay there.
+     */
+    [[nodiscard]] std::optional<IdleConnection> takeIdle(bool oldest, std::size_t reserved = 0);
     /** Opens an idle connection unless there is one. */
     [[nodiscard]] Task<void> openWitness();
     void keepIdle(std::unique_ptr<boost::beast::tcp_stream> stream, EventNumber accepted);
--- a/src/http/fields.hpp
+++ b/src/http/fields.hpp
@@ -34,6 +34,7 @@
         }
 
         [[nodiscard]] FieldName name() const noexcept { return this->known; }
+        // NOLINTNEXTLINE(readability-identifier-naming): the name that Beast's fields have.
         [[nodiscard]] StringView name_string() const noexcept { return this->nameText; }
         [[nodiscard]] StringView value() const noexcept { return this->valueText; }
 
--- a/src/http/shedding.hpp
+++ b/src/http/shedding.hpp
@@ -43,15 +43,16 @@
     std::span<const ConnectionView> connections, std::size_t bytes);
 
 /**
- * Memory that a request head of the given size and number of lines holds: the bytes as received and as parsed, and the
- * parser's node of each field, once more for the copy that is forwarded. Heads of many short fields take many times
- * their size.
+ * Upper bound of the memory of a request's head: the bytes as they were read, its fields, once more for the copy that
+ * is forwarded, and that copy as it is sent. Fields grow by doubling. Heads of many short fields take many times their
+ * size.
  */
 [[nodiscard]] constexpr std::size_t headMemory(std::size_t bytes, std::size_t lines) noexcept
 {
-    constexpr std::size_t nodeBytes = 112;
+    constexpr std::size_t fieldBytes = 112;
+    constexpr std::size_t growth = 2;
     constexpr std::size_t copies = 2;
-    return bytes + copies * (bytes + lines * nodeBytes);
+    return 2 * bytes + copies * (growth * bytes + lines * fieldBytes);
 }
 
 } // namespace chivewinch::http
--- a/tests/http/framing_test.cpp
+++ b/tests/http/framing_test.cpp
@@ -154,6 +154,56 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+/** Sends a request and reads its response; the stream remains for questions about its connection. */
+Task<std::unique_ptr<ResponseStream>> sendAndRead(Client& client, SendOptions options)
+{
+    Error reason;
+    auto stream = co_await client.open(makeRequest("GET", "/"), options, reason);
+    if (!stream)
+        co_return nullptr;
+    stream->recordAnswered();
+    while (true) {
+        const auto bytes = co_await stream->read(reason);
+        if (!bytes || bytes->empty())
+            co_return stream;
+    }
+}
+
+// Guards against an answer on a younger connection that is taken for a sign of the process that sent an earlier one.
+TEST(ClientWitness, OnlyOlderConnectionsShowThatTheSenderRuns)
+{
+    for (const bool keepsWitness : { false, true }) {
+        RawServer server { validResponse };
+        asio::io_context context;
+        const auto task = [&]() -> Task<void> {
+            Client client { context.get_executor(), { .server = server.endpoint(), .readTimeout = 1s } };
+            if (keepsWitness)
+                client.keepWitness();
+            for (int i = 0; i < 3; ++i) {
+                const SendOptions fresh { .freshConnection = true };
+                const SendOptions oldest { .oldestConnection = true };
+                const auto response = co_await sendAndRead(client, fresh);
+                EXPECT_NE(response, nullptr);
+                if (!response)
+                    co_return;
+                const auto end = client.nextEvent();
+                EXPECT_FALSE(client.senderRanAt(*response, end));
+                // Without a witness, the first response has the oldest connection.
+                const auto later = co_await sendAndRead(client, oldest);
+                EXPECT_NE(later, nullptr);
+                EXPECT_TRUE(client.senderRanAt(*response, end) || (!keepsWitness && i == 0));
+                client.closeIdleConnections();
+                const auto last = co_await sendAndRead(client, oldest);
+                EXPECT_NE(last, nullptr);
+                EXPECT_FALSE(client.senderRanAt(*response, client.nextEvent())) << "no connection is older";
+            }
+        };
+        auto result = asio::co_spawn(context, task(), asio::use_future);
+        context.run();
+        result.get();
+    }
+}
+
 /** Sends one request and returns its error. */
 Error sendOneRequest(const settings::Endpoint& endpoint)
 {
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/decode_engine.hpp"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include <string>
 #include <vector>
@@ -129,6 +130,21 @@
     EXPECT_EQ(rows->page.rows[3].value, "");
 }
 
+// Guards against a target that seems to have been replaced, or not, because its report cannot be read.
+TEST(Decode, ReadsTheStartTimeOfATarget)
+{
+    EXPECT_EQ(decodeIncarnation(R"({"stage":"mixed","born":1779017309900})"), base::Incarnation { 1'779'017'309'900 });
+    for (const std::string report : { "", "answer", "[]", R"({"stage":"mixed"})", R"({"born":0})", R"({"born":"x"})",
+             R"({"born":-1})", R"({"born":1e30})", R"({"born":1779017309900)" })
+        EXPECT_EQ(decodeIncarnation(report), std::nullopt) << report;
+}
+
+TEST(Decode, EncodesTheRemovalOfARow)
+{
+    EXPECT_EQ(nlohmann::json::parse(encodeDelete("t", "k")),
+        nlohmann::json::parse(R"({"expectedRev":[],"puts":[],"deletes":[{"table":"t","part":"","key":"k"}]})"));
+}
+
 TEST(Decode, ReadsEngines)
 {
     const auto report = decodeReport(R"({"group":{"name":"g0","epoch":1,"rank":7,"state":"open"},"size":16,"step":36,
@@ -187,6 +203,7 @@
         (void)decodeExperts(text);
         (void)decodeMember("i", text, "s", "g0");
         (void)decodeLimits(text, "s");
+        (void)decodeIncarnation(text);
         (void)decodeBase64(text);
     }
 }
