--- a/src/gateway/sender_check.cpp
+++ b/src/gateway/sender_check.cpp
@@ -39,7 +39,9 @@
 {
     this->end = this->client->nextEvent();
     this->limit = this->services.clock.now() + std::min(timeLeft, this->services.options.attempts.senderCheckTimeout);
-    for (int asked = 0; asked<internal::maxConnectionsAsked&& this->timeLeft().count()> 0; ++asked) {
+    for (int asked = 0; asked < internal::maxConnectionsAsked; ++asked) {
+        if (this->timeLeft().count() <= 0)
+            break;
         if (const auto state = co_await this->ask(answer))
             co_return *state;
     }
@@ -62,7 +64,10 @@
     if (!response)
         co_return SenderState::Unknown;
     // A faulty target may answer an earlier request of the connection once more.
-    const bool isAnswered = response->header(names.requestId) == id;
+    const auto answeredId = response->header(names.requestId);
+    const bool isAnswered = answeredId == id;
+    if (!isAnswered && !answeredId.empty())
+        co_return SenderState::Unknown;
     if (isAnswered)
         response->recordAnswered();
     if (response->status() == http::status::misdirected)
--- a/src/suspect/strike_archive.cpp
+++ b/src/suspect/strike_archive.cpp
@@ -70,7 +70,7 @@
         .at = this->clock.wallNow() - report.age,
         .cleared = report.cleared,
         .trial = report.trial };
-    return { .key = recordKey(kind, report.strike), .value = encode(record), .cleared = report.cleared };
+    return { .key = recordKey(kind, report.strike), .value = encode(record) };
 }
 
 void StrikeArchive::addMissing(StrikeKind kind, const StrikeList& reports, std::vector<Write>& writes) const
--- a/src/suspect/strike_archive.hpp
+++ b/src/suspect/strike_archive.hpp
@@ -38,7 +38,6 @@
     struct Write {
         std::string key;
         std::optional<std::string> value;
-        bool cleared = false;
     };
 
     StrikeArchive(const base::Clock& clock, const StrikeTable& requests, SharedStrikes& requestSharing,
