Ask about a sender without a request id, so that no target runs the question

A target refuses a request without an id and runs nothing; any answer shows that its process lives. An answer that echoes an id belongs to an earlier request of the connection and is not taken for one.

EndedTargetTest.ChecksRunNothing guards against it.

--- a/src/gateway/sender_check.cpp
+++ b/src/gateway/sender_check.cpp
@@ -52,9 +52,8 @@
 {
     const auto& identity = this->services.options.targetIdentity;
     const auto& names = this->services.options.headers;
-    const auto id = base::toString(base::randomRequestId(this->services.random));
+    // Without an ID, no target takes it for a request to run.
     auto request = http::makeRequest("GET", identity.path);
-    request.set(names.requestId, id);
     request.set(names.expectedTarget, this->target.id);
     const http::SendOptions options { .readTimeout = this->timeLeft(), .oldestConnection = true };
     http::Error reason;
@@ -64,12 +63,9 @@
     if (!response)
         co_return SenderState::Unknown;
     // A faulty target may answer an earlier request of the connection once more.
-    const auto answeredId = response->header(names.requestId);
-    const bool isAnswered = answeredId == id;
-    if (!isAnswered && !answeredId.empty())
+    if (!response->header(names.requestId).empty())
         co_return SenderState::Unknown;
-    if (isAnswered)
-        response->recordAnswered();
+    response->recordAnswered();
     if (response->status() == http::status::misdirected)
         co_return SenderState::Ended;
     if (this->client->senderRanAt(answer, this->end))
@@ -78,8 +74,7 @@
     const auto incarnation = body && identity.incarnation ? identity.incarnation(*body) : std::nullopt;
     if (incarnation && this->target.incarnation != base::Incarnation {})
         co_return *incarnation == this->target.incarnation ? SenderState::Runs : SenderState::Ended;
-    if (isAnswered)
-        this->services.clients.keepWitnesses(this->target.pool);
+    this->services.clients.keepWitnesses(this->target.pool);
     // All other idle connections are younger than this one.
     co_return SenderState::Unknown;
 }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -684,7 +684,16 @@
             *socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::as_tuple(asio::use_awaitable));
         if (error)
             co_return;
-        const auto idAt = request.find("T-Id: ") + 6;
+        const auto found = request.find("T-Id: ");
+        if (found == std::string::npos) {
+            // A target runs nothing without an ID.
+            const std::string refusal = "HTTP/1.1 400 Bad Request\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            co_await asio::async_write(*socket, asio::buffer(refusal), asio::use_awaitable);
+            socket->close();
+            co_return;
+        }
+        ++this->runs;
+        const auto idAt = found + 6;
         const auto id = request.substr(idAt, request.find("\r\n", idAt) - idAt);
         const auto whole = this->headOf(id) + this->answer.body;
         const auto part = whole.substr(0, this->length);
@@ -734,6 +743,7 @@
     std::size_t length = 0;
     std::size_t sent = 0;
     std::size_t cuts = 0;
+    std::size_t runs = 0; ///< Requests with an ID.
     std::optional<AfterEnd> afterEnd; ///< All targets end with a cut answer.
     std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets;
 };
@@ -784,6 +794,18 @@
 // Guards against the same if another process has taken the place of the target before the check.
 TEST_P(EndedTargetTest, CutsNoAnswerThatLooksWholeIfItIsReplaced) { this->checkCut(AfterEnd::Accepts); }
 
+// Guards against a check of the sender that a target takes for a request that no caller has sent.
+TEST_P(EndedTargetTest, ChecksRunNothing)
+{
+    this->startCutting(GetParam());
+    constexpr std::size_t requests = 5;
+    for (std::size_t i = 0; i < requests; ++i) {
+        const auto whole = this->headOf("id-1").size() + this->answer.body.size();
+        EXPECT_FALSE(this->sendWithCut(whole).body.ends_with(" cut"));
+    }
+    EXPECT_EQ(this->runs, requests);
+}
+
 INSTANTIATE_TEST_SUITE_P(Answers, EndedTargetTest, testing::ValuesIn(cutAnswers()));
 
 INSTANTIATE_TEST_SUITE_P(Answers, CutAnswerTest, testing::ValuesIn(cutAnswers()));
