--- a/review/lib-4/standins.py
+++ b/review/lib-4/standins.py
@@ -62,35 +62,35 @@
     """The platform's store: rows with versions, read in full or as a feed, changed under conditions."""
 
     def __init__(self):
-        self.rows = {}  # (table, key) -> (version, bytes or None)
+        self.rows = {}  # (table, part, key) -> (version, bytes or None)
         self.version = 1
         self.changed = asyncio.Event()
 
-    def put(self, table, key, value):
+    def put(self, table, key, value, part=""):
         """Stores a JSON value; None deletes the row. The return is the acknowledgement."""
         self.version += 1
         data = value if value is None or isinstance(value, bytes) else json.dumps(value).encode()
-        self.rows[table, key] = (self.version, data)
+        self.rows[table, part, key] = (self.version, data)
         self.changed.set()
         self.changed = asyncio.Event()
 
     @staticmethod
-    def row(table, key, version, data):
-        row = {"table": table, "part": "", "key": key, "ver": version}
+    def row(table, part, key, version, data):
+        row = {"table": table, "part": part, "key": key, "ver": version}
         return row | ({"tombstone": True} if data is None else {"value": base64.b64encode(data).decode()})
 
-    def read_all(self, table):
-        return [self.row(name, key, version, data) for (name, key), (version, data) in sorted(self.rows.items())
-                if name == table and data is not None]
+    def read_all(self, table, part):
+        return [self.row(*row, version, data) for row, (version, data) in sorted(self.rows.items())
+                if row[:2] == (table, part) and data is not None]
 
     async def read_changes(self, table, since, wait):
         end = time.monotonic() + wait
         while True:
-            newer = sorted((version, key) for (name, key), (version, _) in self.rows.items()
-                           if name == table and version > since)
+            newer = sorted((version, row) for row, (version, _) in self.rows.items()
+                           if row[0] == table and version > since)
             left = end - time.monotonic()
             if newer or left <= 0:
-                return [self.row(table, key, version, self.rows[table, key][1]) for version, key in newer]
+                return [self.row(*row, version, self.rows[row][1]) for version, row in newer]
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
@@ -99,15 +99,15 @@
     def transact(self, body):
         failed = []
         for row in body["expectedRev"]:
-            version, data = self.rows.get((row["table"], row["key"]), (0, None))
+            version, data = self.rows.get((row["table"], row["part"], row["key"]), (0, None))
             if (version if data is not None else 0) != row["ver"]:
-                failed.append(self.row(row["table"], row["key"], version, data))
+                failed.append(self.row(row["table"], row["part"], row["key"], version, data))
         if failed:
             return 412, {"rows": [row for row in failed if "value" in row]}
         for row in body["puts"]:
-            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]), row["part"])
         for row in body["deletes"]:
-            self.put(row["table"], row["key"], None)
+            self.put(row["table"], row["key"], None, row["part"])
         return 200, {}
 
     async def serve(self, reader, writer):
@@ -116,11 +116,11 @@
                 start, fields = await read_head(reader)
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 url = urllib.parse.urlsplit(start.split(" ")[1])
-                query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
+                query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query, keep_blank_values=True).items()}
                 await asyncio.sleep(0.003)
                 status, answer = 200, {}
                 if url.path == "/api/rows-get":
-                    answer = {"rows": self.read_all(query["table"]), "truncated": False}
+                    answer = {"rows": self.read_all(query["table"], query.get("part", "")), "truncated": False}
                 elif url.path == "/api/rows-feed":
                     answer = {"rows": await self.read_changes(
                         query["table"], int(query["sinceRev"]), int(query["waitMs"]) / 1000)}
@@ -179,6 +179,78 @@
         self.writers -= ends
 
 
+class Partition:
+    """Like Proxy, but while cut it is silent: bytes are held, and packets that open a connection are dropped.
+
+    They are dropped because the queue of connections that wait to be accepted is full.
+    """
+
+    def __init__(self, target, address):
+        self.target = target
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind((address, 0))
+        self.socket.listen(100)
+        self.socket.setblocking(False)
+        self.address = self.socket.getsockname()
+        self.open = asyncio.Event()
+        self.open.set()
+        self.fillers = []
+        self.tasks = set()
+        self.accepting = asyncio.create_task(self.accept())
+
+    async def accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(self.socket)
+            task = asyncio.create_task(self.serve(accepted))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def cut(self):
+        self.open.clear()
+        self.accepting.cancel()
+        self.socket.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self.fillers.append(filler)
+
+    def heal(self):
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        while True:
+            try:
+                self.socket.accept()[0].close()
+            except BlockingIOError:
+                break
+        self.socket.listen(100)
+        self.accepting = asyncio.create_task(self.accept())
+        self.open.set()
+
+    async def pump(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.open.wait()
+                writer.write(data)
+                await writer.drain()
+        except CLOSED:
+            pass
+        finally:
+            writer.close()
+
+    async def serve(self, accepted):
+        try:
+            reader, writer = await asyncio.open_connection(sock=accepted)
+            up_reader, up_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            accepted.close()
+            return
+        await asyncio.gather(self.pump(reader, up_writer), self.pump(up_reader, writer))
+
+
 class Engine:
     """An engine of a plain service. Records each request that it begins to work on."""
 
@@ -251,25 +323,31 @@
     def record(self, *words):
         self.record_file.write(f"{time.monotonic() - self.started_at:8.3f} {' '.join(str(word) for word in words)}\n")
 
-    async def start(self, zones, routes, services, extra=""):
-        """Starts the store and one entry for each zone in the list."""
+    async def start(self, zones, routes, services, silent=False):
+        """Starts the store and one entry for each zone in the list, each behind a proxy whose cuts may be silent."""
         server = await asyncio.start_server(self.store.serve, f"{self.network}.250", 0, limit=1 << 22)
         store_port = server.sockets[0].getsockname()[1]
         self.configuration = {"version": 0, "routes": routes, "services": services, "limits": {
             "maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
         self.put_configuration()
         for number, zone in enumerate(zones):
-            proxy = Proxy((f"{self.network}.250", store_port))
-            listening = await asyncio.start_server(proxy.serve, f"{self.network}.249", 0, limit=1 << 22)
+            target = (f"{self.network}.250", store_port)
+            if silent:
+                proxy = Partition(target, f"{self.network}.249")
+                port = proxy.address[1]
+            else:
+                proxy = Proxy(target)
+                listening = await asyncio.start_server(proxy.serve, f"{self.network}.249", 0, limit=1 << 22)
+                port = listening.sockets[0].getsockname()[1]
             self.proxies.append(proxy)
             address = f"{self.network}.{number + 1}"
             path = self.folder / f"entry-{number}.conf"
             path.write_text("\n".join(
                 [f"node=front-{number}", f"zone={zone}", f"listen.front={address}:8227", f"listen.ready={address}:8220",
-                 f"platform.address={self.network}.249:{listening.sockets[0].getsockname()[1]}",
+                 f"platform.address={self.network}.249:{port}",
                  "portRange=7340,7355", "limits.memoryMb=260", "limits.maxFds=4200",
                  *[f"zones.{name}=region" for name in sorted(set(zones))],
-                 *[f"bounds.{name}={value}" for name, value in BOUNDS.items()], extra, ""]))
+                 *[f"bounds.{name}={value}" for name, value in BOUNDS.items()], ""]))
             self.settings.append(path)
             self.entries.append(self.start_entry(number))
         for number in range(len(zones)):
@@ -345,9 +423,12 @@
     """Runs the case and ends the process with its code; open connections of the stand-ins end with it."""
 
     async def guarded():
+        task = asyncio.create_task(main())
+        # The time limit of the script ends it by this signal; the entries must end too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
-            code = await main()
-        except Exception as failure:  # The case could not run.
+            code = await task
+        except (Exception, asyncio.CancelledError) as failure:  # The case could not run.
             print("failed:", repr(failure), flush=True)
             code = 2
         os._exit(code)
