--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,7 @@
 import standins  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ZONES = ["z0"] * 9 + ["z1"]
+ZONES = ["z0", "z0", "z0", "z1", "z2", "z2"]  # As on the site.
 SOURCE = 0  # The entry that is cut from the store; the others of its zone read the rows from it.
 ROUNDS = 9
 CUT_SECONDS = 5.0  # At most 5.5.
