Send peers changes only after a position that they got from the same copy

Cause: a copy kept changes by version of the store and left out those that changed nothing for the process itself, among them the removal of a row that it never had, a row written again with an equal value, and a value that was restored. A reader that had read the store, or another peer, at a version in between took the newer version without the change.

Change: a state that is exchanged between processes is a position of one copy (identity of the process's start, number of updates), not a version of the store. A source sends changes only after a position that it has handed out itself, and a reader names it only while it has taken no other rows; any other reader gets the complete table. This holds along chains, when roles change, after a restart of the source and after a restored store, since nothing is derived from versions.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,13 +46,13 @@
     return options;
 }
 
-std::unique_ptr<relay::Relay> makeRelay(
-    asio::io_context& context, const GatewayOptions& options, const base::Clock& clock, const Feeds& feeds)
+std::unique_ptr<relay::Relay> makeRelay(asio::io_context& context, const GatewayOptions& options,
+    const base::Clock& clock, base::RandomSource& random, const Feeds& feeds)
 {
     if (!options.relay || feeds.peers == nullptr || feeds.peersSink == nullptr)
         return nullptr;
     return std::make_unique<relay::Relay>(
-        context.get_executor(), *options.relay, clock, *feeds.peers, *feeds.peersSink);
+        context.get_executor(), *options.relay, clock, random, *feeds.peers, *feeds.peersSink);
 }
 
 /** Keeps a request in the set of open ones. */
@@ -126,7 +126,7 @@
                     else
                         this->targets.markDisconnected(this->clock.now());
                 } } }
-    , relay { internal::makeRelay(context, this->options, clock, feeds) }
+    , relay { internal::makeRelay(context, this->options, clock, random, feeds) }
     , crashes { context.get_executor(), clock, random, this->options.strikes,
         { .instance = this->options.instance,
             .learnTime = this->options.strikeLearnTime,
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -14,19 +14,49 @@
 // Upper bound of the wait. A longer wait is an error of the sender and is shortened to this.
 constexpr std::uint64_t maxWaitMs = 60'000;
 
+Json toJson(const CopyPosition& position) { return Json::array({ position.copy, position.revision }); }
+
+CopyPosition parsePosition(const Json& value)
+{
+    return { .copy = wire::parseUnsigned(value.at(0)), .revision = wire::parseUnsigned(value.at(1)) };
+}
+
+Json toJson(const TableQuery& query)
+{
+    return Json::array({ query.version, query.position ? toJson(*query.position) : Json() });
+}
+
+TableQuery parseTableQuery(const Json& value)
+{
+    TableQuery query { .version = wire::parseUnsigned(value.at(0)) };
+    if (!value.at(1).is_null())
+        query.position = parsePosition(value.at(1));
+    return query;
+}
+
+UpdateKind parseKind(const Json& value)
+{
+    const auto kind = wire::parseUnsigned(value);
+    if (kind > static_cast<std::uint64_t>(UpdateKind::Behind))
+        throw std::out_of_range { "unknown kind of update" };
+    return static_cast<UpdateKind>(kind);
+}
+
 Json toJson(const TableUpdate& update)
 {
     auto rows = Json::array();
     for (const auto& row : update.page.rows)
         rows.push_back(Json::array({ row.key, row.value ? Json(*row.value) : Json() }));
-    return Json::array({ update.page.version, update.isSnapshot, std::move(rows) });
+    return Json::array(
+        { static_cast<std::uint64_t>(update.kind), update.page.version, toJson(update.position), std::move(rows) });
 }
 
 TableUpdate parseTableUpdate(const Json& value)
 {
-    TableUpdate update { .page = { .version = wire::parseUnsigned(value.at(0)) },
-        .isSnapshot = value.at(1).get<bool>() };
-    for (const auto& row : value.at(2)) {
+    TableUpdate update { .kind = parseKind(value.at(0)),
+        .page = { .version = wire::parseUnsigned(value.at(1)) },
+        .position = parsePosition(value.at(2)) };
+    for (const auto& row : value.at(3)) {
         watch::RowChange change { .key = row.at(0).get<std::string>() };
         if (!row.at(1).is_null())
             change.value = row.at(1).get<std::string>();
@@ -39,15 +69,18 @@
 
 std::string encode(const RelayQuery& query)
 {
-    return wire::toCbor({ { "since", query.since }, { "wait", query.wait.count() } });
+    auto tables = internal::Json::object();
+    for (const auto& [name, table] : query.tables)
+        tables[name] = internal::toJson(table);
+    return wire::toCbor({ { "tables", std::move(tables) }, { "wait", query.wait.count() } });
 }
 
 std::optional<RelayQuery> decodeQuery(const std::string& body)
 {
     return wire::decodeCbor(body, [](const internal::Json& value) {
         RelayQuery query;
-        for (const auto& [table, version] : value.at("since").items())
-            query.since.emplace(table, wire::parseUnsigned(version));
+        for (const auto& [name, table] : value.at("tables").items())
+            query.tables.emplace(name, internal::parseTableQuery(table));
         const auto wait = wire::parseUnsigned(value.at("wait"));
         query.wait = std::chrono::milliseconds { std::min(wait, internal::maxWaitMs) };
         return query;
--- a/src/relay/codec.hpp
+++ b/src/relay/codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/copy_position.hpp"
 #include "watch/row_feed.hpp"
 
 #include <chrono>
@@ -11,19 +12,34 @@
 
 namespace chivewinch::relay {
 
+/** What a process has of a table. */
+struct TableQuery {
+    std::uint64_t version = 0; ///< Version of the store; 0 if it has no rows.
+    /** Position of another process's copy whose rows it has; nullopt if it has read other rows since. */
+    std::optional<CopyPosition> position;
+
+    bool operator==(const TableQuery&) const = default;
+};
+
 /** Query from a process to the peer that reads the store for it. */
 struct RelayQuery {
-    /** Version known to the sender, by table; 0 if the sender has no rows of the table. */
-    std::map<std::string, std::uint64_t> since;
+    std::map<std::string, TableQuery> tables;
     std::chrono::milliseconds wait { 0 }; ///< Longest time that the peer may wait for a change before it answers.
 
     bool operator==(const RelayQuery&) const = default;
 };
 
-/** Changes of one table, or all of its rows. */
+enum class UpdateKind : std::uint8_t {
+    Snapshot, ///< The rows are the complete table.
+    Changes, ///< The rows are the changes after the position in the query.
+    Behind, ///< The source has an older version than the reader. There are no rows.
+};
+
+/** Answer to a TableQuery. */
 struct TableUpdate {
+    UpdateKind kind = UpdateKind::Snapshot;
     watch::Page page;
-    bool isSnapshot = false; ///< The rows are the complete table, not changes.
+    CopyPosition position; ///< Position of the source's copy to which the update leads.
 
     bool operator==(const TableUpdate&) const = default;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -33,10 +33,11 @@
 }
 
 Relay::Relay(const asio::any_io_executor& executor, RelayOptions given, const base::Clock& clock,
-    watch::RowFeed& peersFeed, watch::RowSink& peersSink)
+    base::RandomSource& random, watch::RowFeed& peersFeed, watch::RowSink& peersSink)
     : executor { executor }
     , options { std::move(given) }
     , clock { clock }
+    , random { random }
     , sink { peersSink }
     , peers { { .instance = this->options.instance, .zone = this->options.zone, .endpoint = this->options.listen },
         this->options.backoff }
@@ -66,21 +67,13 @@
 
 void Relay::add(std::string table, watch::RowWatcher& watcher, TableCopy::EquivalencePredicate isEquivalent)
 {
-    this->tables.push_back(
-        { .name = std::move(table), .watcher = &watcher, .copy = TableCopy { std::move(isEquivalent) } });
+    this->tables.emplace_back(std::move(table), watcher, TableCopy { this->random.next(), std::move(isEquivalent) });
 }
 
 void Relay::relayRows(const std::string& table, const std::vector<watch::RowChange>& rows, bool isSnapshot)
 {
     const auto found = std::ranges::find(this->tables, table, &RelayedTable::name);
-    if (found == this->tables.end())
-        return;
-    const auto before = found->copy.changedAt();
-    if (isSnapshot)
-        found->copy.replace(rows, found->watcher->currentVersion());
-    else
-        found->copy.change(rows, found->watcher->currentVersion());
-    if (found->copy.changedAt() == before)
+    if (found == this->tables.end() || !found->recordRows(rows, isSnapshot))
         return;
     for (const auto& waiter : std::exchange(this->waiting, {}))
         waiter->cancel();
@@ -175,7 +168,7 @@
     this->source = from;
     this->relayed = !from.empty();
     for (auto& table : this->tables)
-        table.watcher->setPaused(this->relayed);
+        table.setPaused(this->relayed);
     logging::Event { "rows_source" }.field("source", from.empty() ? "store" : from).info();
 }
 
@@ -183,7 +176,7 @@
 {
     RelayQuery query { .wait = this->options.wait };
     for (const auto& table : this->tables)
-        query.since.emplace(table.name, table.watcher->hasSnapshot() ? table.watcher->currentVersion() : 0);
+        query.tables.emplace(table.name(), table.query());
     const auto client = this->clients.of(peer.endpoint);
     http::Error error;
     const http::SendOptions send;
@@ -194,19 +187,19 @@
         co_return false;
     }
     const auto answer = response->status == http::status::ok ? decodeAnswer(response->body) : std::nullopt;
-    const bool isTaken = answer && this->applyAnswer(*answer);
+    const bool isTaken = answer && this->applyAnswer(*answer, query);
     if (!isTaken)
         this->peers.recordRefusal(peer.instance, this->clock.now());
     co_return isTaken;
 }
 
-bool Relay::applyAnswer(const RelayAnswer& answer)
+bool Relay::applyAnswer(const RelayAnswer& answer, const RelayQuery& query)
 {
     bool isComplete = true;
     for (auto& table : this->tables) {
-        const auto found = answer.tables.find(table.name);
-        isComplete = found != answer.tables.end()
-            && table.watcher->applyRelayed(found->second.page, found->second.isSnapshot) && isComplete;
+        const auto found = answer.tables.find(table.name());
+        isComplete
+            = found != answer.tables.end() && table.apply(found->second, query.tables.at(table.name())) && isComplete;
     }
     return isComplete;
 }
@@ -216,15 +209,15 @@
     if (this->relayed || this->isDraining || this->tables.empty())
         return false;
     const bool isInContact = std::ranges::all_of(
-        this->tables, [](const auto& table) { return table.watcher->inContact() && table.copy.isKnown(); });
-    return isInContact && this->clock.now() - this->tables.front().watcher->answeredAt() <= this->options.maxAge;
+        this->tables, [](const auto& table) { return table.watcher().inContact() && table.copy().isKnown(); });
+    return isInContact && this->clock.now() - this->tables.front().watcher().answeredAt() <= this->options.maxAge;
 }
 
-bool Relay::hasChanges(const RelayQuery& query) const
+bool Relay::hasRowsFor(const RelayQuery& query) const
 {
     return std::ranges::any_of(this->tables, [&query](const auto& table) {
-        const auto known = query.since.find(table.name);
-        return known != query.since.end() && table.copy.changedAt() > known->second;
+        const auto found = query.tables.find(table.name());
+        return found != query.tables.end() && table.hasRowsFor(found->second);
     });
 }
 
@@ -241,16 +234,8 @@
 {
     RelayAnswer answer;
     for (const auto& table : this->tables) {
-        const auto known = query.since.find(table.name);
-        if (known == query.since.end())
-            continue;
-        // A peer that has read the store itself in the meantime may have a newer version than this process. The answer
-        // then keeps the version of the peer, since there are no newer rows here.
-        TableUpdate update { .page = { .version = std::max(known->second, table.watcher->currentVersion()) } };
-        auto changed = known->second == 0 ? std::nullopt : table.copy.since(known->second);
-        update.isSnapshot = !changed.has_value();
-        update.page.rows = changed ? std::move(*changed) : table.copy.all();
-        answer.tables.emplace(table.name, std::move(update));
+        if (const auto found = query.tables.find(table.name()); found != query.tables.end())
+            answer.tables.emplace(table.name(), table.answer(found->second));
     }
     return answer;
 }
@@ -281,7 +266,7 @@
     const auto query = decodeQuery(body);
     if (!query)
         co_return response;
-    if (this->canServe() && !this->hasChanges(*query))
+    if (this->canServe() && !this->hasRowsFor(*query))
         co_await this->waitForChange(*query);
     response.status = http::status::unavailable;
     if (this->canServe())
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/random.hpp"
 #include "http/client_set.hpp"
 #include "http/server.hpp"
 #include "relay/codec.hpp"
 #include "relay/peers.hpp"
-#include "relay/table_copy.hpp"
+#include "relay/relayed_table.hpp"
 #include "watch/row_sink.hpp"
 #include "watch/row_watcher.hpp"
 
@@ -54,13 +55,6 @@
 /** Time after which all processes that are in contact with the store know a change of the peers. */
 [[nodiscard]] std::chrono::milliseconds propagationTime(const RelayOptions& options) noexcept;
 
-/** A table whose rows are relayed. */
-struct RelayedTable {
-    std::string name;
-    watch::RowWatcher* watcher = nullptr;
-    TableCopy copy;
-};
-
 /**
  * Lets one process of each zone, the first available one, read the store for its peers. All others query it for
  * changes. They read the store themselves only while that process does not answer, has no contact with the store, or
@@ -70,9 +64,12 @@
 public:
     static constexpr const char* path = "/relay";
 
-    /** @param peersFeed, peersSink Access to the table in which the processes register themselves. */
+    /**
+     * @param random Identifies the copies of the tables.
+     * @param peersFeed, peersSink Access to the table in which the processes register themselves.
+     */
     Relay(const boost::asio::any_io_executor& executor, RelayOptions options, const base::Clock& clock,
-        watch::RowFeed& peersFeed, watch::RowSink& peersSink);
+        base::RandomSource& random, watch::RowFeed& peersFeed, watch::RowSink& peersSink);
     Relay(const Relay&) = delete;
     Relay& operator=(const Relay&) = delete;
     ~Relay();
@@ -119,6 +116,7 @@
     boost::asio::any_io_executor executor;
     RelayOptions options;
     const base::Clock& clock;
+    base::RandomSource& random;
     watch::RowSink& sink;
     PeerList peers;
     watch::RowWatcher peersWatcher;
@@ -140,13 +138,13 @@
     [[nodiscard]] http::Task<void> run();
     /** Queries the peer for changes. Returns false if the peer must be skipped. */
     [[nodiscard]] http::Task<bool> pollPeer(Peer peer);
-    [[nodiscard]] bool applyAnswer(const RelayAnswer& answer);
+    [[nodiscard]] bool applyAnswer(const RelayAnswer& answer, const RelayQuery& query);
     void setRelayed(const std::string& from);
     /** Answer to a peer that reads from this process. */
     [[nodiscard]] http::Task<http::Response> serveRows(std::string body);
     [[nodiscard]] http::Task<void> serve(const http::Request& request, http::ResponseWriter& writer);
     [[nodiscard]] http::Task<void> waitForChange(const RelayQuery& query);
-    [[nodiscard]] bool hasChanges(const RelayQuery& query) const;
+    [[nodiscard]] bool hasRowsFor(const RelayQuery& query) const;
     [[nodiscard]] RelayAnswer answerTo(const RelayQuery& query) const;
     [[nodiscard]] http::Task<void> sleep(std::chrono::milliseconds time);
 };
--- a/tests/relay/codec_test.cpp
+++ b/tests/relay/codec_test.cpp
@@ -1,9 +1,11 @@
 #include "quota/message.hpp"
 #include "relay/codec.hpp"
 #include "relay/peers.hpp"
+#include "wire/cbor.hpp"
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <string>
 
 namespace chivewinch::relay {
@@ -33,6 +35,17 @@
     }
 }
 
+// Guards against an answer of another version of the program whose fields are read in the wrong order.
+TEST(RelayCodec, RejectsOtherLayouts)
+{
+    EXPECT_FALSE(decodeQuery(wire::toCbor({ { "since", { { "t", 5 } } }, { "wait", 400 } })));
+    EXPECT_FALSE(decodeQuery(wire::toCbor({ { "tables", { { "t", 5 } } }, { "wait", 400 } })));
+    const auto rows = nlohmann::json::array({ nlohmann::json::array({ "a", "1" }) });
+    EXPECT_FALSE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 5, true, rows }) } })));
+    EXPECT_FALSE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 3, 5, { 1, 1 }, rows }) } })));
+    EXPECT_TRUE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 0, 5, { 1, 1 }, rows }) } })));
+}
+
 // Guards against a row of another writer that is used as the address of a peer.
 TEST(RelayCodec, RejectsOddPeers)
 {
--- a/tests/relay/peers_test.cpp
+++ b/tests/relay/peers_test.cpp
@@ -91,12 +91,17 @@
 
 TEST(RelayCodec, RoundTripsMessages)
 {
-    const RelayQuery query { .since = { { "a", 7 }, { "b", 0 } }, .wait = 400ms };
+    const RelayQuery query { .tables
+        = { { "a", { .version = 7, .position = CopyPosition { .copy = 1ULL << 63U, .revision = 3 } } },
+            { "b", { .version = 7 } }, { "c", {} } },
+        .wait = 400ms };
     EXPECT_EQ(decodeQuery(encode(query)), query);
-    const RelayAnswer answer { .tables
-        = { { "a",
-            { .page = { .rows = { { .key = "k", .value = "v" }, { .key = "gone" } }, .version = 9 },
-                .isSnapshot = true } } } };
+    RelayAnswer answer;
+    for (const auto kind : { UpdateKind::Snapshot, UpdateKind::Changes, UpdateKind::Behind })
+        answer.tables.emplace(std::to_string(static_cast<int>(kind)),
+            TableUpdate { .kind = kind,
+                .page = { .rows = { { .key = "k", .value = "v" }, { .key = "gone" } }, .version = 9 },
+                .position = { .copy = 5, .revision = 4 } });
     EXPECT_EQ(decodeAnswer(encode(answer)), answer);
     for (const auto* body : { "", "{", "\xf6", "text" }) {
         EXPECT_EQ(decodeQuery(body), std::nullopt);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -154,7 +154,7 @@
                     .onChanges = [relayRows](const auto& rows) { relayRows(rows, false); },
                     .onContact = [](bool) {} });
             own.relay = std::make_unique<Relay>(
-                this->context.get_executor(), options(index, port), this->clock, *own.peers, *own.peers);
+                this->context.get_executor(), options(index, port), this->clock, this->random, *own.peers, *own.peers);
             own.relay->add("t", *own.watcher);
             ASSERT_TRUE(own.relay->start()) << own.relay->lastReason();
             asio::co_spawn(this->context, own.watcher->run(), asio::detached);
@@ -185,10 +185,25 @@
         return std::chrono::floor<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begun);
     }
 
+    /** The source is cut off while the readers take the first value, and they can learn of the second one only from it.
+     */
+    void changeWhileSourceIsCutOff(const std::optional<std::string>& first, const std::optional<std::string>& second)
+    {
+        this->processes[0]->isDisconnected = true;
+        this->store.put("t", "k", first);
+        EXPECT_LT(this->timeUntilSeen(first.value_or(""), 0), 600ms);
+        for (auto& process : this->processes)
+            process->isDisconnected = true;
+        this->store.put("t", "k", second);
+        this->processes[0]->isDisconnected = false;
+        EXPECT_LT(this->timeUntilSeen(second.value_or("")), 600ms);
+    }
+
     int callsOf(std::size_t index) const { return this->processes[index]->feed->calls; }
 
     asio::io_context context;
     base::SystemClock clock;
+    base::SeededRandom random { 20'261'207 };
     FakeStore store;
     std::vector<std::unique_ptr<Process>> processes;
 };
@@ -258,6 +273,32 @@
     EXPECT_GT(this->callsOf(1), calls);
 }
 
+// Guards against readers that keep a row for good because it was written and removed while their source was cut off.
+TEST_F(RelayTest, PassesOnTheRemovalOfARowThatItNeverHad)
+{
+    this->start(4);
+    this->changeWhileSourceIsCutOff("1", std::nullopt);
+}
+
+// Guards against readers that lose a row for good because it was removed and written again while their source was cut
+// off.
+TEST_F(RelayTest, PassesOnARowThatCameBackWithAnEqualValue)
+{
+    this->start(4);
+    this->store.put("t", "k", "1");
+    EXPECT_LT(this->timeUntilSeen("1"), 150ms);
+    this->changeWhileSourceIsCutOff(std::nullopt, "1");
+}
+
+// Guards against readers that keep an old value for good because it changed twice while their source was cut off.
+TEST_F(RelayTest, PassesOnAValueThatWasRestored)
+{
+    this->start(4);
+    this->store.put("t", "k", "1");
+    EXPECT_LT(this->timeUntilSeen("1"), 150ms);
+    this->changeWhileSourceIsCutOff("2", "1");
+}
+
 // Guards against stale rows when processes lose access to the store, the store is unavailable, or processes abandon
 // their source. A value that a process has seen must never be replaced by an older one, and every change must arrive in
 // bounded time.
