Wait for the engines before a test with processes sends requests

processes.OddRequests failed once, beside the tests of gateway, eight at a time: the first request was answered 503, because both targets refused the connection. Trace: the entry knew them from the store 4 s before, but their processes, which start as slowly as the machine is busy, did not listen yet. A new test failed in the same way.

The site now waits until each engine accepts connections. No bound and no check is changed. Run again eight at a time beside the tests of gateway: passed.

--- a/tests/platform/processes/site_processes.py
+++ b/tests/platform/processes/site_processes.py
@@ -49,6 +49,14 @@
         threading.Timer(self.site.list_delay if self.is_listed else 0, self.site.list_engine, [self]).start()
         self.is_listed = True
 
+    def is_listening(self):
+        host, port = self.listen.split(":")
+        try:
+            socket.create_connection((host, int(port)), timeout=1).close()
+        except OSError:
+            return False
+        return True
+
     def advance(self):
         if self.down_since is None:
             pid, status = os.waitpid(self.child.pid, os.WNOHANG | os.WUNTRACED)
@@ -88,6 +96,9 @@
         self.supervisor.start()
         for number in range(entries):
             wait_until(lambda: self.is_ready(number), f"entry {number} is ready")
+        # The entries know the engines from the store, also those that do not listen yet.
+        for engine in self.engines:
+            wait_until(engine.is_listening, f"{engine.id} is listening")
         time.sleep(2)  # The entries read the list of entries one second after their registration.
 
     def __enter__(self):
