End the delay of removals before an entry is in contact again

Cause: targets that are missing after an outage of the list are kept for 2.3 s, since entries expire in an outage and come back. The time was counted from the entry's own next answer, up to 1 s after the end of the cut, and any interruption of its own path was taken for an outage of the store.

Change: the delay ends at the latest 0.9 of the contact bound after the last failed call began. The cut cannot have ended before that moment, so that the entry is not in contact yet, whenever its next call comes. After an outage of 2.8 s or more the entry also asks others in the zone of the missing targets: if one had contact without an interruption, the store was there for that zone, and the targets are dropped at once. In a zone that is cut off nobody can say so, and its targets, whose entries expired although they run, are kept.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -92,6 +92,7 @@
     , coldTargetsMetric { this->registry.gauge(
           "chivewinch_cold_targets", "Targets that get a limited rate of requests because they are cold") }
     , targets { this->options.targets }
+    , commonOutage { watch::commonOutage(feeds.targetsWatch) }
     , dispatcher { this->options.dispatcher, random }
     , clients { context.get_executor(), this->options.attempts, this->options.buffers }
     , configurationWatcher { context.get_executor(), feeds.configuration, feeds.configurationWatch,
@@ -119,13 +120,7 @@
                     this->applyTargetRows(rows, false);
                     this->forwardRows(table, rows, false);
                 },
-            .onContact =
-                [this](bool isInContact) {
-                    if (isInContact)
-                        this->targets.markReconnected(this->clock.now());
-                    else
-                        this->targets.markDisconnected(this->clock.now());
-                } } }
+            .onContact = [this](bool isInContact) { this->handleListContact(isInContact); } } }
     , relay { internal::makeRelay(context, this->options, clock, random, feeds) }
     , crashes { context.get_executor(), clock, random, this->options.strikes,
         { .instance = this->options.instance,
@@ -359,6 +354,38 @@
         this->targets.replace(listed, now);
     this->hasTargets = true;
     this->applyTargets();
+    if (this->unverifiedOutage && !this->targets.zonesWithMissing().empty())
+        this->runInBackground("missing_targets",
+            [this, since = *std::exchange(this->unverifiedOutage, std::nullopt)] { return this->verifyOutage(since); });
+}
+
+void Gateway::handleListContact(bool isInContact)
+{
+    const auto now = this->clock.now();
+    if (!isInContact) {
+        this->targets.markDisconnected(now);
+        this->listLostAt = now;
+        return;
+    }
+    this->targets.markReconnected(now, this->targetsWatcher.failedCallAt());
+    const auto lostAt = std::exchange(this->listLostAt, std::nullopt);
+    const bool isVerifiable = lostAt && this->relay && now - *lostAt >= this->commonOutage;
+    this->unverifiedOutage = isVerifiable ? lostAt : std::nullopt;
+}
+
+http::Task<void> Gateway::verifyOutage(base::SteadyTime since)
+{
+    const auto zones = this->targets.zonesWithMissing();
+    for (const auto& zone : zones) {
+        const bool wasAvailable = co_await this->relay->hadContact(zone, since);
+        const auto removed = wasAvailable ? this->targets.removeMissing(zone) : 0;
+        logging::Event { "missing_targets" }
+            .field("zone", zone)
+            .field("cause", wasAvailable ? "left" : "may_have_expired")
+            .field("removed", removed)
+            .info();
+    }
+    this->applyTargets();
 }
 
 void Gateway::applyTargets()
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -18,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -89,6 +90,11 @@
     SnapshotHolder snapshots;
     membership::ListedTargets targets;
     std::uint64_t targetsVersion = 0;
+    /** An outage of the list that lasts this long here is noticed by every other entry that is affected by it. */
+    std::chrono::milliseconds commonOutage;
+    std::optional<base::SteadyTime> listLostAt; ///< Begin of the outage of the list, while it lasts.
+    /** Begin of an outage that has ended and is to be verified once the changes since then are known. */
+    std::optional<base::SteadyTime> unverifiedOutage;
     membership::ZoneEvacuations evacuations;
     Dispatcher dispatcher;
     TargetClients clients;
@@ -122,15 +128,21 @@
     void runInBackground(std::string name, std::function<http::Task<void>()> task);
     [[nodiscard]] http::Task<void> serveCaller(const http::Request& request, http::ResponseWriter& writer);
     [[nodiscard]] http::Task<void> serveStatus(const http::Request& request, http::ResponseWriter& writer) const;
-    /** Passes rows of a watcher to the relay for the peers. */
     /** True if a new row of a target has the same effect on requests as the row before. */
     [[nodiscard]] bool isSameTarget(const std::string& left, const std::string& right) const;
+    /** Passes rows of a watcher to the relay for the peers. */
     void forwardRows(const std::string& table, const std::vector<watch::RowChange>& rows, bool isSnapshot);
     void applyConfigurationRows(const std::vector<watch::RowChange>& rows);
     void applyEvacuationRows(const std::vector<watch::RowChange>& rows, bool isSnapshot);
     void logEvacuation(const membership::ZoneChange& change) const;
     void applyTargetRows(const std::vector<watch::RowChange>& rows, bool isSnapshot);
     void applyTargets();
+    void handleListContact(bool isInContact);
+    /**
+     * Finds out whether the list was unavailable to this process only, and then removes the targets that have left
+     * meanwhile.
+     */
+    [[nodiscard]] http::Task<void> verifyOutage(base::SteadyTime since);
     [[nodiscard]] http::Task<void> tick();
     void advance(base::SteadyTime now);
     /** Updates this entry's part of the retry slack when the number of entries changes. */
--- a/src/gateway/options.cpp
+++ b/src/gateway/options.cpp
@@ -71,6 +71,12 @@
         .pause = internal::scale(bounds.leaving, 0.35) };
 }
 
+membership::ListedTargetsOptions listedTargets(const ChangeBounds& bounds)
+{
+    // The rest of the bound covers the tick that removes the target, and requests already in transit.
+    return { .maxKeepTime = internal::scale(bounds.contact, 0.9) };
+}
+
 std::chrono::milliseconds strikeLearnTime(const ChangeBounds& bounds)
 {
     // The rest of the bound covers a trial on its way to the target.
--- a/src/gateway/options.hpp
+++ b/src/gateway/options.hpp
@@ -70,6 +70,9 @@
 [[nodiscard]] watch::WatchOptions configurationWatch(const ChangeBounds& bounds);
 [[nodiscard]] watch::WatchOptions targetsWatch(const ChangeBounds& bounds);
 
+/** Options of the target list with which a target that has left gets no requests from an entry that is in contact. */
+[[nodiscard]] membership::ListedTargetsOptions listedTargets(const ChangeBounds& bounds);
+
 /** Time that all entries have to learn of the crash that blocks a request. */
 [[nodiscard]] std::chrono::milliseconds strikeLearnTime(const ChangeBounds& bounds);
 
--- a/src/membership/listed_targets.cpp
+++ b/src/membership/listed_targets.cpp
@@ -48,10 +48,10 @@
         this->disconnectedAt = now;
 }
 
-void ListedTargets::markReconnected(base::SteadyTime now) noexcept
+void ListedTargets::markReconnected(base::SteadyTime now, base::SteadyTime unavailableAt) noexcept
 {
     if (this->disconnectedAt && now - *this->disconnectedAt >= this->options.minOutage)
-        this->recoveryEnd = now + this->options.recoveryTime;
+        this->recoveryEnd = std::min(now + this->options.recoveryTime, unavailableAt + this->options.maxKeepTime);
     this->disconnectedAt.reset();
 }
 
@@ -63,6 +63,25 @@
         ++this->changes;
 }
 
+std::set<base::ZoneId> ListedTargets::zonesWithMissing() const
+{
+    std::set<base::ZoneId> zones;
+    for (const auto& [id, entry] : this->entries) {
+        if (entry.removeAt)
+            zones.insert(entry.target.zone);
+    }
+    return zones;
+}
+
+std::size_t ListedTargets::removeMissing(const base::ZoneId& zone)
+{
+    const auto removed = std::erase_if(
+        this->entries, [&zone](const auto& item) { return item.second.removeAt && item.second.target.zone == zone; });
+    if (removed > 0)
+        ++this->changes;
+    return removed;
+}
+
 std::vector<ListedTarget> ListedTargets::snapshot() const
 {
     std::vector<ListedTarget> all;
--- a/src/membership/listed_targets.hpp
+++ b/src/membership/listed_targets.hpp
@@ -5,9 +5,11 @@
 #include "settings/value_type.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace chivewinch::membership {
@@ -34,6 +36,12 @@
      * An entry that is still missing afterwards is removed. The platform states about 2 s.
      */
     std::chrono::milliseconds recoveryTime { 2'300 };
+    /**
+     * Longest time for which a missing entry is kept after a moment at which the list was still unavailable. From the
+     * outside, an outage of the list and a cut of this process look the same, and a target that has left in the
+     * meantime must not get work from a process that is in contact again.
+     */
+    std::chrono::milliseconds maxKeepTime { 2'700 };
     /** Shortest outage of the list during which entries can expire. */
     std::chrono::milliseconds minOutage { 700 };
     /** Off: every removal takes effect at once, even right after an outage. */
@@ -57,12 +65,23 @@
 
     /** Starts an outage of the list; has no effect during an outage. */
     void markDisconnected(base::SteadyTime now) noexcept;
-    /** Ends an outage of the list. Removals are delayed from now on until the recovery time has passed. */
-    void markReconnected(base::SteadyTime now) noexcept;
+    /**
+     * Ends an outage of the list. Removals are delayed from now on until the recovery time has passed.
+     * @param unavailableAt Last moment at which the list is known to have been unavailable.
+     */
+    void markReconnected(base::SteadyTime now, base::SteadyTime unavailableAt) noexcept;
 
     /** Removes the entries that are still missing at the end of the recovery time. */
     void advance(base::SteadyTime now);
 
+    /** Zones of the targets whose removal is delayed. */
+    [[nodiscard]] std::set<base::ZoneId> zonesWithMissing() const;
+    /**
+     * Removes the targets of the zone whose removal is delayed: the list was available to their zone, so that their
+     * entries have not expired. Returns their number.
+     */
+    std::size_t removeMissing(const base::ZoneId& zone);
+
     /** All targets that are listed or may be listed again after an outage, ordered by id. */
     [[nodiscard]] std::vector<ListedTarget> snapshot() const;
     [[nodiscard]] const ListedTarget* find(const base::TargetId& target) const;
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -14,6 +14,9 @@
 // Upper bound of the wait. A longer wait is an error of the sender and is shortened to this.
 constexpr std::uint64_t maxWaitMs = 60'000;
 
+// Keeps a duration within the range of its type.
+constexpr std::uint64_t maxContactMs = std::chrono::milliseconds { std::chrono::hours { 24 * 365 } }.count();
+
 Json toJson(const CopyPosition& position) { return Json::array({ position.copy, position.revision }); }
 
 CopyPosition parsePosition(const Json& value)
@@ -107,4 +110,14 @@
     });
 }
 
+std::string encode(const ContactAnswer& answer) { return wire::toCbor({ { "contact", answer.contact.count() } }); }
+
+std::optional<ContactAnswer> decodeContactAnswer(const std::string& body)
+{
+    return wire::decodeCbor(body, [](const internal::Json& value) {
+        const auto contact = std::min(wire::parseUnsigned(value.at("contact")), internal::maxContactMs);
+        return ContactAnswer { .contact = std::chrono::milliseconds { contact } };
+    });
+}
+
 } // namespace chivewinch::relay
--- a/src/relay/codec.hpp
+++ b/src/relay/codec.hpp
@@ -50,10 +50,19 @@
     bool operator==(const RelayAnswer&) const = default;
 };
 
+/** What a process states about its contact with the store. */
+struct ContactAnswer {
+    std::chrono::milliseconds contact { 0 }; ///< Time up to now without an interruption.
+
+    bool operator==(const ContactAnswer&) const = default;
+};
+
 /** Messages are encoded as CBOR. Decoders return nullopt if the body is not a valid message. */
 [[nodiscard]] std::string encode(const RelayQuery& query);
 [[nodiscard]] std::optional<RelayQuery> decodeQuery(const std::string& body);
 [[nodiscard]] std::string encode(const RelayAnswer& answer);
 [[nodiscard]] std::optional<RelayAnswer> decodeAnswer(const std::string& body);
+[[nodiscard]] std::string encode(const ContactAnswer& answer);
+[[nodiscard]] std::optional<ContactAnswer> decodeContactAnswer(const std::string& body);
 
 } // namespace chivewinch::relay
--- a/src/relay/fwd.hpp
+++ b/src/relay/fwd.hpp
@@ -6,6 +6,7 @@
 class Relay;
 class RelayedTable;
 class TableCopy;
+struct ContactAnswer;
 struct CopyPosition;
 struct Peer;
 struct RelayAnswer;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -260,6 +260,33 @@
     co_return std::move(response->body);
 }
 
+std::string Relay::contactAnswer() const
+{
+    ContactAnswer answer;
+    if (!this->tables.empty())
+        answer.contact = this->tables.front().watcher().contactTime(this->options.maxAge);
+    return encode(answer);
+}
+
+http::Task<bool> Relay::hadContact(base::ZoneId zone, base::SteadyTime since)
+{
+    std::vector<std::string> witnesses;
+    for (const auto& [instance, peer] : this->peers.all()) {
+        if (peer.zone == zone && instance != this->options.instance)
+            witnesses.push_back(instance);
+    }
+    for (std::size_t asked = 0; asked < maxWitnesses && !witnesses.empty(); ++asked) {
+        const auto next = witnesses.begin() + static_cast<std::ptrdiff_t>(this->random.below(witnesses.size()));
+        const auto instance = *next;
+        witnesses.erase(next);
+        const auto body = co_await this->call(instance, contactPath, {});
+        const auto answer = body ? decodeContactAnswer(*body) : std::nullopt;
+        if (answer && answer->contact >= this->clock.now() - since)
+            co_return true;
+    }
+    co_return false;
+}
+
 http::Task<http::Response> Relay::serveRows(std::string body)
 {
     http::Response response { .status = http::status::badRequest };
@@ -281,6 +308,8 @@
     http::Response response { .status = http::status::notFound };
     if (http::pathOf(request) == path) {
         response = co_await this->serveRows(request.body());
+    } else if (http::pathOf(request) == contactPath) {
+        response = { .status = http::status::ok, .contentType = internal::contentType, .body = this->contactAnswer() };
     } else if (const auto service = this->services.find(http::pathOf(request)); service != this->services.end()) {
         auto body = service->second(request.body());
         response.status = body ? http::status::ok : http::status::badRequest;
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -63,6 +63,9 @@
 class Relay {
 public:
     static constexpr const char* path = "/relay";
+    static constexpr const char* contactPath = "/contact";
+    /** Number of processes that are asked about their contact; one that has ended does not answer. */
+    static constexpr std::size_t maxWitnesses = 2;
 
     /**
      * @param random Identifies the copies of the tables.
@@ -94,6 +97,12 @@
     [[nodiscard]] http::Task<std::optional<std::string>> call(
         std::string instance, std::string servicePath, std::string body);
 
+    /**
+     * Asks processes of the zone, other than this one, about their contact with the store. Returns true if one of them
+     * has had contact without interruption since the given time.
+     */
+    [[nodiscard]] http::Task<bool> hadContact(base::ZoneId zone, base::SteadyTime since);
+
     /** Registers this process and starts to serve. Returns false and sets lastReason if the address cannot be bound. */
     [[nodiscard]] bool start();
     [[nodiscard]] const std::string& lastReason() const noexcept { return this->reason; }
@@ -144,6 +153,8 @@
     [[nodiscard]] http::Task<http::Response> serveRows(std::string body);
     [[nodiscard]] http::Task<void> serve(const http::Request& request, http::ResponseWriter& writer);
     [[nodiscard]] http::Task<void> waitForChange(const RelayQuery& query);
+    /** Answer to a peer that asks about the contact of this process. */
+    [[nodiscard]] std::string contactAnswer() const;
     [[nodiscard]] bool hasRowsFor(const RelayQuery& query) const;
     [[nodiscard]] RelayAnswer answerTo(const RelayQuery& query) const;
     [[nodiscard]] http::Task<void> sleep(std::chrono::milliseconds time);
--- a/src/watch/row_watcher.cpp
+++ b/src/watch/row_watcher.cpp
@@ -19,6 +19,16 @@
 
 } // namespace internal
 
+std::chrono::milliseconds longestAnswerGap(const WatchOptions& options) noexcept
+{
+    return 2 * (options.pause + options.wait);
+}
+
+std::chrono::milliseconds commonOutage(const WatchOptions& options) noexcept
+{
+    return longestAnswerGap(options) + options.wait + options.timeouts.slack + options.maxRetry;
+}
+
 RowWatcher::RowWatcher(const asio::any_io_executor& executor, RowFeed& feed, WatchOptions options, WatchEvents events)
     : timer { executor }
     , feed { feed }
@@ -66,6 +76,7 @@
     FeedError reason;
     const bool whole = !this->hasSnapshotRows;
     const auto askedSince = this->version;
+    const auto begunAt = std::chrono::steady_clock::now();
     // GCC 12 destroys the operands of a conditional expression with co_await twice.
     std::optional<Page> page;
     if (whole)
@@ -78,14 +89,15 @@
     if (this->version != askedSince && (!page || page->version < this->version))
         co_return true;
     if (!page) {
-        this->recordFailure(reason);
+        this->recordFailure(reason, begunAt);
         // A lost history is an answer of the store, so the complete table can be read at once.
         co_return reason.code == FeedErrorCode::HistoryLost;
     }
     // Versions never decrease, so an answer with an older version was overtaken by a newer one.
     if (page->version < this->version) {
         this->recordFailure({ .code = FeedErrorCode::Malformed,
-            .detail = "the answer has an older table version than an earlier answer" });
+                                .detail = "the answer has an older table version than an earlier answer" },
+            begunAt);
         co_return false;
     }
     this->applyPage(*page, whole);
@@ -94,8 +106,11 @@
 
 void RowWatcher::applyPage(const Page& page, bool isSnapshot)
 {
+    const auto now = std::chrono::steady_clock::now();
+    if (!this->isInContact || now - this->lastAnswer > longestAnswerGap(this->options))
+        this->contactBegin = now;
+    this->lastAnswer = now;
     this->recordSuccess();
-    this->lastAnswer = std::chrono::steady_clock::now();
     this->version = page.version;
     this->hasSnapshotRows = true;
     if (isSnapshot)
@@ -128,7 +143,15 @@
     this->events.onContact(true);
 }
 
-void RowWatcher::recordFailure(const FeedError& reason)
+std::chrono::milliseconds RowWatcher::contactTime(std::chrono::milliseconds maxAge) const noexcept
+{
+    const bool isRecent = std::chrono::steady_clock::now() - this->lastAnswer <= maxAge;
+    if (!this->isInContact || !isRecent)
+        return std::chrono::milliseconds { 0 };
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->lastAnswer - this->contactBegin);
+}
+
+void RowWatcher::recordFailure(const FeedError& reason, std::chrono::steady_clock::time_point begunAt)
 {
     if (reason.code == FeedErrorCode::HistoryLost || reason.code == FeedErrorCode::Malformed)
         this->hasSnapshotRows = false;
@@ -136,6 +159,7 @@
         logging::Event { "store_history_lost" }.field("table", this->options.table).info();
         return;
     }
+    this->lastFailedCall = begunAt;
     if (!std::exchange(this->isInContact, false))
         return;
     logging::Event { "store_contact" }
--- a/src/watch/row_watcher.hpp
+++ b/src/watch/row_watcher.hpp
@@ -25,6 +25,15 @@
     bool operator==(const WatchOptions&) const = default;
 };
 
+/** Longest time between two answers of a feed that is available, with a call that has to be repeated. */
+[[nodiscard]] std::chrono::milliseconds longestAnswerGap(const WatchOptions& options) noexcept;
+
+/**
+ * Length from which an outage, as seen by one process, cannot be missed by others that watch the same store: a process
+ * may notice the end of an outage late by one call and one pause before it.
+ */
+[[nodiscard]] std::chrono::milliseconds commonOutage(const WatchOptions& options) noexcept;
+
 /** Callbacks of a watcher. They run on the watcher's executor. */
 struct WatchEvents {
     std::function<void(const std::vector<RowChange>&)> onSnapshot; ///< The whole table.
@@ -59,6 +68,13 @@
     [[nodiscard]] bool inContact() const noexcept { return this->isInContact; }
     /** Time of the last answer, from the feed or from elsewhere. */
     [[nodiscard]] std::chrono::steady_clock::time_point answeredAt() const noexcept { return this->lastAnswer; }
+    /** Time at which the last call that failed was begun; the feed was unavailable then or later. */
+    [[nodiscard]] std::chrono::steady_clock::time_point failedCallAt() const noexcept { return this->lastFailedCall; }
+    /**
+     * Time up to the last answer in which answers have followed one another without a failure or a gap that could hide
+     * one; zero if the last answer is older than the given age.
+     */
+    [[nodiscard]] std::chrono::milliseconds contactTime(std::chrono::milliseconds maxAge) const noexcept;
 
 private:
     boost::asio::steady_timer timer;
@@ -71,12 +87,14 @@
     bool isStopped = false;
     bool isPaused = false;
     std::chrono::steady_clock::time_point lastAnswer {};
+    std::chrono::steady_clock::time_point lastFailedCall {};
+    std::chrono::steady_clock::time_point contactBegin {};
     std::chrono::milliseconds retry;
 
     [[nodiscard]] RowFeed::Task<bool> step();
     void applyPage(const Page& page, bool isSnapshot);
     void recordSuccess();
-    void recordFailure(const FeedError& reason);
+    void recordFailure(const FeedError& reason, std::chrono::steady_clock::time_point begunAt);
     [[nodiscard]] RowFeed::Task<void> sleep(std::chrono::milliseconds time);
 };
 
--- a/tests/membership/listed_targets_test.cpp
+++ b/tests/membership/listed_targets_test.cpp
@@ -31,7 +31,7 @@
     ListedTargets targets;
     targets.replace({ target("a"), target("b") }, start);
     targets.markDisconnected(start + 1s);
-    targets.markReconnected(start + 6s);
+    targets.markReconnected(start + 6s, start + 5s + 600ms);
     targets.replace({}, start + 6s);
     EXPECT_NE(targets.find("a"), nullptr);
     targets.put(target("a"), start + 7s);
@@ -48,7 +48,7 @@
     ListedTargets targets;
     targets.replace({ target("a", true), target("b") }, start);
     targets.markDisconnected(start);
-    targets.markReconnected(start + 6s);
+    targets.markReconnected(start + 6s, start + 5s + 600ms);
     targets.remove("a", start + 6s);
     EXPECT_EQ(targets.find("a"), nullptr);
     targets.put(target("b", true), start + 6s);
@@ -64,7 +64,7 @@
     ListedTargets targets { { .keepExpired = false } };
     targets.replace({ target("a") }, start);
     targets.markDisconnected(start);
-    targets.markReconnected(start + 6s);
+    targets.markReconnected(start + 6s, start + 5s + 600ms);
     targets.replace({}, start + 6s);
     EXPECT_EQ(targets.find("a"), nullptr);
 }
@@ -75,10 +75,73 @@
     ListedTargets targets;
     targets.replace({ target("a") }, start);
     targets.markDisconnected(start);
-    targets.markReconnected(start + 100ms);
+    targets.markReconnected(start + 100ms, start);
     targets.remove("a", start + 200ms);
     EXPECT_EQ(targets.find("a"), nullptr);
 }
 
+// Guards against a process whose own cut looks like an outage of the list, and that sends work to a target that left
+// meanwhile although it has been in contact for the whole bound: the later its next call, the longer it did.
+TEST(ListedTargets, DropsAMissingTargetBeforeTheProcessIsInContactAgain)
+{
+    constexpr auto contactBound = 3s;
+    constexpr auto tick = 50ms;
+    for (auto untilNextCall = 0ms; untilNextCall <= 1'200ms; untilNextCall += 10ms) {
+        ListedTargets targets;
+        targets.replace({ target("a") }, start);
+        targets.markDisconnected(start);
+        // The cut ends right after the beginning of a call, which fails.
+        const auto endOfCut = start + 2s;
+        const auto reconnected = endOfCut + untilNextCall;
+        targets.markReconnected(reconnected, endOfCut);
+        targets.remove("a", reconnected);
+        auto now = reconnected;
+        for (; targets.find("a"); now += tick)
+            targets.advance(now + tick);
+        EXPECT_LT(now, endOfCut + contactBound) << untilNextCall.count();
+    }
+}
+
+// Guards against a target whose entry expired in an outage of the list, and that gets no work although it registers
+// again within two seconds of the list's return.
+TEST(ListedTargets, KeepsWorkForTargetsThatRegisterAgain)
+{
+    for (auto untilNextCall = 0ms; untilNextCall <= 700ms; untilNextCall += 10ms) {
+        ListedTargets targets;
+        targets.replace({ target("a") }, start);
+        targets.markDisconnected(start);
+        const auto returned = start + 5s;
+        const auto reconnected = returned + untilNextCall;
+        targets.markReconnected(reconnected, returned);
+        targets.replace({}, reconnected);
+        targets.advance(returned + 2s);
+        ASSERT_NE(targets.find("a"), nullptr) << untilNextCall.count();
+        targets.put(target("a"), returned + 2s);
+        targets.advance(returned + 10s);
+        EXPECT_NE(targets.find("a"), nullptr);
+    }
+}
+
+// Guards against removed targets that are kept although their entries cannot have expired, and against a zone whose
+// expired targets are dropped because the list was available to another zone.
+TEST(ListedTargets, RemovesMissingTargetsByZone)
+{
+    ListedTargets targets;
+    auto far = target("b");
+    far.zone = "far";
+    targets.replace({ target("a"), far, target("c") }, start);
+    targets.markDisconnected(start);
+    targets.markReconnected(start + 5s, start + 4s + 900ms);
+    targets.replace({ target("c") }, start + 5s);
+    EXPECT_EQ(targets.zonesWithMissing(), (std::set<base::ZoneId> { "", "far" }));
+    const auto version = targets.version();
+    EXPECT_EQ(targets.removeMissing("far"), 1U);
+    EXPECT_EQ(targets.removeMissing("far"), 0U);
+    EXPECT_EQ(targets.version(), version + 1);
+    EXPECT_EQ(targets.find("b"), nullptr);
+    EXPECT_NE(targets.find("a"), nullptr);
+    EXPECT_NE(targets.find("c"), nullptr);
+}
+
 } // namespace
 } // namespace chivewinch::membership
--- a/tests/platform/processes/site_processes.py
+++ b/tests/platform/processes/site_processes.py
@@ -77,11 +77,11 @@
 
 class Site:
     def __init__(self, binaries, folder, entries, engines, restart_seconds=2.0, list_delay=0, contact_ms=3000, slots=10,
-                 timeout_ms=4000, engine_zones=("z0",), entry_settings=()):
+                 timeout_ms=4000, engine_zones=("z0",), entry_settings=(), entry_zones=("z0", "z1", "z2")):
         self.binaries, self.folder = pathlib.Path(binaries), pathlib.Path(folder)
         self.restart_seconds, self.list_delay, self.contact_ms = restart_seconds, list_delay, contact_ms
         self.slots, self.timeout_ms = slots, timeout_ms
-        self.engine_zones, self.entry_settings = engine_zones, entry_settings
+        self.engine_zones, self.entry_settings, self.entry_zones = engine_zones, entry_settings, entry_zones
         self.network = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.store = Store(f"{self.network}.250")
         self.started_at = time.monotonic()
@@ -90,6 +90,7 @@
         self.engines = [Engine(self, number) for number in range(engines)]
         for engine in self.engines:
             engine.start()
+        self.doors = {}  # Addresses of the store, by entry.
         self.disturbances = []  # (entry, start, end) of each restart, freeze and start of an entry
         self.entries = [self.start_entry(number) for number in range(entries)]
         self.supervisor = threading.Thread(target=self.supervise, daemon=True)
@@ -137,9 +138,11 @@
     def start_entry(self, number):
         address = f"{self.network}.{number + 1}"
         settings = self.folder / f"entry-{number}.conf"
+        if number not in self.doors:
+            self.doors[number] = self.store.open_door()
         settings.write_text("\n".join([
-            f"node=front-{number}", f"zone=z{number % 3}", f"listen.front={address}:8227",
-            f"listen.ready={address}:8220", f"platform.address={self.store.address}", "portRange=7340,7355",
+            f"node=front-{number}", f"zone={self.entry_zones[number % len(self.entry_zones)]}", f"listen.front={address}:8227",
+            f"listen.ready={address}:8220", f"platform.address={self.doors[number].address}", "portRange=7340,7355",
             f"bounds.contactMs={self.contact_ms}", "bounds.drainMs=2000", "bounds.applyMs=2000", "bounds.graceS=8",
             "bounds.retryBudgetRatio=0.2", "bounds.budgetSlack=94", "bounds.budgetWindowS=10",
             f"limits.memoryMb={MEMORY_MB}", *self.entry_settings, ""]))
--- a/tests/platform/processes/store.py
+++ b/tests/platform/processes/store.py
@@ -15,6 +15,21 @@
         pass  # A reader that closes its connection is no error of the store.
 
 
+class Door:
+    """An address of the store. While it is closed, it takes requests and answers none of them, not even later."""
+
+    def __init__(self, store, address):
+        self.is_closed = False
+        self.unanswered = []  # (time, table) of the requests that came while it was closed
+        self.server = Server((address, 0), store.handler(self))
+        self.address = f"{address}:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
 class Store:
     def __init__(self, address):
         self.changed = threading.Condition()
@@ -22,9 +37,9 @@
         self.version = 1
         self.endless_table = None  # Reads of this table always get another page.
         self.oldest_version = 0  # Changes before it are not available any more.
-        self.server = Server((address, 0), self.handler())
-        self.address = f"{address}:{self.server.server_address[1]}"
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.host = address
+        self.doors = [Door(self, address)]
+        self.address = self.doors[0].address
 
     def put(self, table, key, value):
         """Stores a JSON value, the bytes as they are, or, for None, deletes the row."""
@@ -57,9 +72,14 @@
             self.oldest_version = self.version
             self.changed.notify_all()
 
+    def open_door(self):
+        """Another address, for one process."""
+        self.doors.append(Door(self, self.host))
+        return self.doors[-1]
+
     def stop(self):
-        self.server.shutdown()
-        self.server.server_close()
+        for door in self.doors:
+            door.stop()
 
     @staticmethod
     def row(table, key, version, data):
@@ -93,7 +113,7 @@
             rows = [self.row(table, key, version, data) for version, key, data in sorted(newer, key=lambda row: row[0])]
             return {"rows": rows, "ver": self.version, "nowMs": 0}
 
-    def handler(store):
+    def handler(store, door):
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
             disable_nagle_algorithm = True
@@ -101,6 +121,8 @@
             def do_GET(self):
                 path = urllib.parse.urlsplit(self.path)
                 query = {name: values[0] for name, values in urllib.parse.parse_qs(path.query).items()}
+                if self.is_lost(query.get("table")):
+                    return
                 if path.path == "/api/rows-get" and query["table"] == store.endless_table:
                     self.answer(store.read_endless_page(query["table"], query.get("from")))
                 elif path.path == "/api/rows-get":
@@ -114,14 +136,31 @@
 
             def do_POST(self):
                 body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                if self.is_lost(None):
+                    return
                 for row in body["puts"]:
                     store.put(row["table"], row["key"], base64.b64decode(row["value"]))
                 for row in body["deletes"]:
                     store.put(row["table"], row["key"], None)
                 self.answer({"ver": store.version})
 
+            def is_lost(self, table):
+                """True if the request came while the door was closed; it gets no answer until the reader closes."""
+                if not door.is_closed:
+                    return False
+                door.unanswered.append((time.monotonic(), table))
+                self.close_connection = True
+                self.connection.settimeout(30)
+                try:
+                    self.rfile.read(1)
+                except OSError:
+                    pass
+                return True
+
             def answer(self, value, status=200):
                 data = json.dumps(value).encode()
+                if self.is_lost(None):
+                    return
                 try:
                     self.send_response(status)
                     self.send_header("Content-Length", str(len(data)))
--- a/tests/relay/codec_test.cpp
+++ b/tests/relay/codec_test.cpp
@@ -20,6 +20,7 @@
     for (const std::size_t depth : { 65U, 1'000U, 1'000'000U }) {
         EXPECT_FALSE(decodeQuery(nestedCbor(depth)));
         EXPECT_FALSE(decodeAnswer(nestedCbor(depth)));
+        EXPECT_FALSE(decodeContactAnswer(nestedCbor(depth)));
         EXPECT_FALSE(quota::decodeLimitQuery(nestedCbor(depth)));
         EXPECT_FALSE(quota::decodeLimitAnswer(nestedCbor(depth)));
     }
--- a/tests/relay/peers_test.cpp
+++ b/tests/relay/peers_test.cpp
@@ -103,9 +103,12 @@
                 .page = { .rows = { { .key = "k", .value = "v" }, { .key = "gone" } }, .version = 9 },
                 .position = { .copy = 5, .revision = 4 } });
     EXPECT_EQ(decodeAnswer(encode(answer)), answer);
+    const ContactAnswer contact { .contact = 5s };
+    EXPECT_EQ(decodeContactAnswer(encode(contact)), contact);
     for (const auto* body : { "", "{", "\xf6", "text" }) {
         EXPECT_EQ(decodeQuery(body), std::nullopt);
         EXPECT_EQ(decodeAnswer(body), std::nullopt);
+        EXPECT_EQ(decodeContactAnswer(body), std::nullopt);
     }
 }
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -7,9 +7,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 
@@ -299,6 +301,34 @@
     this->changeWhileSourceIsCutOff("2", "1");
 }
 
+// Guards against an own cut that is taken for an outage of the store although others were served, and against an outage
+// of the store that is taken for an own cut.
+TEST_F(RelayTest, OnlyProcessesWithoutInterruptionVouchForTheStore)
+{
+    this->start(4);
+    const auto hadContact = [this](std::size_t index, const std::string& zone) {
+        auto result = asio::co_spawn(this->context,
+            this->processes[index]->relay->hadContact(zone, this->clock.now() - 100ms), asio::use_future);
+        while (result.wait_for(0s) != std::future_status::ready)
+            this->context.run_one();
+        return result.get();
+    };
+    this->processes[3]->isDisconnected = true;
+    this->context.run_for(500ms);
+    EXPECT_TRUE(hadContact(3, "z"));
+    EXPECT_FALSE(hadContact(3, "another"));
+    this->store.isUnavailable = true;
+    this->context.run_for(300ms);
+    EXPECT_FALSE(hadContact(3, "z"));
+    this->store.isUnavailable = false;
+    this->processes[3]->isDisconnected = false;
+    this->context.run_for(60ms);
+    EXPECT_FALSE(hadContact(3, "z"));
+    for (std::size_t index = 0; index < 3; ++index)
+        this->stop(*this->processes[index]);
+    EXPECT_FALSE(hadContact(3, "z"));
+}
+
 // Guards against stale rows when processes lose access to the store, the store is unavailable, or processes abandon
 // their source. A value that a process has seen must never be replaced by an older one, and every change must arrive in
 // bounded time.
--- a/tests/watch/row_watcher_test.cpp
+++ b/tests/watch/row_watcher_test.cpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <functional>
+#include <thread>
 
 namespace chivewinch::watch {
 namespace {
@@ -23,6 +24,7 @@
 
     std::deque<Answer> script;
     std::vector<std::string> calls;
+    std::vector<std::chrono::steady_clock::time_point> times; ///< Of the calls.
     std::function<void()> onEnd;
 
     [[nodiscard]] Task<std::optional<Page>> readAll(FeedError& reason) override
@@ -41,6 +43,7 @@
 private:
     std::optional<Page> next(FeedError& reason)
     {
+        this->times.push_back(std::chrono::steady_clock::now());
         if (this->script.empty()) {
             this->onEnd();
             return std::nullopt;
@@ -62,7 +65,11 @@
             { .onSnapshot = [this](const auto& rows) { this->seen.push_back("all " + std::to_string(rows.size())); },
                 .onChanges = [this](const auto& rows) { this->seen.push_back("new " + rows.front().key); },
                 .onContact = [this](bool in) { this->seen.emplace_back(in ? "regained" : "lost"); } } };
-        this->feed.onEnd = [&watcher] { watcher.stop(); };
+        this->feed.onEnd = [this, &watcher] {
+            this->failedCallAt = watcher.failedCallAt();
+            this->contactTime = watcher.contactTime(1s);
+            watcher.stop();
+        };
         boost::asio::co_spawn(context, watcher.run(), boost::asio::detached);
         context.run();
     }
@@ -74,6 +81,8 @@
 
     ScriptedFeed feed;
     std::vector<std::string> seen;
+    std::chrono::steady_clock::time_point failedCallAt {}; ///< At the end of the script.
+    std::chrono::milliseconds contactTime {};
 };
 
 TEST_F(RowWatcherTest, ReadsAllAndThenChanges)
@@ -106,5 +115,38 @@
     EXPECT_EQ(std::ranges::count(this->seen, "new old"), 0);
 }
 
+// Guards against an end of an outage that is taken for later than it may have been: the store may be back since the
+// beginning of the last call that failed.
+TEST_F(RowWatcherTest, StatesWhenTheLastFailedCallBegan)
+{
+    this->play({ page(5), { .error = FeedErrorCode::Unavailable }, { .error = FeedErrorCode::Unavailable }, page(8) });
+    ASSERT_EQ(this->feed.times.size(), 5U);
+    EXPECT_GT(this->failedCallAt, this->feed.times[1]);
+    EXPECT_LE(this->failedCallAt, this->feed.times[2]);
+}
+
+// Guards against a process that vouches for a time in which it had no contact, or no answer for too long.
+TEST_F(RowWatcherTest, CountsItsContactFromTheLastInterruption)
+{
+    boost::asio::io_context context;
+    RowWatcher watcher { context.get_executor(), this->feed, { .table = "t", .wait = 5ms },
+        { .onSnapshot = [](const auto&) {}, .onChanges = [](const auto&) {}, .onContact = [](bool) {} } };
+    const auto waitFor = [](std::chrono::milliseconds time) { std::this_thread::sleep_for(time); };
+    EXPECT_EQ(watcher.contactTime(1s), 0ms);
+    ASSERT_TRUE(watcher.applyRelayed({ .version = 1 }, true));
+    const auto begin = std::chrono::steady_clock::now();
+    for (int answer = 0; answer < 20; ++answer) {
+        waitFor(2ms);
+        ASSERT_TRUE(watcher.applyRelayed({ .version = 1 }, false));
+    }
+    const auto passed = std::chrono::steady_clock::now() - begin;
+    EXPECT_LE(watcher.contactTime(1s), passed + 1ms);
+    EXPECT_EQ(watcher.contactTime(-1ms), 0ms);
+    waitFor(30ms);
+    EXPECT_EQ(watcher.contactTime(20ms), 0ms);
+    ASSERT_TRUE(watcher.applyRelayed({ .version = 1 }, false));
+    EXPECT_LT(watcher.contactTime(1s), 1ms);
+}
+
 } // namespace
 } // namespace chivewinch::watch
