Leave a source that is behind a reader without rows

Callers: nothing was seen; found by reading while the relay was changed.

Cause: a reader whose rows are gone, because the store has lost its history, asked its source with version 0. A source with an older version answered at once with its whole table; the reader ignored it as outdated and asked again without a pause, until either of them had read the store.

Change: the reader states its version. The source says that it is behind, the reader refuses that answer, because it needs the whole table, and reads the store itself.

Evidence: RelayedTable.LeavesASourceBehindItWhenItNeedsTheCompleteTable fails without the change and passes with it; relay_test 29 of 29.

--- a/src/relay/codec.hpp
+++ b/src/relay/codec.hpp
@@ -14,7 +14,7 @@
 
 /** What a process has of a table. */
 struct TableQuery {
-    std::uint64_t version = 0; ///< Version of the store; 0 if it has no rows.
+    std::uint64_t version = 0; ///< Version of the store below which it takes no rows; 0 if it has read none.
     /** Position of another process's copy whose rows it has; nullopt if it has read other rows since. */
     std::optional<CopyPosition> position;
 
--- a/src/relay/relayed_table.cpp
+++ b/src/relay/relayed_table.cpp
@@ -29,8 +29,6 @@
 
 TableQuery RelayedTable::query() const
 {
-    if (!this->rows->hasSnapshot())
-        return {};
     return { .version = this->rows->currentVersion(), .position = this->currentSourcePosition() };
 }
 
--- a/tests/relay/relayed_table_test.cpp
+++ b/tests/relay/relayed_table_test.cpp
@@ -1,6 +1,8 @@
 #include "base/random.hpp"
 #include "relay/relayed_table.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
@@ -78,6 +80,22 @@
     }
 };
 
+/** Feed whose changes are not available, and which does not answer other calls. */
+class LostHistoryFeed final : public watch::RowFeed {
+public:
+    [[nodiscard]] Task<std::optional<watch::Page>> readAll(watch::FeedError& reason) override
+    {
+        reason.code = watch::FeedErrorCode::Unavailable;
+        co_return std::nullopt;
+    }
+    [[nodiscard]] Task<std::optional<watch::Page>> changes(
+        std::uint64_t /*since*/, std::chrono::milliseconds /*wait*/, watch::FeedError& reason) override
+    {
+        reason.code = watch::FeedErrorCode::HistoryLost;
+        co_return std::nullopt;
+    }
+};
+
 /** One start of a process. */
 class Process {
 public:
@@ -290,6 +308,27 @@
     EXPECT_EQ(source.table.answer(query).kind, UpdateKind::Snapshot);
 }
 
+// Guards against a reader without rows that asks a source behind it again and again, without a pause, and ignores all
+// answers. It has lost its rows because the store has lost its history.
+TEST(RelayedTable, LeavesASourceBehindItWhenItNeedsTheCompleteTable)
+{
+    boost::asio::io_context context;
+    LostHistoryFeed lost;
+    UnusedFeed feed;
+    Process source { context, feed, 1 };
+    Process reader { context, lost, 2 };
+    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "old" } }, .version = 5 }, true));
+    ASSERT_TRUE(reader.watcher.applyRelayed({ .rows = { { .key = "a", .value = "new" } }, .version = 6 }, true));
+    boost::asio::co_spawn(context, reader.watcher.run(), boost::asio::detached);
+    while (reader.watcher.hasSnapshot())
+        ASSERT_EQ(context.run_one(), 1U);
+    const auto query = reader.table.query();
+    EXPECT_FALSE(source.table.hasRowsFor(query));
+    EXPECT_FALSE(reader.table.apply(source.table.answer(query), query));
+    reader.watcher.stop();
+    context.run();
+}
+
 // Guards against a complete table for each reader at each query, and against readers that do not wait for changes.
 TEST(RelayedTable, SendsOnlyChangesToALastingReader)
 {
