Converge along chains in the random test of RelayedTable

Before, all processes read from one at the end of a history; now each reads from any that has read before it.

--- a/tests/relay/relayed_table_test.cpp
+++ b/tests/relay/relayed_table_test.cpp
@@ -157,13 +157,13 @@
             this->deliver(message);
     }
 
-    /** All others read from one process, which reads the store. */
+    /** One process reads the store, and each other one reads from one that has read before it, also along chains. */
     void converge()
     {
         this->store.put("z", "end");
         this->deliver(this->readStore(0));
         for (std::size_t reader = 1; reader < this->processes.size(); ++reader) {
-            this->deliver(this->askPeer(reader, 0));
+            this->deliver(this->askPeer(reader, this->random.below(reader)));
             ASSERT_TRUE(isEquivalent(this->processes[reader]->rows, this->store.content())) << "reader " << reader;
         }
     }
