Log from whom an entry learns of a configuration, and for how long it was unconfirmed

event=configuration states the source of the version (the store or another entry) and the time for which the version before had not been confirmed; chivewinch_configuration_gap_seconds is the histogram of that time. No decision changes. The interface of applyRelayed changed; the tests pass the new argument, with all former expectations.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -91,6 +91,8 @@
           "chivewinch_evacuated_zones", "Zones whose targets get no new requests because of an evacuation") }
     , coldTargetsMetric { this->registry.gauge(
           "chivewinch_cold_targets", "Targets that get a limited rate of requests because they are cold") }
+    , configurationGaps { this->registry.seconds("chivewinch_configuration_gap_seconds",
+          "Time for which the configuration was not confirmed by the store or another entry") }
     , targets { this->options.targets }
     , dispatcher { this->options.dispatcher, random }
     , clients { context.get_executor(), this->options.attempts, this->options.buffers }
@@ -107,7 +109,9 @@
                     this->applyConfigurationRows(rows);
                     this->forwardRows(table, rows, false);
                 },
-            .onContact = [](bool) {} } }
+            .onContact = [](bool) {},
+            .onConfirmed
+            = [this](auto gap) { this->configurationGaps.Observe(std::chrono::duration<double> { gap }.count()); } } }
     , targetsWatcher { context.get_executor(), feeds.targets, feeds.targetsWatch,
         { .onSnapshot =
                 [this, table = feeds.targetsWatch.table](const auto& rows) {
@@ -288,7 +292,13 @@
             .requestTimeout = limits.headerTimeout,
             .idleTimeout = limits.idleTimeout });
         this->divideConnections();
-        logging::Event { "configuration" }.field("version", version).field("routes", routes).info();
+        const auto& source = this->configurationWatcher.confirmation().source;
+        logging::Event { "configuration" }
+            .field("version", version)
+            .field("routes", routes)
+            .field("source", source.empty() ? "store" : source)
+            .field("gap_ms", this->configurationWatcher.confirmationGap().count())
+            .info();
     }
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -86,6 +86,7 @@
     BadInputLog badInput;
     prometheus::Gauge& evacuatedZonesMetric;
     prometheus::Gauge& coldTargetsMetric;
+    prometheus::Histogram& configurationGaps;
     SnapshotHolder snapshots;
     membership::ListedTargets targets;
     std::uint64_t targetsVersion = 0;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -187,19 +187,20 @@
         co_return false;
     }
     const auto answer = response->status == http::status::ok ? decodeAnswer(response->body) : std::nullopt;
-    const bool isTaken = answer && this->applyAnswer(*answer, query);
+    const bool isTaken = answer && this->applyAnswer(*answer, query, peer.instance);
     if (!isTaken)
         this->peers.recordRefusal(peer.instance, this->clock.now());
     co_return isTaken;
 }
 
-bool Relay::applyAnswer(const RelayAnswer& answer, const RelayQuery& query)
+bool Relay::applyAnswer(const RelayAnswer& answer, const RelayQuery& query, const std::string& from)
 {
+    const watch::Confirmation confirmation { .source = from, .at = this->clock.now() };
     bool isComplete = true;
     for (auto& table : this->tables) {
         const auto found = answer.tables.find(table.name());
-        isComplete
-            = found != answer.tables.end() && table.apply(found->second, query.tables.at(table.name())) && isComplete;
+        isComplete = found != answer.tables.end()
+            && table.apply(found->second, query.tables.at(table.name()), confirmation) && isComplete;
     }
     return isComplete;
 }
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -147,7 +147,7 @@
     [[nodiscard]] http::Task<void> run();
     /** Queries the peer for changes. Returns false if the peer must be skipped. */
     [[nodiscard]] http::Task<bool> pollPeer(Peer peer);
-    [[nodiscard]] bool applyAnswer(const RelayAnswer& answer, const RelayQuery& query);
+    [[nodiscard]] bool applyAnswer(const RelayAnswer& answer, const RelayQuery& query, const std::string& from);
     void setRelayed(const std::string& from);
     /** Answer to a peer that reads from this process. */
     [[nodiscard]] http::Task<http::Response> serveRows(std::string body);
--- a/src/relay/relayed_table.cpp
+++ b/src/relay/relayed_table.cpp
@@ -32,12 +32,12 @@
     return { .version = this->rows->currentVersion(), .position = this->currentSourcePosition() };
 }
 
-bool RelayedTable::apply(const TableUpdate& update, const TableQuery& query)
+bool RelayedTable::apply(const TableUpdate& update, const TableQuery& query, const watch::Confirmation& confirmation)
 {
     if (update.kind == UpdateKind::Behind) {
         // The source is in contact with the store, but the version of this process stays.
         const watch::Page unchanged { .version = this->rows->currentVersion() };
-        return update.page.rows.empty() && this->rows->applyRelayed(unchanged, false);
+        return update.page.rows.empty() && this->rows->applyRelayed(unchanged, false, confirmation);
     }
     const bool isSnapshot = update.kind == UpdateKind::Snapshot;
     if (!isSnapshot && !query.position)
@@ -47,7 +47,7 @@
         return true;
     if (update.page.version < this->rows->currentVersion())
         return true;
-    if (!this->rows->applyRelayed(update.page, isSnapshot))
+    if (!this->rows->applyRelayed(update.page, isSnapshot, confirmation))
         return false;
     this->sourcePosition = update.position;
     this->revisionAtSource = this->ownCopy.position().revision;
--- a/src/relay/relayed_table.hpp
+++ b/src/relay/relayed_table.hpp
@@ -38,7 +38,8 @@
      * @param query The query as it was sent; changes are ignored if other rows were read since.
      * Returns false if the answer does not fit the query, or the complete table is needed.
      */
-    [[nodiscard]] bool apply(const TableUpdate& update, const TableQuery& query);
+    [[nodiscard]] bool apply(
+        const TableUpdate& update, const TableQuery& query, const watch::Confirmation& confirmation);
 
     /** Source: true if the answer to the query has rows. */
     [[nodiscard]] bool hasRowsFor(const TableQuery& query) const;
--- a/src/watch/row_watcher.cpp
+++ b/src/watch/row_watcher.cpp
@@ -104,17 +104,18 @@
             begunAt);
         co_return false;
     }
-    this->applyPage(*page, whole);
+    this->applyPage(*page, whole, { .at = std::chrono::steady_clock::now() });
     co_return true;
 }
 
-void RowWatcher::applyPage(const Page& page, bool isSnapshot)
+void RowWatcher::applyPage(const Page& page, bool isSnapshot, const Confirmation& confirmation)
 {
     const auto now = std::chrono::steady_clock::now();
     if (!this->isInContact || now - this->lastAnswer > longestAnswerGap(this->options))
         this->contactBegin = now;
     this->lastAnswer = now;
     this->recordSuccess();
+    this->confirm(confirmation, now);
     this->version = page.version;
     this->hasSnapshotRows = true;
     if (isSnapshot)
@@ -123,12 +124,22 @@
         this->events.onChanges(page.rows);
 }
 
-bool RowWatcher::applyRelayed(const Page& page, bool isSnapshot)
+void RowWatcher::confirm(const Confirmation& confirmation, std::chrono::steady_clock::time_point now)
+{
+    const auto before = std::exchange(this->lastConfirmation, confirmation).at;
+    if (before == std::chrono::steady_clock::time_point {})
+        return;
+    this->lastGap = std::chrono::floor<std::chrono::milliseconds>(now - before);
+    if (this->events.onConfirmed)
+        this->events.onConfirmed(this->lastGap);
+}
+
+bool RowWatcher::applyRelayed(const Page& page, bool isSnapshot, const Confirmation& confirmation)
 {
     if (!isSnapshot && !this->hasSnapshotRows)
         return false;
     if (page.version >= this->version)
-        this->applyPage(page, isSnapshot);
+        this->applyPage(page, isSnapshot, confirmation);
     return true;
 }
 
--- a/src/watch/row_watcher.hpp
+++ b/src/watch/row_watcher.hpp
@@ -42,6 +42,16 @@
     std::function<void(const std::vector<RowChange>&)> onSnapshot; ///< The whole table.
     std::function<void(const std::vector<RowChange>&)> onChanges;
     std::function<void(bool)> onContact; ///< Contact with the store was lost (false) or regained (true).
+    /** The rows are confirmed again, after this time without a confirmation. Not called for the first one. */
+    std::function<void(std::chrono::milliseconds)> onConfirmed = {};
+};
+
+/** Evidence that the rows of a process are up to date. */
+struct Confirmation {
+    std::string source; ///< Name of the process that supplied it; empty for the feed.
+    std::chrono::steady_clock::time_point at {}; ///< The rows were those of the feed.
+
+    bool operator==(const Confirmation&) const = default;
 };
 
 /** Keeps the content of a table up to date. Must be used on one executor. */
@@ -64,11 +74,14 @@
      * changes if the complete table has not been read yet.
      * @param isSnapshot The rows are the complete table.
      */
-    [[nodiscard]] bool applyRelayed(const Page& page, bool isSnapshot);
+    [[nodiscard]] bool applyRelayed(const Page& page, bool isSnapshot, const Confirmation& confirmation);
 
     [[nodiscard]] std::uint64_t currentVersion() const noexcept { return this->version; }
     [[nodiscard]] bool hasSnapshot() const noexcept { return this->hasSnapshotRows; }
     [[nodiscard]] bool inContact() const noexcept { return this->isInContact; }
+    [[nodiscard]] const Confirmation& confirmation() const noexcept { return this->lastConfirmation; }
+    /** Time for which the rows had not been confirmed when they were last confirmed; zero at the first time. */
+    [[nodiscard]] std::chrono::milliseconds confirmationGap() const noexcept { return this->lastGap; }
     /** Time of the last answer, from the feed or from elsewhere. */
     [[nodiscard]] std::chrono::steady_clock::time_point answeredAt() const noexcept { return this->lastAnswer; }
     /** Time at which the last call that failed was begun; the feed was unavailable then or later. */
@@ -97,13 +110,16 @@
     bool isInContact = false;
     bool isStopped = false;
     bool isPaused = false;
+    Confirmation lastConfirmation;
+    std::chrono::milliseconds lastGap { 0 };
     std::chrono::steady_clock::time_point lastAnswer {};
     std::chrono::steady_clock::time_point lastFailedCall {};
     std::chrono::steady_clock::time_point contactBegin {};
     std::chrono::milliseconds retry;
 
     [[nodiscard]] RowFeed::Task<bool> step();
-    void applyPage(const Page& page, bool isSnapshot);
+    void applyPage(const Page& page, bool isSnapshot, const Confirmation& confirmation);
+    void confirm(const Confirmation& confirmation, std::chrono::steady_clock::time_point now);
     void recordSuccess();
     void recordFailure(const FeedError& reason, std::chrono::steady_clock::time_point begunAt);
     [[nodiscard]] RowFeed::Task<void> sleep(std::chrono::milliseconds time);
--- a/tests/relay/relayed_table_test.cpp
+++ b/tests/relay/relayed_table_test.cpp
@@ -207,11 +207,11 @@
     {
         auto& process = *this->processes[message.reader];
         if (!message.query) {
-            (void)process.watcher.applyRelayed(message.page, message.isSnapshot);
+            (void)process.watcher.applyRelayed(message.page, message.isSnapshot, {});
             return;
         }
         const auto before = process.table.copy().position();
-        const bool isTaken = process.table.apply(message.update, *message.query);
+        const bool isTaken = process.table.apply(message.update, *message.query, {});
         const bool isChanged = process.table.copy().position() != before;
         ASSERT_TRUE(isTaken || !isChanged);
         ASSERT_TRUE(!isChanged || isEquivalent(process.rows, message.sourceRows)) << "reader " << message.reader;
@@ -293,17 +293,17 @@
     UnusedFeed feed;
     Process source { context, feed, 1 };
     Process reader { context, feed, 2 };
-    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "old" } }, .version = 5 }, true));
-    ASSERT_TRUE(reader.watcher.applyRelayed({ .rows = { { .key = "a", .value = "new" } }, .version = 6 }, true));
+    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "old" } }, .version = 5 }, true, {}));
+    ASSERT_TRUE(reader.watcher.applyRelayed({ .rows = { { .key = "a", .value = "new" } }, .version = 6 }, true, {}));
     const auto query = reader.table.query();
     EXPECT_FALSE(source.table.hasRowsFor(query));
     const auto answer = source.table.answer(query);
     EXPECT_EQ(answer.kind, UpdateKind::Behind);
-    EXPECT_TRUE(reader.table.apply(answer, query));
+    EXPECT_TRUE(reader.table.apply(answer, query, {}));
     EXPECT_EQ(reader.rows, (Table { { "a", "new" } }));
     EXPECT_EQ(reader.watcher.currentVersion(), 6U);
     // The complete table, although the versions are equal.
-    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "new" } }, .version = 6 }, false));
+    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "new" } }, .version = 6 }, false, {}));
     EXPECT_TRUE(source.table.hasRowsFor(query));
     EXPECT_EQ(source.table.answer(query).kind, UpdateKind::Snapshot);
 }
@@ -317,14 +317,14 @@
     UnusedFeed feed;
     Process source { context, feed, 1 };
     Process reader { context, lost, 2 };
-    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "old" } }, .version = 5 }, true));
-    ASSERT_TRUE(reader.watcher.applyRelayed({ .rows = { { .key = "a", .value = "new" } }, .version = 6 }, true));
+    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "old" } }, .version = 5 }, true, {}));
+    ASSERT_TRUE(reader.watcher.applyRelayed({ .rows = { { .key = "a", .value = "new" } }, .version = 6 }, true, {}));
     boost::asio::co_spawn(context, reader.watcher.run(), boost::asio::detached);
     while (reader.watcher.hasSnapshot())
         ASSERT_EQ(context.run_one(), 1U);
     const auto query = reader.table.query();
     EXPECT_FALSE(source.table.hasRowsFor(query));
-    EXPECT_FALSE(reader.table.apply(source.table.answer(query), query));
+    EXPECT_FALSE(reader.table.apply(source.table.answer(query), query, {}));
     reader.watcher.stop();
     context.run();
 }
@@ -336,17 +336,17 @@
     UnusedFeed feed;
     Process source { context, feed, 1 };
     Process reader { context, feed, 2 };
-    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "x1" } }, .version = 5 }, true));
+    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "x1" } }, .version = 5 }, true, {}));
     for (std::uint64_t version = 5; version < 10; ++version) {
         const auto query = reader.table.query();
         EXPECT_TRUE(source.table.hasRowsFor(query));
         const auto answer = source.table.answer(query);
         EXPECT_EQ(answer.kind, version == 5 ? UpdateKind::Snapshot : UpdateKind::Changes);
         EXPECT_EQ(answer.page.rows.size(), 1U);
-        ASSERT_TRUE(reader.table.apply(answer, query));
+        ASSERT_TRUE(reader.table.apply(answer, query, {}));
         EXPECT_FALSE(source.table.hasRowsFor(reader.table.query()));
         ASSERT_TRUE(source.watcher.applyRelayed(
-            { .rows = { { .key = "b", .value = version % 2 == 0 ? "x" : "y" } }, .version = version + 1 }, false));
+            { .rows = { { .key = "b", .value = version % 2 == 0 ? "x" : "y" } }, .version = version + 1 }, false, {}));
     }
 }
 
--- a/tests/watch/row_watcher_test.cpp
+++ b/tests/watch/row_watcher_test.cpp
@@ -186,15 +186,15 @@
     };
     RowWatcher watcher { context.get_executor(), this->feed, { .table = "t", .wait = 1min }, events };
     EXPECT_EQ(watcher.contactTime(1min), 0ms);
-    ASSERT_TRUE(watcher.applyRelayed({ .version = 1 }, true));
+    ASSERT_TRUE(watcher.applyRelayed({ .version = 1 }, true, {}));
     std::this_thread::sleep_for(20ms);
-    ASSERT_TRUE(watcher.applyRelayed({ .version = 1 }, false));
+    ASSERT_TRUE(watcher.applyRelayed({ .version = 1 }, false, {}));
     EXPECT_GE(watcher.contactTime(1min), 20ms);
     EXPECT_EQ(watcher.contactTime(-1ms), 0ms);
     RowWatcher interrupted { context.get_executor(), this->feed, { .table = "t", .wait = 5ms }, events };
-    ASSERT_TRUE(interrupted.applyRelayed({ .version = 1 }, true));
+    ASSERT_TRUE(interrupted.applyRelayed({ .version = 1 }, true, {}));
     std::this_thread::sleep_for(20ms);
-    ASSERT_TRUE(interrupted.applyRelayed({ .version = 1 }, false));
+    ASSERT_TRUE(interrupted.applyRelayed({ .version = 1 }, false, {}));
     EXPECT_EQ(interrupted.contactTime(1min), 0ms);
 }
 
