Show that undisturbed entries use an older configuration after a fault of their source

Six scenarios with real processes: four entries of a zone, the one from which the others read is disturbed while a key is withdrawn and another is added.

--- a/tests/platform/processes/site_processes.py
+++ b/tests/platform/processes/site_processes.py
@@ -130,17 +130,18 @@
             engine.stop()
         self.store.stop()
 
-    def configure(self):
+    def configure(self, version=1, keys=None):
+        """Writes a version of the configuration, by default with the keys of all teams."""
         route = {"kind": "idempotent", "service": "app", "timeoutMs": self.timeout_ms, "targetLatencyMs": 1000,
                  "maxAttempts": 2, "priority": 1}
         self.store.put("op", "config", {
-            "version": 1, "services": [{"name": "app", "slots": self.slots}],
+            "version": version, "services": [{"name": "app", "slots": self.slots}],
             "routes": [route | {"name": "calls", "hostname": "h", "prefix": "/calls/"},
                        route | {"name": "orders", "hostname": "h", "prefix": "/orders/", "kind": "non_idempotent",
                                 "maxAttempts": 1},
                        route | {"name": "streams", "hostname": "h", "prefix": "/streams/", "kind": "streaming",
                                 "resumeStreams": True, "gapTargetMs": 500}],
-            "tenants": [{"name": name, "apiKeys": [key]} for name, key in TEAMS.items()]})
+            "tenants": [{"name": name, "apiKeys": [key]} for name, key in (keys or TEAMS).items()]})
 
     def list_engine(self, engine):
         self.store.put("servers", engine.id, {
--- a/tests/platform/processes/store.py
+++ b/tests/platform/processes/store.py
@@ -20,11 +20,18 @@
 
     def __init__(self, store, address):
         self.is_closed = False
-        self.unanswered = []  # (time, table) of the requests that came while it was closed
+        self.lost_tables = set()  # Reads of these tables that come from now on get no answer either.
+        self.connections = set()
+        self.silent_connections = set()  # Requests on these get no answer either, also those that came before.
+        self.unanswered = []  # (time, table) of requests that got no answer; the table is None if they came before it was lost
         self.server = Server((address, 0), store.handler(self))
         self.address = f"{address}:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
+    def silence_open_connections(self):
+        """Requests on the connections that are open now get no answer; new connections work."""
+        self.silent_connections |= self.connections
+
     def stop(self):
         self.server.shutdown()
         self.server.server_close()
@@ -117,11 +124,22 @@
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
             disable_nagle_algorithm = True
+            table = None  # Of the request.
+
+            def setup(self):
+                super().setup()
+                door.connections.add(self)
+
+            def finish(self):
+                door.connections.discard(self)
+                door.silent_connections.discard(self)
+                super().finish()
 
             def do_GET(self):
                 path = urllib.parse.urlsplit(self.path)
                 query = {name: values[0] for name, values in urllib.parse.parse_qs(path.query).items()}
-                if self.is_lost(query.get("table")):
+                self.table = query.get("table")
+                if self.is_lost():
                     return
                 if path.path == "/api/rows-get" and query["table"] == store.endless_table:
                     self.answer(store.read_endless_page(query["table"], query.get("from")))
@@ -136,7 +154,8 @@
 
             def do_POST(self):
                 body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-                if self.is_lost(None):
+                self.table = None
+                if self.is_lost():
                     return
                 for row in body["puts"]:
                     store.put(row["table"], row["key"], base64.b64decode(row["value"]))
@@ -144,11 +163,12 @@
                     store.put(row["table"], row["key"], None)
                 self.answer({"ver": store.version})
 
-            def is_lost(self, table):
-                """True if the request came while the door was closed; it gets no answer until the reader closes."""
-                if not door.is_closed:
+            def is_lost(self, is_answer=False):
+                """True if the request gets no answer; its connection then stays open until the reader closes it."""
+                is_read_lost = not is_answer and self.table in door.lost_tables
+                if not (door.is_closed or is_read_lost or self in door.silent_connections):
                     return False
-                door.unanswered.append((time.monotonic(), table))
+                door.unanswered.append((time.monotonic(), None if is_answer else self.table))
                 self.close_connection = True
                 self.connection.settimeout(30)
                 try:
@@ -159,7 +179,7 @@
 
             def answer(self, value, status=200):
                 data = json.dumps(value).encode()
-                if self.is_lost(None):
+                if self.is_lost(is_answer=True):
                     return
                 try:
                     self.send_response(status)
