Bound the age of rows at each process that uses them

What callers saw: requests with a withdrawn key were served, and ones with a new key refused, up to 2.13 s (the source's reads of the configuration alone get no answer) and 2.93 s (its readers' kept connections to the store are silent) after the change, at entries that nothing disturbed; allowed are 2.0.

Cause: no process knew the age of its rows. A source judged all tables by its last answer for the first one, a reader took each answer of a source for a confirmation of that moment, and the bound was the sum of waits that were chosen apart: how long a source trusts its last answer, how long a reader waits there, how long its own call takes to fail (1.9 s).

Change: a confirmation has a time, and travels with the rows. Answers between peers state the age of each table, counted from the sending of the query, so that delays only make rows older. A process whose rows are not confirmed for 0.55 of the bound (0.7 for the list of targets) calls the store, whatever its source answers, first with a call that does not wait, whose silence shows after 0.4 s. The source's calls for the configuration wait 0.3 of the bound instead of 0.75. After a suspension all confirmations are void, and an answer to an earlier query of a peer is dropped.

The message between peers has one more field: an entry of an earlier release reads it, and a new one refuses answers without it and reads the store. The layout test of the codec follows the new field, and also refuses the layout before.

Nothing rests on the store never losing what it acknowledged: versions only decide, as before, that nothing older is applied.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -504,8 +504,8 @@
     // A peer's data may be outdated as well; only the store can confirm that nothing has changed.
     if (this->relay)
         this->relay->abandonSource();
-    this->configurationWatcher.wake();
-    this->targetsWatcher.wake();
+    this->configurationWatcher.discardConfirmation();
+    this->targetsWatcher.discardConfirmation();
 }
 
 void Gateway::drain()
--- a/src/gateway/options.cpp
+++ b/src/gateway/options.cpp
@@ -59,7 +59,13 @@
     return std::max(streamTimeout - this->margin, std::chrono::milliseconds { 0 });
 }
 
-watch::WatchOptions configurationWatch(const ChangeBounds& bounds) { return { .wait = internal::longestWait(bounds) }; }
+watch::WatchOptions configurationWatch(const ChangeBounds& bounds)
+{
+    // A peer that reads from this process has rows that are at most as old as the wait here plus the wait of the relay.
+    // The rest of the bound is for a call of its own that gets no answer, and the next one on another connection.
+    return { .wait = std::min(internal::longestWait(bounds), internal::scale(bounds.configuration, 0.3)),
+        .maxAge = internal::scale(bounds.configuration, 0.55) };
+}
 
 watch::WatchOptions targetsWatch(const ChangeBounds& bounds)
 {
@@ -68,6 +74,7 @@
     // If all targets report at the same time, there are no changes in between. An empty answer after the short wait
     // then confirms contact with the store to the peers that read from this process.
     return { .wait = std::min(internal::longestWait(bounds), internal::scale(bounds.leaving, 0.1)),
+        .maxAge = internal::scale(bounds.leaving, 0.7),
         .pause = internal::scale(bounds.leaving, 0.35) };
 }
 
@@ -86,8 +93,7 @@
 relay::RelayOptions zoneRelayOptions(
     const std::string& instance, const base::ZoneId& zone, const settings::Endpoint& listen, const ChangeBounds& bounds)
 {
-    // The peer that reads the store gets an answer every 0.45 of the bound (pause plus wait). The data of a process is
-    // at most as old as maxAge plus its own wait; the rest of the bound is for its own read of the store that follows.
+    // The peer that reads the store gets an answer every 0.45 of the bound (pause plus wait of the targets).
     const auto bound = std::min(bounds.leaving, bounds.configuration);
     return { .instance = instance,
         .zone = zone,
--- a/src/relay/codec.cpp
+++ b/src/relay/codec.cpp
@@ -50,15 +50,26 @@
     auto rows = Json::array();
     for (const auto& row : update.page.rows)
         rows.push_back(Json::array({ row.key, row.value ? Json(*row.value) : Json() }));
-    return Json::array(
-        { static_cast<std::uint64_t>(update.kind), update.page.version, toJson(update.position), std::move(rows) });
+    return Json::array({ static_cast<std::uint64_t>(update.kind), update.page.version, toJson(update.position),
+        std::move(rows), update.age.count() });
+}
+
+std::chrono::milliseconds parseAge(const Json& value)
+{
+    const auto limit = unknownAge.count();
+    if (value.is_number_unsigned())
+        return std::chrono::milliseconds { std::min(value.get<std::uint64_t>(), static_cast<std::uint64_t>(limit)) };
+    if (!value.is_number_integer())
+        throw std::out_of_range { "the age is not an integer" };
+    return std::chrono::milliseconds { std::max(value.get<std::int64_t>(), -limit) };
 }
 
 TableUpdate parseTableUpdate(const Json& value)
 {
     TableUpdate update { .kind = parseKind(value.at(0)),
         .page = { .version = wire::parseUnsigned(value.at(1)) },
-        .position = parsePosition(value.at(2)) };
+        .position = parsePosition(value.at(2)),
+        .age = parseAge(value.at(4)) };
     for (const auto& row : value.at(3)) {
         watch::RowChange change { .key = row.at(0).get<std::string>() };
         if (!row.at(1).is_null())
--- a/src/relay/codec.hpp
+++ b/src/relay/codec.hpp
@@ -29,6 +29,9 @@
     bool operator==(const RelayQuery&) const = default;
 };
 
+/** Age of rows that were not confirmed, and the largest that is sent or accepted. */
+inline constexpr std::chrono::milliseconds unknownAge { std::chrono::hours { 24 * 365 } };
+
 enum class UpdateKind : std::uint8_t {
     Snapshot, ///< The rows are the complete table.
     Changes, ///< The rows are the changes after the position in the query.
@@ -40,6 +43,11 @@
     UpdateKind kind = UpdateKind::Snapshot;
     watch::Page page;
     CopyPosition position; ///< Position of the source's copy to which the update leads.
+    /**
+     * Time from the last confirmation of the source's rows to the arrival of the query; negative if they were confirmed
+     * while the query waited.
+     */
+    std::chrono::milliseconds age { 0 };
 
     bool operator==(const TableUpdate&) const = default;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -99,6 +99,7 @@
 
 void Relay::abandonSource()
 {
+    ++this->abandoned;
     if (this->relayed)
         this->peers.recordRefusal(this->source, this->clock.now());
     this->setRelayed({});
@@ -180,27 +181,38 @@
     const auto client = this->clients.of(peer.endpoint);
     http::Error error;
     const http::SendOptions send;
+    const auto sentAt = this->clock.now();
+    const auto abandonedBefore = this->abandoned;
     const auto response
         = co_await client->send(http::makeRequest("POST", path, encode(query), internal::contentType), send, error);
+    // The answer may be from before a suspension.
+    if (this->abandoned != abandonedBefore)
+        co_return false;
     if (!response) {
         this->peers.recordTimeout(peer.instance, this->clock.now());
         co_return false;
     }
     const auto answer = response->status == http::status::ok ? decodeAnswer(response->body) : std::nullopt;
-    const bool isTaken = answer && this->applyAnswer(*answer, query, peer.instance);
+    const bool isTaken = answer && this->applyAnswer(*answer, query, peer.instance, sentAt);
     if (!isTaken)
         this->peers.recordRefusal(peer.instance, this->clock.now());
     co_return isTaken;
 }
 
-bool Relay::applyAnswer(const RelayAnswer& answer, const RelayQuery& query, const std::string& from)
+bool Relay::applyAnswer(
+    const RelayAnswer& answer, const RelayQuery& query, const std::string& from, base::SteadyTime sentAt)
 {
-    const watch::Confirmation confirmation { .source = from, .at = this->clock.now() };
+    const auto now = this->clock.now();
     bool isComplete = true;
     for (auto& table : this->tables) {
         const auto found = answer.tables.find(table.name());
-        isComplete = found != answer.tables.end()
-            && table.apply(found->second, query.tables.at(table.name()), confirmation) && isComplete;
+        if (found == answer.tables.end()) {
+            isComplete = false;
+            continue;
+        }
+        // The query arrived after it was sent, so that this is not later than the confirmation at the source.
+        const watch::Confirmation confirmation { .source = from, .at = std::min(now, sentAt - found->second.age) };
+        isComplete = table.apply(found->second, query.tables.at(table.name()), confirmation) && isComplete;
     }
     return isComplete;
 }
@@ -209,9 +221,9 @@
 {
     if (this->relayed || this->isDraining || this->tables.empty())
         return false;
-    const bool isInContact = std::ranges::all_of(
-        this->tables, [](const auto& table) { return table.watcher().inContact() && table.copy().isKnown(); });
-    return isInContact && this->clock.now() - this->tables.front().watcher().answeredAt() <= this->options.maxAge;
+    return std::ranges::all_of(this->tables, [](const auto& table) {
+        return table.watcher().inContact() && table.copy().isKnown() && !table.watcher().isOverdue();
+    });
 }
 
 bool Relay::hasRowsFor(const RelayQuery& query) const
@@ -231,12 +243,17 @@
     std::erase(this->waiting, waiter);
 }
 
-RelayAnswer Relay::answerTo(const RelayQuery& query) const
+RelayAnswer Relay::answerTo(const RelayQuery& query, base::SteadyTime arrivedAt) const
 {
     RelayAnswer answer;
     for (const auto& table : this->tables) {
-        if (const auto found = query.tables.find(table.name()); found != query.tables.end())
-            answer.tables.emplace(table.name(), table.answer(found->second));
+        const auto found = query.tables.find(table.name());
+        if (found == query.tables.end())
+            continue;
+        auto update = table.answer(found->second);
+        const auto confirmedAt = table.watcher().confirmation().at;
+        update.age = confirmedAt ? std::chrono::ceil<std::chrono::milliseconds>(arrivedAt - *confirmedAt) : unknownAge;
+        answer.tables.emplace(table.name(), std::move(update));
     }
     return answer;
 }
@@ -291,6 +308,7 @@
 http::Task<http::Response> Relay::serveRows(std::string body)
 {
     http::Response response { .status = http::status::badRequest };
+    const auto arrivedAt = this->clock.now();
     const auto query = decodeQuery(body);
     if (!query)
         co_return response;
@@ -298,9 +316,9 @@
         co_await this->waitForChange(*query);
     response.status = http::status::unavailable;
     if (this->canServe())
-        response = {
-            .status = http::status::ok, .contentType = internal::contentType, .body = encode(this->answerTo(*query))
-        };
+        response = { .status = http::status::ok,
+            .contentType = internal::contentType,
+            .body = encode(this->answerTo(*query, arrivedAt)) };
     co_return response;
 }
 
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -34,7 +34,7 @@
      */
     std::chrono::milliseconds wait { 400 };
     std::chrono::milliseconds slack { 200 };
-    /** A process whose last answer from the store is older than this does not serve peers. */
+    /** A process whose last answer from the store is older than this does not vouch for the store. */
     std::chrono::milliseconds maxAge { 1'100 };
     PeerBackoff backoff;
     std::shared_ptr<http::BufferBudget> buffers; ///< For messages to and from peers.
@@ -77,10 +77,7 @@
     Relay& operator=(const Relay&) = delete;
     ~Relay();
 
-    /**
-     * Adds a table; must be called before start. The time of the last answer for the first table determines whether the
-     * rows are recent enough to serve.
-     */
+    /** Adds a table; must be called before start. The process serves its peers while none of the tables is overdue. */
     void add(std::string table, watch::RowWatcher& watcher, TableCopy::EquivalencePredicate isEquivalent = {});
     /**
      * Passes on rows that a watcher has reported.
@@ -137,6 +134,7 @@
     std::vector<std::shared_ptr<boost::asio::steady_timer>> waiting; ///< Timers of the requests that wait for a change.
     std::string source; ///< Instance of the peer from which this process reads; empty if it reads the store.
     bool relayed = false;
+    std::uint64_t abandoned = 0; ///< Number of calls of abandonSource.
     bool isRegisteredBefore = false;
     bool isWatchingPeers = false;
     bool isDraining = false;
@@ -147,7 +145,8 @@
     [[nodiscard]] http::Task<void> run();
     /** Queries the peer for changes. Returns false if the peer must be skipped. */
     [[nodiscard]] http::Task<bool> pollPeer(Peer peer);
-    [[nodiscard]] bool applyAnswer(const RelayAnswer& answer, const RelayQuery& query, const std::string& from);
+    [[nodiscard]] bool applyAnswer(
+        const RelayAnswer& answer, const RelayQuery& query, const std::string& from, base::SteadyTime sentAt);
     void setRelayed(const std::string& from);
     /** Answer to a peer that reads from this process. */
     [[nodiscard]] http::Task<http::Response> serveRows(std::string body);
@@ -156,7 +155,7 @@
     /** Answer to a peer that asks about the contact of this process. */
     [[nodiscard]] std::string contactAnswer() const;
     [[nodiscard]] bool hasRowsFor(const RelayQuery& query) const;
-    [[nodiscard]] RelayAnswer answerTo(const RelayQuery& query) const;
+    [[nodiscard]] RelayAnswer answerTo(const RelayQuery& query, base::SteadyTime arrivedAt) const;
     [[nodiscard]] http::Task<void> sleep(std::chrono::milliseconds time);
 };
 
--- a/src/watch/row_watcher.cpp
+++ b/src/watch/row_watcher.cpp
@@ -58,8 +58,8 @@
 RowFeed::Task<void> RowWatcher::run()
 {
     while (!this->isStopped) {
-        if (this->isPaused) {
-            co_await this->sleep(internal::pausedSleep);
+        if (const auto left = this->pauseLeft(); left.count() > 0) {
+            co_await this->sleep(left);
             continue;
         }
         const auto begunAt = std::chrono::steady_clock::now();
@@ -75,18 +75,55 @@
     }
 }
 
+std::chrono::milliseconds RowWatcher::pauseLeft() const noexcept
+{
+    if (!this->isPaused)
+        return std::chrono::milliseconds { 0 };
+    if (!this->options.maxAge)
+        return internal::pausedSleep;
+    const auto left = *this->options.maxAge - this->age().value_or(*this->options.maxAge);
+    return std::min(std::chrono::ceil<std::chrono::milliseconds>(left), internal::pausedSleep);
+}
+
+std::optional<std::chrono::steady_clock::duration> RowWatcher::age() const noexcept
+{
+    if (!this->lastConfirmation.at)
+        return std::nullopt;
+    return std::chrono::steady_clock::now() - *this->lastConfirmation.at;
+}
+
+bool RowWatcher::isOverdue() const noexcept
+{
+    if (!this->options.maxAge)
+        return false;
+    const auto current = this->age();
+    return !current || *current > *this->options.maxAge;
+}
+
+std::chrono::milliseconds RowWatcher::nextWait() const noexcept
+{
+    // While the feed is unavailable, longer calls are fewer calls.
+    if (!this->isInContact)
+        return this->options.wait;
+    // An answer with rows confirms only the beginning of its call, and rows from elsewhere may be old.
+    const auto interval = this->options.pause + this->options.wait;
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(interval - this->age().value_or(interval));
+    return std::clamp(left, std::chrono::milliseconds { 0 }, this->options.wait);
+}
+
 RowFeed::Task<bool> RowWatcher::step()
 {
     FeedError reason;
     const bool whole = !this->hasSnapshotRows;
     const auto askedSince = this->version;
     const auto begunAt = std::chrono::steady_clock::now();
+    const auto wait = this->nextWait();
     // GCC 12 destroys the operands of a conditional expression with co_await twice.
     std::optional<Page> page;
     if (whole)
         page = co_await this->feed.readAll(reason);
     else
-        page = co_await this->feed.changes(this->version, this->options.wait, reason);
+        page = co_await this->feed.changes(this->version, wait, reason);
     if (this->isStopped)
         co_return true;
     // Newer rows were supplied from elsewhere in the meantime, so this result is ignored.
@@ -104,7 +141,12 @@
             begunAt);
         co_return false;
     }
-    this->applyPage(*page, whole, { .at = std::chrono::steady_clock::now() });
+    // The feed answers without rows only after the wait, with rows at any time since the beginning of the call.
+    const bool isUnchanged = !whole && page->rows.empty();
+    Confirmation confirmation;
+    if (begunAt >= this->discardedAt)
+        confirmation.at = isUnchanged ? std::min(begunAt + wait, std::chrono::steady_clock::now()) : begunAt;
+    this->applyPage(*page, whole, confirmation);
     co_return true;
 }
 
@@ -126,11 +168,10 @@
 
 void RowWatcher::confirm(const Confirmation& confirmation, std::chrono::steady_clock::time_point now)
 {
-    const auto before = std::exchange(this->lastConfirmation, confirmation).at;
-    if (before == std::chrono::steady_clock::time_point {})
-        return;
-    this->lastGap = std::chrono::floor<std::chrono::milliseconds>(now - before);
-    if (this->events.onConfirmed)
+    const auto before = this->lastConfirmation.at;
+    this->lastConfirmation = { .source = confirmation.source, .at = std::max(before, confirmation.at) };
+    this->lastGap = std::chrono::floor<std::chrono::milliseconds>(now - before.value_or(now));
+    if (before && confirmation.at > before && this->events.onConfirmed)
         this->events.onConfirmed(this->lastGap);
 }
 
@@ -143,6 +184,13 @@
     return true;
 }
 
+void RowWatcher::discardConfirmation() noexcept
+{
+    this->discardedAt = std::chrono::steady_clock::now();
+    this->lastConfirmation.at = std::nullopt;
+    this->timer.cancel();
+}
+
 void RowWatcher::setPaused(bool paused) noexcept
 {
     this->isPaused = paused;
--- a/src/watch/row_watcher.hpp
+++ b/src/watch/row_watcher.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace chivewinch::watch {
@@ -15,6 +16,8 @@
     std::string table; ///< Name for the log.
     /** Longest wait for a change in one call. It also bounds the time until a silent connection is detected. */
     std::chrono::milliseconds wait { 1'000 };
+    /** Time without a confirmation of the rows after which a paused watcher calls the feed; nullopt for no limit. */
+    std::optional<std::chrono::milliseconds> maxAge;
     /** Pause after each successful call. It collects the changes of a table that is updated continually. */
     std::chrono::milliseconds pause { 0 };
     /**
@@ -49,7 +52,8 @@
 /** Evidence that the rows of a process are up to date. */
 struct Confirmation {
     std::string source; ///< Name of the process that supplied it; empty for the feed.
-    std::chrono::steady_clock::time_point at {}; ///< The rows were those of the feed.
+    /** The rows were those of the feed at this time or later; nullopt if that is not known. */
+    std::optional<std::chrono::steady_clock::time_point> at;
 
     bool operator==(const Confirmation&) const = default;
 };
@@ -65,9 +69,12 @@
     /** Runs until stop is called. */
     [[nodiscard]] RowFeed::Task<void> run();
     void stop() noexcept;
-    /** Ends a pause between calls, for instance after the process was suspended. */
-    void wake() noexcept { this->timer.cancel(); }
-    /** While paused, the feed is not called, and the rows are supplied from elsewhere. */
+    /**
+     * Must be called after the process was suspended. The steady clock does not count that time, so that the age of the
+     * rows is unknown until the next answer to a later call.
+     */
+    void discardConfirmation() noexcept;
+    /** While paused, the rows are supplied from elsewhere, and the feed is called only when they are overdue. */
     void setPaused(bool paused) noexcept;
     /**
      * Applies rows that were read elsewhere. Rows older than the current version change nothing. Returns false for
@@ -80,10 +87,12 @@
     [[nodiscard]] bool hasSnapshot() const noexcept { return this->hasSnapshotRows; }
     [[nodiscard]] bool inContact() const noexcept { return this->isInContact; }
     [[nodiscard]] const Confirmation& confirmation() const noexcept { return this->lastConfirmation; }
+    /** Time since the rows were confirmed; nullopt if that is not known. */
+    [[nodiscard]] std::optional<std::chrono::steady_clock::duration> age() const noexcept;
+    /** True if the rows are older than WatchOptions::maxAge. */
+    [[nodiscard]] bool isOverdue() const noexcept;
     /** Time for which the rows had not been confirmed when they were last confirmed; zero at the first time. */
     [[nodiscard]] std::chrono::milliseconds confirmationGap() const noexcept { return this->lastGap; }
-    /** Time of the last answer, from the feed or from elsewhere. */
-    [[nodiscard]] std::chrono::steady_clock::time_point answeredAt() const noexcept { return this->lastAnswer; }
     /** Time at which the last call that failed was begun; the feed was unavailable then or later. */
     [[nodiscard]] std::chrono::steady_clock::time_point failedCallAt() const noexcept { return this->lastFailedCall; }
     /**
@@ -112,12 +121,17 @@
     bool isPaused = false;
     Confirmation lastConfirmation;
     std::chrono::milliseconds lastGap { 0 };
+    std::chrono::steady_clock::time_point discardedAt {}; ///< Calls that began earlier confirm nothing.
     std::chrono::steady_clock::time_point lastAnswer {};
     std::chrono::steady_clock::time_point lastFailedCall {};
     std::chrono::steady_clock::time_point contactBegin {};
     std::chrono::milliseconds retry;
 
     [[nodiscard]] RowFeed::Task<bool> step();
+    /** Time until the next call may be made. */
+    [[nodiscard]] std::chrono::milliseconds pauseLeft() const noexcept;
+    /** Wait of the next call for changes. */
+    [[nodiscard]] std::chrono::milliseconds nextWait() const noexcept;
     void applyPage(const Page& page, bool isSnapshot, const Confirmation& confirmation);
     void confirm(const Confirmation& confirmation, std::chrono::steady_clock::time_point now);
     void recordSuccess();
--- a/tests/gateway/options_test.cpp
+++ b/tests/gateway/options_test.cpp
@@ -34,6 +34,24 @@
     }
 }
 
+// Guards against waits that add up to more than the bound: rows that grow old at the peer from which they come, and
+// then an own call that gets no answer because its connection is silent, and one more. In calm, no process may call the
+// store because of rows that a peer has confirmed as often as it can.
+TEST(ChangeBounds, LeaveTimeForAnOwnCallWhenTheRowsOfAPeerAreOld)
+{
+    for (const auto bound : { 2'000ms, 3'000ms, 5'000ms }) {
+        const ChangeBounds bounds { .leaving = bound, .configuration = bound, .contact = bound + 1'000ms };
+        const auto relay = zoneRelayOptions("e", "z", {}, bounds);
+        for (const auto& watch : { configurationWatch(bounds), targetsWatch(bounds) }) {
+            ASSERT_TRUE(watch.maxAge.has_value());
+            EXPECT_GT(*watch.maxAge, watch.pause + watch.wait + relay.wait);
+            EXPECT_LT(*watch.maxAge + watch.timeouts.slack + watch.firstRetry, bound);
+        }
+        const auto watch = configurationWatch(bounds);
+        EXPECT_LT(*watch.maxAge + 2 * watch.timeouts.slack + watch.firstRetry, bound);
+    }
+}
+
 // Guards against a target that registers again within two seconds of the return of the list and is dropped before,
 // because the calls for the list are too far apart, and against one that has left and is kept for the whole contact
 // bound.
--- a/tests/relay/codec_test.cpp
+++ b/tests/relay/codec_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <cstdint>
+#include <limits>
 #include <string>
 
 namespace chivewinch::relay {
@@ -43,8 +45,23 @@
     EXPECT_FALSE(decodeQuery(wire::toCbor({ { "tables", { { "t", 5 } } }, { "wait", 400 } })));
     const auto rows = nlohmann::json::array({ nlohmann::json::array({ "a", "1" }) });
     EXPECT_FALSE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 5, true, rows }) } })));
-    EXPECT_FALSE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 3, 5, { 1, 1 }, rows }) } })));
-    EXPECT_TRUE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 0, 5, { 1, 1 }, rows }) } })));
+    EXPECT_FALSE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 3, 5, { 1, 1 }, rows, 7 }) } })));
+    EXPECT_FALSE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 0, 5, { 1, 1 }, rows }) } })));
+    EXPECT_FALSE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 0, 5, { 1, 1 }, rows, 0.5 }) } })));
+    EXPECT_TRUE(decodeAnswer(wire::toCbor({ { "t", nlohmann::json::array({ 0, 5, { 1, 1 }, rows, 7 }) } })));
+}
+
+// Guards against an age beyond all times that is read as that of recent rows.
+TEST(RelayCodec, LimitsTheAgeOfRows)
+{
+    const auto ageOf = [](const nlohmann::json& age) {
+        const auto update = nlohmann::json::array({ 0, 5, { 1, 1 }, nlohmann::json::array(), age });
+        return decodeAnswer(wire::toCbor({ { "t", update } })).value().tables.at("t").age;
+    };
+    EXPECT_EQ(ageOf(std::numeric_limits<std::uint64_t>::max()), unknownAge);
+    EXPECT_EQ(ageOf(std::numeric_limits<std::int64_t>::min()), -unknownAge);
+    EXPECT_EQ(ageOf(7), std::chrono::milliseconds { 7 });
+    EXPECT_EQ(ageOf(-7), std::chrono::milliseconds { -7 });
 }
 
 // Guards against a row of another writer that is used as the address of a peer.
--- a/tests/relay/peers_test.cpp
+++ b/tests/relay/peers_test.cpp
@@ -101,7 +101,8 @@
         answer.tables.emplace(std::to_string(static_cast<int>(kind)),
             TableUpdate { .kind = kind,
                 .page = { .rows = { { .key = "k", .value = "v" }, { .key = "gone" } }, .version = 9 },
-                .position = { .copy = 5, .revision = 4 } });
+                .position = { .copy = 5, .revision = 4 },
+                .age = kind == UpdateKind::Behind ? -300ms : 900ms });
     EXPECT_EQ(decodeAnswer(encode(answer)), answer);
     const ContactAnswer contact { .contact = 5s };
     EXPECT_EQ(decodeContactAnswer(encode(contact)), contact);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_future.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <future>
 #include <map>
@@ -44,6 +45,7 @@
     }
 
     int calls = 0;
+    bool isSilent = false; ///< Calls get no answer.
 
     [[nodiscard]] RowFeed::Task<std::optional<watch::Page>> readAll(watch::FeedError& reason) override
     {
@@ -83,6 +85,10 @@
         ++this->calls;
         asio::steady_timer timer { this->context, 2ms };
         co_await timer.async_wait(asio::use_awaitable);
+        while (this->isSilent) {
+            timer.expires_after(5ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         if (this->isDisconnected || this->store.isUnavailable) {
             reason.code = watch::FeedErrorCode::Unavailable;
             co_return std::nullopt;
@@ -96,15 +102,18 @@
     }
 };
 
-/** Processes of one zone on loopback addresses that read one table. */
+/** Processes of one zone on loopback addresses that read two tables. */
 class RelayTest : public testing::Test {
 protected:
     struct Process {
         bool isDisconnected = false; ///< No access to the store.
         std::unique_ptr<FakeFeed> feed;
+        std::unique_ptr<FakeFeed> secondFeed;
         std::unique_ptr<FakeFeed> peers;
         std::map<std::string, std::string> rows;
+        std::map<std::string, std::string> secondRows;
         std::unique_ptr<watch::RowWatcher> watcher;
+        std::unique_ptr<watch::RowWatcher> secondWatcher;
         std::unique_ptr<Relay> relay;
     };
 
@@ -115,6 +124,8 @@
         this->context.run_for(50ms);
     }
 
+    static constexpr std::chrono::milliseconds maxRowAge { 120 };
+
     static RelayOptions options(std::size_t index, std::uint16_t port)
     {
         return { .instance = "e" + std::to_string(index),
@@ -129,6 +140,31 @@
             .peersWatch = { .table = "peers", .wait = 0ms, .pause = 50ms } };
     }
 
+    /** Watcher that keeps the rows of a process up to date and passes them on to its relay. */
+    std::unique_ptr<watch::RowWatcher> makeWatcher(
+        Process& own, FakeFeed& feed, const std::string& table, std::map<std::string, std::string>& kept)
+    {
+        const auto relayRows = [&own, &kept, table](const auto& rows, bool isSnapshot) {
+            if (isSnapshot)
+                kept.clear();
+            for (const auto& row : rows) {
+                if (row.value)
+                    kept[row.key] = *row.value;
+                else
+                    kept.erase(row.key);
+            }
+            own.relay->relayRows(table, rows, isSnapshot);
+        };
+        return std::make_unique<watch::RowWatcher>(this->context.get_executor(), feed,
+            watch::WatchOptions { .table = table,
+                .maxAge = this->processes.empty() ? this->sourceMaxAge : maxRowAge,
+                .pause = 20ms,
+                .maxRetry = 50ms },
+            watch::WatchEvents { .onSnapshot = [relayRows](const auto& rows) { relayRows(rows, true); },
+                .onChanges = [relayRows](const auto& rows) { relayRows(rows, false); },
+                .onContact = [](bool) {} });
+    }
+
     void start(std::size_t count)
     {
         asio::ip::tcp::acceptor free { this->context, { asio::ip::make_address("127.0.88.1"), 0 } };
@@ -138,28 +174,17 @@
             auto process = std::make_unique<Process>();
             auto& own = *process;
             own.feed = std::make_unique<FakeFeed>(this->context, this->store, "t", own.isDisconnected);
+            own.secondFeed = std::make_unique<FakeFeed>(this->context, this->store, "u", own.isDisconnected);
             own.peers = std::make_unique<FakeFeed>(this->context, this->store, "peers", own.isDisconnected);
-            const auto relayRows = [&own](const auto& rows, bool isSnapshot) {
-                if (isSnapshot)
-                    own.rows.clear();
-                for (const auto& row : rows) {
-                    if (row.value)
-                        own.rows[row.key] = *row.value;
-                    else
-                        own.rows.erase(row.key);
-                }
-                own.relay->relayRows("t", rows, isSnapshot);
-            };
-            own.watcher = std::make_unique<watch::RowWatcher>(this->context.get_executor(), *own.feed,
-                watch::WatchOptions { .table = "t", .pause = 20ms, .maxRetry = 50ms },
-                watch::WatchEvents { .onSnapshot = [relayRows](const auto& rows) { relayRows(rows, true); },
-                    .onChanges = [relayRows](const auto& rows) { relayRows(rows, false); },
-                    .onContact = [](bool) {} });
+            own.watcher = this->makeWatcher(own, *own.feed, "t", own.rows);
+            own.secondWatcher = this->makeWatcher(own, *own.secondFeed, "u", own.secondRows);
             own.relay = std::make_unique<Relay>(
                 this->context.get_executor(), options(index, port), this->clock, this->random, *own.peers, *own.peers);
             own.relay->add("t", *own.watcher);
+            own.relay->add("u", *own.secondWatcher);
             ASSERT_TRUE(own.relay->start()) << own.relay->lastReason();
             asio::co_spawn(this->context, own.watcher->run(), asio::detached);
+            asio::co_spawn(this->context, own.secondWatcher->run(), asio::detached);
             this->processes.push_back(std::move(process));
         }
         this->context.run_for(300ms);
@@ -169,6 +194,7 @@
     {
         process.relay->stop();
         process.watcher->stop();
+        process.secondWatcher->stop();
     }
 
     /** Time until all processes, except the one left out, have the value. */
@@ -187,6 +213,19 @@
         return std::chrono::floor<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begun);
     }
 
+    /** Time until all processes from this one on have the value of the second table. */
+    std::chrono::milliseconds timeUntilSecondSeen(const std::string& value, std::size_t first)
+    {
+        const auto begun = std::chrono::steady_clock::now();
+        const auto isSeen = [&] {
+            return std::all_of(this->processes.begin() + static_cast<std::ptrdiff_t>(first), this->processes.end(),
+                [&value](const auto& process) { return process->secondRows["k"] == value; });
+        };
+        while (!isSeen() && std::chrono::steady_clock::now() - begun < 3s)
+            this->context.run_for(5ms);
+        return std::chrono::floor<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begun);
+    }
+
     /** The source is cut off while the readers take the first value, and they can learn of the second one only from it.
      */
     void changeWhileSourceIsCutOff(const std::optional<std::string>& first, const std::optional<std::string>& second)
@@ -204,6 +243,7 @@
     int callsOf(std::size_t index) const { return this->processes[index]->feed->calls; }
 
     asio::io_context context;
+    std::optional<std::chrono::milliseconds> sourceMaxAge { maxRowAge }; ///< Of the first process.
     base::SystemClock clock;
     base::SeededRandom random { 20'261'207 };
     FakeStore store;
@@ -242,6 +282,64 @@
     EXPECT_LT(this->timeUntilSeen("2"), 400ms);
 }
 
+// Guards against readers that miss changes of one table because calls for this table alone get no answer at their
+// source, which has recent answers for the other table.
+TEST_F(RelayTest, ReadsTheStoreItselfWhenItsSourceIsSilentForOneTable)
+{
+    this->start(4);
+    this->processes[0]->secondFeed->isSilent = true;
+    this->context.run_for(10ms);
+    this->store.put("u", "k", "1");
+    // Bound: the maximum age of the rows and one read.
+    EXPECT_LT(this->timeUntilSecondSeen("1", 1), 400ms);
+    this->processes[0]->secondFeed->isSilent = false;
+    this->store.put("u", "k", "2");
+    EXPECT_LT(this->timeUntilSecondSeen("2", 0), 400ms);
+}
+
+// Guards against a reader that takes each answer of its source for a confirmation by the store. This source serves rows
+// of any age.
+TEST_F(RelayTest, ReadsTheStoreItselfWhenTheRowsOfItsSourceAreOld)
+{
+    this->sourceMaxAge = std::nullopt;
+    this->start(4);
+    this->processes[0]->secondFeed->isSilent = true;
+    this->context.run_for(10ms);
+    this->store.put("u", "k", "1");
+    EXPECT_LT(this->timeUntilSecondSeen("1", 1), 400ms);
+    EXPECT_TRUE(this->processes[3]->relay->isRelayed());
+}
+
+// Guards against a chain of processes in which each takes the answer of the one before for a confirmation by the store.
+TEST_F(RelayTest, LearnsOfChangesInTimeWhateverTheProcessesBeforeItSuffer)
+{
+    constexpr std::uint64_t seed = 20'261'208;
+    constexpr std::size_t disturbed = 3;
+    base::SeededRandom random { seed };
+    this->start(6);
+    for (int round = 1; round <= 120; ++round) {
+        auto& process = *this->processes[random.below(disturbed)];
+        switch (random.below(4)) {
+        case 0:
+            process.isDisconnected = !process.isDisconnected;
+            break;
+        case 1:
+            process.feed->isSilent = !process.feed->isSilent;
+            break;
+        case 2:
+            process.secondFeed->isSilent = !process.secondFeed->isSilent;
+            break;
+        default:
+            process.relay->abandonSource();
+            break;
+        }
+        this->context.run_for(std::chrono::milliseconds { random.below(100) });
+        this->store.put("u", "k", std::to_string(round));
+        ASSERT_LT(this->timeUntilSecondSeen(std::to_string(round), disturbed), 400ms)
+            << "seed " << seed << ", round " << round;
+    }
+}
+
 // Guards against a zone that misses changes because the process that reads for it has ended or does not answer.
 TEST_F(RelayTest, ReadsTheStoreItselfWhenItsSourceIsGone)
 {
--- a/tests/watch/row_watcher_test.cpp
+++ b/tests/watch/row_watcher_test.cpp
@@ -26,6 +26,7 @@
 
     std::deque<Answer> script;
     std::vector<std::string> calls;
+    std::vector<std::chrono::milliseconds> waits; ///< Of the calls for changes.
     std::vector<std::chrono::steady_clock::time_point> times; ///< Of the calls.
     std::function<void()> onEnd;
 
@@ -36,9 +37,10 @@
     }
 
     [[nodiscard]] Task<std::optional<Page>> changes(
-        std::uint64_t since, std::chrono::milliseconds /*wait*/, FeedError& reason) override
+        std::uint64_t since, std::chrono::milliseconds wait, FeedError& reason) override
     {
         this->calls.push_back("since " + std::to_string(since));
+        this->waits.push_back(wait);
         co_return this->next(reason);
     }
 
@@ -198,5 +200,147 @@
     EXPECT_EQ(interrupted.contactTime(1min), 0ms);
 }
 
+/** A feed with one row, whose version rises with each call. */
+class CountingFeed final : public RowFeed {
+public:
+    explicit CountingFeed(boost::asio::io_context& context)
+        : context { context }
+    {
+    }
+
+    std::chrono::milliseconds delay { 1 }; ///< Until the answer to a call for changes.
+    bool hasChanges = false;
+    int calls = 0; ///< For changes.
+
+    [[nodiscard]] Task<std::optional<Page>> readAll(FeedError& /*reason*/) override
+    {
+        co_return Page { .version = ++this->version };
+    }
+
+    [[nodiscard]] Task<std::optional<Page>> changes(
+        std::uint64_t /*since*/, std::chrono::milliseconds /*wait*/, FeedError& /*reason*/) override
+    {
+        ++this->calls;
+        boost::asio::steady_timer timer { this->context, this->delay };
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        Page page { .version = ++this->version };
+        if (this->hasChanges)
+            page.rows.push_back({ .key = "a", .value = "1" });
+        co_return page;
+    }
+
+private:
+    boost::asio::io_context& context;
+    std::uint64_t version = 0;
+};
+
+class PausedWatcherTest : public testing::Test {
+protected:
+    static constexpr std::chrono::milliseconds maxAge { 100 };
+
+    PausedWatcherTest()
+    {
+        boost::asio::co_spawn(this->context, this->watcher.run(), boost::asio::detached);
+        this->context.run_for(20ms);
+        this->watcher.setPaused(true);
+        this->context.run_for(20ms);
+        this->feed.calls = 0;
+    }
+
+    ~PausedWatcherTest() override
+    {
+        this->watcher.stop();
+        this->context.run_for(100ms);
+    }
+
+    bool supply(std::chrono::milliseconds age)
+    {
+        return this->watcher.applyRelayed({ .version = this->watcher.currentVersion() }, false,
+            { .source = "peer", .at = std::chrono::steady_clock::now() - age });
+    }
+
+    boost::asio::io_context context;
+    CountingFeed feed { this->context };
+    RowWatcher watcher { this->context.get_executor(), this->feed, { .table = "t", .wait = 10ms, .maxAge = maxAge },
+        { .onSnapshot = [](const auto&) {}, .onChanges = [](const auto&) {}, .onContact = [](bool) {} } };
+};
+
+// Guards against a process that keeps using rows from a peer which does not state that they are still up to date.
+TEST_F(PausedWatcherTest, CallsTheFeedWhenTheRowsAreOverdue)
+{
+    ASSERT_TRUE(this->supply(0ms));
+    this->context.run_for(maxAge - 30ms);
+    EXPECT_EQ(this->feed.calls, 0);
+    ASSERT_TRUE(this->supply(0ms));
+    this->context.run_for(maxAge - 30ms);
+    EXPECT_EQ(this->feed.calls, 0);
+    // The answers come, but the rows of the peer are not confirmed any more.
+    const auto lastConfirmed = this->watcher.confirmation().at;
+    for (int answer = 0; answer < 5; ++answer) {
+        ASSERT_TRUE(this->supply(std::chrono::hours { 1 }));
+        this->context.run_for(10ms);
+    }
+    EXPECT_EQ(this->feed.calls, 1);
+    EXPECT_GT(this->watcher.confirmation().at, lastConfirmed);
+    EXPECT_FALSE(this->watcher.isOverdue());
+}
+
+// Guards against a process that trusts its rows after a suspension, which the steady clock does not count.
+TEST_F(PausedWatcherTest, CallsTheFeedAfterASuspension)
+{
+    ASSERT_TRUE(this->supply(0ms));
+    EXPECT_FALSE(this->watcher.isOverdue());
+    this->watcher.discardConfirmation();
+    EXPECT_TRUE(this->watcher.isOverdue());
+    this->context.run_for(30ms);
+    EXPECT_EQ(this->feed.calls, 1);
+    EXPECT_FALSE(this->watcher.isOverdue());
+}
+
+// Guards against an answer from before a suspension that confirms the rows after it.
+TEST_F(PausedWatcherTest, IgnoresAConfirmationFromBeforeASuspension)
+{
+    this->feed.delay = 40ms;
+    this->watcher.setPaused(false);
+    this->context.run_for(20ms);
+    ASSERT_EQ(this->feed.calls, 1);
+    this->watcher.discardConfirmation();
+    while (this->feed.calls == 1)
+        this->context.run_one();
+    EXPECT_TRUE(this->watcher.isOverdue());
+}
+
+// Guards against rows that are taken for newer than they are: the feed may have sent an answer with rows at any time
+// since the beginning of the call.
+TEST_F(PausedWatcherTest, AnAnswerWithRowsConfirmsTheBeginningOfItsCall)
+{
+    this->feed.delay = 40ms;
+    this->feed.hasChanges = true;
+    this->watcher.setPaused(false);
+    const auto begun = std::chrono::steady_clock::now();
+    while (this->feed.calls < 2)
+        this->context.run_one();
+    EXPECT_LT(this->watcher.confirmation().at, begun + 40ms);
+    EXPECT_GE(std::chrono::steady_clock::now() - begun, 40ms);
+}
+
+// Guards against rows that stay unconfirmed for two waits after a late answer with a change.
+TEST_F(RowWatcherTest, ShortensTheWaitByTheAgeOfTheRows)
+{
+    this->play({ page(5), page(6), page(7) });
+    ASSERT_EQ(this->feed.waits.size(), 3U);
+    EXPECT_GT(this->feed.waits.front(), 500ms);
+    boost::asio::io_context context;
+    ScriptedFeed scripted;
+    RowWatcher watcher { context.get_executor(), scripted, { .table = "t", .wait = 1'000ms },
+        { .onSnapshot = [](const auto&) {}, .onChanges = [](const auto&) {}, .onContact = [](bool) {} } };
+    scripted.onEnd = [&watcher] { watcher.stop(); };
+    ASSERT_TRUE(watcher.applyRelayed({ .version = 5 }, true, { .at = std::chrono::steady_clock::now() - 800ms }));
+    boost::asio::co_spawn(context, watcher.run(), boost::asio::detached);
+    context.run();
+    ASSERT_EQ(scripted.waits.size(), 1U);
+    EXPECT_LE(scripted.waits.front(), 200ms);
+}
+
 } // namespace
 } // namespace chivewinch::watch
