Judge requests on kept connections by the limits in force when they arrive

Cause: the server took the limits before it waited for the first byte of the next request. Change: it takes them once that byte has arrived; only the idle time still follows the configuration at its beginning.

ServerFraming.AppliesChangedLimitsToTheNextRequestOfAnIdleConnection failed before in all cases (raised and lowered limits of heads and bodies).

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -237,29 +237,39 @@
     }
 }
 
+Task<bool> Server::readFirstBytes(std::shared_ptr<Connection> connection)
+{
+    const auto current = this->currentLimits();
+    auto& buffer = connection->buffer;
+    buffer.max_size(current.maxHeaderBytes + internal::firstReadBytes);
+    buffer.shrink_to_fit();
+    connection->stream.expires_after(
+        this->draining ? std::min(internal::drainFirstByteTimeout, current.idleTimeout) : current.idleTimeout);
+    const auto [error, bytes] = co_await connection->stream.async_read_some(
+        buffer.prepare(std::min<std::size_t>(current.maxHeaderBytes, internal::firstReadBytes)), internal::awaitTuple);
+    if (error)
+        co_return false;
+    buffer.commit(bytes);
+    co_return true;
+}
+
 Task<std::optional<Server::ReceivedRequest>> Server::readRequest(std::shared_ptr<Connection> connection)
 {
     auto& stream = connection->stream;
-    RequestParser parser;
+    // The idle timeout applies until the first byte arrives; the request timeout applies to the rest of the request.
+    if (connection->buffer.size() == 0) {
+        const bool isRead = co_await this->readFirstBytes(connection);
+        if (!isRead)
+            co_return std::nullopt;
+    }
+    // The limits may have changed since the request before.
     const auto current = this->currentLimits();
+    RequestParser parser;
     parser.header_limit(current.maxHeaderBytes);
     parser.body_limit(current.maxBodyBytes);
-
     // Bounds the memory of an unfinished head and the pieces in which a body is read.
     connection->buffer.max_size(
         std::max<std::size_t>(current.maxHeaderBytes + internal::firstReadBytes, connection->buffer.size()));
-    // The idle timeout applies until the first byte arrives; the request timeout applies to the rest of the request.
-    if (connection->buffer.size() == 0) {
-        connection->buffer.shrink_to_fit();
-        stream.expires_after(
-            this->draining ? std::min(internal::drainFirstByteTimeout, current.idleTimeout) : current.idleTimeout);
-        const auto [error, bytes] = co_await stream.async_read_some(
-            connection->buffer.prepare(std::min<std::size_t>(current.maxHeaderBytes, internal::firstReadBytes)),
-            internal::awaitTuple);
-        if (error)
-            co_return std::nullopt;
-        connection->buffer.commit(bytes);
-    }
     connection->setState(ConnectionState::Receiving);
     stream.expires_after(current.requestTimeout);
     ReceivedRequest received { .request = {}, .memory = BufferReservation { this->options.buffers } };
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -85,7 +85,7 @@
     [[nodiscard]] std::optional<settings::Endpoint> start();
     [[nodiscard]] const std::string& lastReason() const noexcept { return this->reason; }
 
-    /** Takes effect when the connection next starts to read a request. */
+    /** Applies to each request whose first byte arrives later, and to each idle time that begins later. */
     void setLimits(const InputLimits& limits);
 
     /** Closes each connection after its next response; new connections are still accepted. */
@@ -128,6 +128,8 @@
     void startServing(boost::asio::ip::tcp::socket socket);
     [[nodiscard]] Task<void> serve(std::shared_ptr<Connection> connection);
     [[nodiscard]] Task<void> serveRequests(std::shared_ptr<Connection> connection);
+    /** Waits for the next request of an idle connection. Returns false if the connection has ended. */
+    [[nodiscard]] Task<bool> readFirstBytes(std::shared_ptr<Connection> connection);
     [[nodiscard]] Task<std::optional<ReceivedRequest>> readRequest(std::shared_ptr<Connection> connection);
     /** Reserves memory for an unfinished request, in place of larger ones if necessary; false if there is none. */
     [[nodiscard]] Task<bool> reserve(
--- a/tests/http/framing_test.cpp
+++ b/tests/http/framing_test.cpp
@@ -371,5 +371,40 @@
         this->sendRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody").starts_with("HTTP/1.1 413"));
 }
 
+// Guards against a request on a kept connection that is judged by the limits of before the connection was idle.
+TEST_F(ServerFraming, AppliesChangedLimitsToTheNextRequestOfAnIdleConnection)
+{
+    const InputLimits small { .maxHeaderBytes = 4096, .maxBodyBytes = 3, .requestTimeout = 3s, .idleTimeout = 3s };
+    const InputLimits large { .maxHeaderBytes = 65536, .maxBodyBytes = 4, .requestTimeout = 3s, .idleTimeout = 3s };
+    const std::string longBody = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody";
+    const auto longHead = "GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(30'000, 'x') + "\r\n\r\n";
+    struct Case {
+        InputLimits before;
+        InputLimits after;
+        std::string request;
+        std::string status;
+    };
+    for (const auto& [before, after, request, status] :
+        { Case { small, large, longBody, "200" }, Case { small, large, longHead, "200" },
+            Case { large, small, longBody, "413" }, Case { large, small, longHead, "431" } }) {
+        this->server->setLimits(before);
+        asio::io_context own;
+        Tcp::socket socket { own };
+        socket.connect({ asio::ip::make_address(this->endpoint.address), this->endpoint.port });
+        const auto statusOf = [&socket](const std::string& sent) {
+            boost::system::error_code error;
+            asio::write(socket, asio::buffer(sent), error);
+            std::string answer;
+            asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n", error);
+            return answer.substr(std::string { "HTTP/1.1 " }.size(), 3);
+        };
+        EXPECT_EQ(statusOf("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), "200");
+        // The connection is idle when the limits change.
+        std::this_thread::sleep_for(50ms);
+        this->server->setLimits(after);
+        EXPECT_EQ(statusOf(request), status) << request.substr(0, 40);
+    }
+}
+
 } // namespace
 } // namespace chivewinch::http
