Do not take rows for confirmed because a source has older ones

A source with an older version than its reader confirmed the reader's rows, since versions only grow. A store that comes back from a copy issues versions again; all processes that have read it since are then behind a reader that has not, and would have confirmed rows of the lost history for good. By reading; RelayedTable.IsNotConfirmedByASourceBehindIt fails without the change.

--- a/src/relay/relayed_table.cpp
+++ b/src/relay/relayed_table.cpp
@@ -35,9 +35,11 @@
 bool RelayedTable::apply(const TableUpdate& update, const TableQuery& query, const watch::Confirmation& confirmation)
 {
     if (update.kind == UpdateKind::Behind) {
-        // The source is in contact with the store, but the version of this process stays.
+        // The source is in contact with the store, but the version of this process stays. It is not confirmed: a store
+        // that was restored from a copy has older versions as well.
         const watch::Page unchanged { .version = this->rows->currentVersion() };
-        return update.page.rows.empty() && this->rows->applyRelayed(unchanged, false, confirmation);
+        return update.page.rows.empty()
+            && this->rows->applyRelayed(unchanged, false, { .source = confirmation.source, .at = std::nullopt });
     }
     const bool isSnapshot = update.kind == UpdateKind::Snapshot;
     if (!isSnapshot && !query.position)
--- a/tests/relay/relayed_table_test.cpp
+++ b/tests/relay/relayed_table_test.cpp
@@ -308,6 +308,28 @@
     EXPECT_EQ(source.table.answer(query).kind, UpdateKind::Snapshot);
 }
 
+// Guards against a reader that trusts its rows for good because a source has older ones: after the store was restored
+// from a copy, all processes that have read it since have older versions.
+TEST(RelayedTable, IsNotConfirmedByASourceBehindIt)
+{
+    boost::asio::io_context context;
+    UnusedFeed feed;
+    Process source { context, feed, 1 };
+    Process reader { context, feed, 2 };
+    const auto before = std::chrono::steady_clock::now();
+    const watch::Confirmation later { .source = "source", .at = before + std::chrono::seconds { 1 } };
+    ASSERT_TRUE(source.watcher.applyRelayed({ .rows = { { .key = "a", .value = "x" } }, .version = 5 }, true, {}));
+    ASSERT_TRUE(reader.watcher.applyRelayed(
+        { .rows = { { .key = "a", .value = "y" } }, .version = 6 }, true, { .at = before }));
+    const auto ahead = reader.table.query();
+    EXPECT_TRUE(reader.table.apply(source.table.answer(ahead), ahead, later));
+    EXPECT_EQ(reader.watcher.confirmation().at, before);
+    ASSERT_TRUE(source.watcher.applyRelayed({ .version = 7 }, false, {}));
+    const auto behind = reader.table.query();
+    EXPECT_TRUE(reader.table.apply(source.table.answer(behind), behind, later));
+    EXPECT_EQ(reader.watcher.confirmation().at, later.at);
+}
+
 // Guards against a reader without rows that asks a source behind it again and again, without a pause, and ignores all
 // answers. It has lost its rows because the store has lost its history.
 TEST(RelayedTable, LeavesASourceBehindItWhenItNeedsTheCompleteTable)
